--- /dev/null
+++ b/src/hawthornstage/actors/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own their sockets and their state, and talk by messages."""
--- /dev/null
+++ b/src/hawthornstage/actors/budgets.py
@@ -0,0 +1,282 @@
+"""The task that holds this router's grants and answers reservations."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+
+from hawthornstage.actors.documents import Applied, Apply
+from hawthornstage.actors.members import MembersSeen
+from hawthornstage.actors.peers import Send
+from hawthornstage.actors.task import Ask, Task
+from hawthornstage.clock import Clock
+from hawthornstage.decisions import holder as policy
+from hawthornstage.decisions.holder import GrantPolicy, Holder
+from hawthornstage.decisions.ledger import Resize
+from hawthornstage.decisions.membership import Members, choose_witnesses, lost
+from hawthornstage.mailbox import Forward, ReplyTo
+from hawthornstage.messages.money import (
+    Acknowledged,
+    Recall,
+    Release,
+    Reserve,
+    Seal,
+    Sealed,
+    Settle,
+    Stored,
+    Witness,
+)
+from hawthornstage.observe.events import EventLog
+
+
+def ledger_key(budget: str, shards: int) -> str:
+    """Return the key of the ledger shard that holds a budget."""
+    return f"hawthornstage/ledger/{zlib.crc32(budget.encode()) % shards}"
+
+
+@dataclass(frozen=True)
+class FastTick:
+    """Look at reservations that wait."""
+
+
+@dataclass(frozen=True)
+class SlowTick:
+    """Look at all grants."""
+
+
+@dataclass(frozen=True)
+class DrainBudgets:
+    """Return all grants; the reply comes once nothing is held."""
+
+
+@dataclass(frozen=True)
+class Drained:
+    """No grant is held any more."""
+
+
+@dataclass(frozen=True)
+class WantHeldGrants:
+    """Asks for the grants that are held."""
+
+
+@dataclass(frozen=True)
+class HeldGrants:
+    """The tokens of each held grant, by its id."""
+
+    grants: dict[str, int]
+
+
+@dataclass(frozen=True)
+class SealArrived:
+    """A witness has sealed a grant of a budget."""
+
+    budget: str
+    sealed: Sealed
+
+
+@dataclass(frozen=True)
+class HoldingOptions:
+    """How this router holds grants.
+
+    Args:
+        policy: Sizes and times.
+        witnesses: Witnesses of each grant.
+        shards: Number of ledger documents.
+    """
+
+    policy: GrantPolicy
+    witnesses: int
+    shards: int
+
+
+class Budgets(Task):
+    """Owns this router's grants, one state for each budget drawn on.
+
+    Args:
+        me: This process's name in grants.
+        options: How grants are held.
+        documents: The ledger's documents.
+        peers: Sends messages to other routers.
+        clock: The runtime's clock.
+        events: Takes events.
+    """
+
+    def __init__(
+        self,
+        me: Witness,
+        options: HoldingOptions,
+        *,
+        documents: pykka.ActorRef,
+        peers: pykka.ActorRef,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        super().__init__()
+        self.me = me
+        self.options = options
+        self.documents = documents
+        self.peers = peers
+        self.clock = clock
+        self.events = events
+        self.holders: dict[str, Holder] = {}
+        self.opened_before = 0
+        self.witnesses: tuple[Witness, ...] = ()
+        self.replies: dict[str, ReplyTo] = {}
+        self.runners: dict[tuple[str, str], str] = {}
+        self.on_drained: ReplyTo | None = None
+
+    def handle(self, message: Any) -> None:
+        match message:
+            case Ask(message=Reserve() as reserve, reply_to=reply_to):
+                self.replies[reserve.attempt] = reply_to
+                self.step(reserve.budget, reserve)
+            case Ask(message=Release() as release, reply_to=reply_to):
+                self.step(release.budget, release)
+                reply_to.put(Acknowledged())
+            case Ask(message=Settle() as settle, reply_to=reply_to):
+                self.settle(settle)
+                reply_to.put(Acknowledged())
+            case Ask(message=Recall() as recall, reply_to=reply_to):
+                self.step(recall.budget, recall)
+                reply_to.put(Acknowledged())
+            case Ask(message=DrainBudgets(), reply_to=reply_to):
+                self.on_drained = reply_to
+                self.step_all(policy.Drain())
+                self.check_drained()
+            case Applied(mutation, result):
+                self.step(mutation.budget, policy.LedgerAnswered(result))
+                self.check_drained()
+            case SealArrived(budget, sealed):
+                self.step(budget, sealed)
+            case FastTick():
+                for name in [k for k, h in self.holders.items() if h.waiting]:
+                    self.step(name, policy.Tick())
+            case SlowTick():
+                self.step_all(policy.Tick())
+                self.forget_idle()
+            case MembersSeen(members):
+                self.see(members)
+            case Ask(message=WantHeldGrants(), reply_to=reply_to):
+                reply_to.put(HeldGrants(self.held()))
+
+    def held(self) -> dict[str, int]:
+        """Return the amount of each held grant, by its id."""
+        return {
+            grant.id: grant.amount
+            for holder in self.holders.values()
+            for grant in holder.grants.values()
+        }
+
+    def holder(self, budget: str) -> Holder:
+        """Return the state for a budget, new if it was not drawn on lately."""
+        known = self.holders.get(budget)
+        if known is not None:
+            return known
+        return Holder(
+            node=self.me.node,
+            incarnation=self.me.incarnation,
+            budget=budget,
+            policy=self.options.policy,
+            witnesses=self.witnesses,
+            opened=self.opened_before,
+            draining=self.on_drained is not None,
+        )
+
+    def step(self, budget: str, message: policy.HolderMessage) -> None:
+        """Take one message for a budget and carry out what it leads to."""
+        now = self.clock.monotonic()
+        self.holders[budget], effects = policy.step(self.holder(budget), message, now)
+        for effect in effects:
+            self.carry_out(budget, effect)
+
+    def step_all(self, message: policy.HolderMessage) -> None:
+        """Take one message for every budget."""
+        for budget in list(self.holders):
+            self.step(budget, message)
+
+    def carry_out(self, budget: str, effect: policy.Effect) -> None:
+        """Carry out one effect."""
+        match effect:
+            case policy.Answer(attempt, outcome):
+                reply_to = self.replies.pop(attempt, None)
+                if reply_to is not None:
+                    reply_to.put(outcome)
+            case policy.Submit(mutation):
+                key = ledger_key(budget, self.options.shards)
+                answer = Forward(self.actor_ref.tell)
+                urgent = isinstance(mutation, Resize) and mutation.least > 0
+                self.documents.tell(Apply(key, mutation, answer, urgent=urgent))
+            case policy.RecallFrom(nodes):
+                for node in nodes:
+                    self.peers.tell(Send(node, Recall(budget)))
+            case policy.AskSeals(grant_id, witnesses):
+                self.ask_seals(budget, grant_id, witnesses)
+            case policy.AnnounceStored(grant, request_ids):
+                self.announce_stored(grant.id, grant.witnesses, request_ids)
+
+    def settle(self, message: Settle) -> None:
+        """Take a final bill, and remember who waits for it to be stored."""
+        bill = message.bill
+        holder = self.holder(bill.budget)
+        grant = holder.grants.get(bill.grant.id)
+        if grant is not None and bill.attempt in grant.promises:
+            self.runners[(bill.grant.id, bill.request_id)] = message.runner
+        self.step(bill.budget, message)
+
+    def announce_stored(
+        self, grant_id: str, witnesses: tuple[Witness, ...], ids: tuple[str, ...]
+    ) -> None:
+        """Tell witnesses and runners that they may drop their copies."""
+        nodes = {witness.node for witness in witnesses}
+        for request_id in ids:
+            runner = self.runners.pop((grant_id, request_id), None)
+            if runner is not None:
+                nodes.add(runner)
+        for node in nodes:
+            self.peers.tell(Send(node, Stored(grant_id, ids)))
+
+    def ask_seals(
+        self, budget: str, grant_id: str, witnesses: tuple[Witness, ...]
+    ) -> None:
+        """Ask witnesses to refuse further bills of a grant."""
+        self.events.emit("seals_asked", grant=grant_id)
+
+        def sealed(reply: Any) -> None:
+            if isinstance(reply, Sealed):
+                self.actor_ref.tell(SealArrived(budget, reply))
+
+        for witness in witnesses:
+            seal = Seal(budget, grant_id, witness)
+            self.peers.tell(Send(witness.node, seal, Forward(sealed)))
+
+    def see(self, members: Members) -> None:
+        """Choose witnesses anew and look for runners that are lost."""
+        now = self.clock.monotonic()
+        chosen = choose_witnesses(
+            members, self.witnesses, now, count=self.options.witnesses
+        )
+        if chosen != self.witnesses:
+            self.witnesses = chosen
+            self.step_all(policy.WitnessesChanged(chosen))
+        for member in lost(members, now):
+            self.step_all(policy.RunnerLost(member.node))
+
+    def forget_idle(self) -> None:
+        """Drop the state of budgets without grants."""
+        idle = [
+            name
+            for name, holder in self.holders.items()
+            if not holder.grants and not holder.waiting and holder.resizing is None
+        ]
+        for name in idle:
+            self.opened_before = max(self.opened_before, self.holders.pop(name).opened)
+
+    def check_drained(self) -> None:
+        """Answer a drain once nothing is held."""
+        if self.on_drained is None:
+            return
+        if all(not holder.grants for holder in self.holders.values()):
+            self.on_drained.put(Drained())
--- /dev/null
+++ b/src/hawthornstage/actors/closer.py
@@ -0,0 +1,142 @@
+"""The task that closes the grants of routers that are gone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+
+from hawthornstage.actors.documents import Applied, Apply, Read, ReadDone
+from hawthornstage.actors.members import MembersSeen
+from hawthornstage.actors.peers import Send
+from hawthornstage.actors.task import Task
+from hawthornstage.clock import Clock
+from hawthornstage.decisions.closing import Closing, finish, orphans, step
+from hawthornstage.decisions.ledger import Close, Closed, Ledger
+from hawthornstage.decisions.membership import Members, live, rank
+from hawthornstage.mailbox import Forward
+from hawthornstage.messages.money import Seal, Sealed, Stored
+from hawthornstage.observe.events import EventLog
+
+
+@dataclass(frozen=True)
+class Sweep:
+    """It is time to look for grants of routers that are gone."""
+
+
+class Closer(Task):
+    """Owns the closing rounds that this router runs.
+
+    The shards are shared out among the live routers; two routers that both think
+    a shard is theirs do the same work twice and no harm.
+
+    Args:
+        keys: Keys of all ledger shards.
+        documents: The ledger's documents.
+        peers: Sends messages to witnesses.
+        clock: The runtime's clock.
+        events: Takes events.
+    """
+
+    def __init__(
+        self,
+        keys: tuple[str, ...],
+        *,
+        documents: pykka.ActorRef,
+        peers: pykka.ActorRef,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        super().__init__()
+        self.keys = keys
+        self.documents = documents
+        self.peers = peers
+        self.clock = clock
+        self.events = events
+        self.started_at = clock.monotonic()
+        self.members: Members | None = None
+        self.rounds: dict[str, tuple[str, Closing]] = {}
+
+    def handle(self, message: Any) -> None:
+        match message:
+            case MembersSeen(members):
+                self.members = members
+            case Sweep():
+                self.sweep()
+            case ReadDone(key, document):
+                self.look(key, document)
+            case Sealed():
+                self.take_seal(message)
+            case Applied(mutation, result):
+                self.closed(mutation, result)
+
+    def sweep(self) -> None:
+        """Read the shards that are this router's to watch over."""
+        members = self.members
+        now = self.clock.monotonic()
+        if members is None or now - self.started_at < members.policy.lost_s:
+            # Too early to tell who is gone.
+            return
+        nodes = [member.node for member in live(members, now)]
+        answer = Forward(self.actor_ref.tell)
+        for key in self.keys:
+            if rank(key, nodes)[0] == members.me.node:
+                self.documents.tell(Read(key, answer))
+
+    def look(self, key: str, ledger: Ledger) -> None:
+        """Start a round for each grant whose holder is gone."""
+        members = self.members
+        if members is None:
+            return
+        limit = self.clock.monotonic() - members.policy.lost_s
+        heard = {
+            member.node: member.incarnation
+            for member in members.others.values()
+            if member.heard_at >= limit
+        }
+        heard[members.me.node] = members.me.incarnation
+        for found in orphans(ledger, heard):
+            if found.grant_id not in self.rounds:
+                self.events.emit(
+                    "closing_round", grant=found.grant_id, budget=found.budget
+                )
+                self.rounds[found.grant_id] = (key, found)
+            self.advance(found.grant_id)
+
+    def advance(self, grant_id: str) -> None:
+        """Close a grant, or ask the witnesses that have not sealed it."""
+        key, closing = self.rounds[grant_id]
+        close = finish(closing)
+        if close is not None:
+            self.documents.tell(Apply(key, close, Forward(self.actor_ref.tell)))
+            return
+        for witness in closing.missing:
+            seal = Seal(closing.budget, grant_id, witness)
+            self.peers.tell(Send(witness.node, seal, Forward(self.actor_ref.tell)))
+
+    def take_seal(self, message: Sealed) -> None:
+        """Note one witness's seal."""
+        if message.grant_id not in self.rounds:
+            return
+        key, closing = self.rounds[message.grant_id]
+        closing, close = step(closing, message)
+        self.rounds[message.grant_id] = (key, closing)
+        if close is not None:
+            self.advance(message.grant_id)
+
+    def closed(self, mutation: Close, result: Closed) -> None:
+        """End a round; its bills are in the ledger."""
+        found = self.rounds.pop(mutation.grant_id, None)
+        if found is None:
+            return
+        self.events.emit(
+            "grant_closed",
+            grant=mutation.grant_id,
+            budget=mutation.budget,
+            returned=result.returned,
+            bills=len(mutation.bills),
+        )
+        stored = Stored(mutation.grant_id, tuple(mutation.bills))
+        for witness in found[1].witnesses:
+            self.peers.tell(Send(witness.node, stored))
--- /dev/null
+++ b/src/hawthornstage/actors/peers.py
@@ -0,0 +1,311 @@
+"""Tasks that own the connections between routers."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+import structlog
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import ClientConnection, connect
+
+from hawthornstage.actors.task import Switchboard, Task
+from hawthornstage.actors.timers import Timers
+from hawthornstage.border.frames import Frame, FrameError, decode_frame, encode_frame
+from hawthornstage.clock import Clock
+from hawthornstage.mailbox import DISCARD, ReplyTo
+from hawthornstage.messages.members import Unreachable
+from hawthornstage.observe.events import EventLog
+
+log = structlog.get_logger()
+
+# Messages that wait for one neighbour at most; further ones are refused.
+MAX_QUEUED = 2_000
+# Longest wait for a connection, in seconds.
+CONNECT_TIMEOUT_S = 1.0
+# Longest wait for a reply, in seconds.
+REPLY_TIMEOUT_S = 5.0
+# Pause before a broken connection is made again, in seconds.
+RECONNECT_PAUSE_S = 0.5
+# Period of the connection's own pings, and the wait for their answer, in seconds.
+PING_INTERVAL_S = 2.0
+PING_TIMEOUT_S = 4.0
+# Largest frame, in bytes.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class Send:
+    """Sends a message to a router, this one included.
+
+    Args:
+        node: The router's name.
+        message: A message that the frame codec knows.
+        reply_to: Gets the reply, or `Unreachable`.
+    """
+
+    node: str
+    message: Any
+    reply_to: ReplyTo = DISCARD
+
+
+@dataclass(frozen=True)
+class PeersKnown:
+    """The addresses of the other routers, by name."""
+
+    urls: Mapping[str, str]
+
+
+@dataclass(frozen=True)
+class FrameArrived:
+    """A frame came in over a connection."""
+
+    connection: ClientConnection
+    data: bytes
+
+
+@dataclass(frozen=True)
+class ConnectionEnded:
+    """A connection is closed."""
+
+    connection: ClientConnection
+
+
+@dataclass(frozen=True)
+class CheckTimeouts:
+    """Replies may be overdue."""
+
+
+@dataclass(frozen=True)
+class PeerIdentity:
+    """How this router presents itself to the others.
+
+    Args:
+        node: Its name.
+        secret: The shared secret that it shows.
+    """
+
+    node: str
+    secret: str
+
+
+@dataclass(frozen=True)
+class AwaitedReply:
+    """A reply that a neighbour owes."""
+
+    reply_to: ReplyTo
+    due: float
+
+
+class PeerLink(Task):
+    """Owns the connection over which this router asks one other.
+
+    Args:
+        name: The other router's name.
+        url: Its address, `ws://IP:PORT`.
+        identity: Who is asking.
+        clock: The runtime's clock.
+        events: Stamps frames and takes events.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        url: str,
+        identity: PeerIdentity,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        super().__init__()
+        self.name = name
+        self.url = url
+        self.identity = identity
+        self.clock = clock
+        self.events = events
+        self.connection: ClientConnection | None = None
+        self.retry_at = float("-inf")
+        self.numbers = itertools.count(1)
+        self.awaited: dict[int, AwaitedReply] = {}
+
+    def handle(self, message: Any) -> None:
+        match message:
+            case Send():
+                self.send(message)
+            case FrameArrived(connection, data):
+                self.take_reply(connection, data)
+            case ConnectionEnded(connection):
+                if connection is self.connection:
+                    self.drop("the connection ended")
+            case CheckTimeouts():
+                self.check_timeouts()
+
+    def send(self, message: Send) -> None:
+        """Send one message, connecting first if need be."""
+        if not self.connected():
+            message.reply_to.put(Unreachable(self.name, "no connection"))
+            return
+        number = next(self.numbers)
+        due = self.clock.monotonic() + REPLY_TIMEOUT_S
+        if message.reply_to is not DISCARD:
+            self.awaited[number] = AwaitedReply(message.reply_to, due)
+        frame = Frame(number, False, self.events.clock.now(), message.message)
+        try:
+            assert self.connection is not None
+            self.connection.send(encode_frame(frame))
+        except (WebSocketException, OSError) as error:
+            self.drop(str(error))
+
+    def connected(self) -> bool:
+        """Return whether there is a connection, making one if it is time to."""
+        if self.connection is not None:
+            return True
+        if self.clock.monotonic() < self.retry_at:
+            return False
+        try:
+            self.connection = connect(
+                self.url,
+                open_timeout=CONNECT_TIMEOUT_S,
+                close_timeout=CONNECT_TIMEOUT_S,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_TIMEOUT_S,
+                max_size=MAX_FRAME_BYTES,
+                compression=None,
+                proxy=None,
+                additional_headers={
+                    "Authorization": f"Bearer {self.identity.secret}",
+                    "X-Node": self.identity.node,
+                },
+            )
+        except (WebSocketException, OSError):
+            self.retry_at = self.clock.monotonic() + RECONNECT_PAUSE_S
+            return False
+        self.events.emit("peer_connected", peer=self.name)
+        threading.Thread(
+            target=read_frames,
+            args=(self.connection, self.actor_ref),
+            name=f"peer-{self.name}",
+            daemon=True,
+        ).start()
+        return True
+
+    def take_reply(self, connection: ClientConnection, data: bytes) -> None:
+        """Pass a reply to whoever waits for it."""
+        try:
+            frame = decode_frame(data)
+        except FrameError as error:
+            self.events.emit("peer_frame_refused", peer=self.name, reason=str(error))
+            connection.close(1008, "wrong frame")
+            return
+        self.events.clock.observe(frame.stamp)
+        awaited = self.awaited.pop(frame.number, None)
+        if awaited is not None:
+            awaited.reply_to.put(frame.message)
+
+    def drop(self, reason: str) -> None:
+        """Give up the connection and tell everybody who waits."""
+        connection, self.connection = self.connection, None
+        self.retry_at = self.clock.monotonic() + RECONNECT_PAUSE_S
+        self.events.emit("peer_lost", peer=self.name, reason=reason)
+        awaited, self.awaited = self.awaited, {}
+        for each in awaited.values():
+            each.reply_to.put(Unreachable(self.name, reason))
+        if connection is not None:
+            # Closing waits for the other side, which may be frozen.
+            threading.Thread(target=connection.close, daemon=True).start()
+
+    def check_timeouts(self) -> None:
+        """Answer for replies that are overdue."""
+        now = self.clock.monotonic()
+        late = [number for number, each in self.awaited.items() if each.due <= now]
+        for number in late:
+            reply_to = self.awaited.pop(number).reply_to
+            reply_to.put(Unreachable(self.name, "no reply in time"))
+
+    def on_stop(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.close()
+
+
+def read_frames(connection: ClientConnection, link: pykka.ActorRef) -> None:
+    """Pass every frame of a connection to its link until it ends."""
+    try:
+        for data in connection:
+            link.tell(FrameArrived(connection, data))
+    except (WebSocketException, OSError):
+        pass
+    try:
+        link.tell(ConnectionEnded(connection))
+    except pykka.ActorDeadError:
+        return
+
+
+class Peers(Task):
+    """Finds the link for each router.
+
+    Args:
+        identity: Who this router is.
+        switchboard: Takes the messages to this router itself.
+        start_link: Starts the link to a router of that name and address.
+        timers: Wakes the links.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        switchboard: Switchboard,
+        start_link: Callable[[str, str], pykka.ActorRef],
+        timers: Timers,
+    ) -> None:
+        super().__init__()
+        self.identity = identity
+        self.switchboard = switchboard
+        self.start_link = start_link
+        self.timers = timers
+        self.urls: dict[str, str] = {}
+        self.links: dict[str, pykka.ActorRef] = {}
+
+    def handle(self, message: Any) -> None:
+        match message:
+            case Send():
+                self.send(message)
+            case PeersKnown(urls):
+                self.know(urls)
+
+    def send(self, message: Send) -> None:
+        """Pass a message to its link, or to this router's own task."""
+        if message.node == self.identity.node:
+            self.switchboard.deliver(message.message, message.reply_to)
+            return
+        link = self.links.get(message.node)
+        if link is None:
+            message.reply_to.put(Unreachable(message.node, "no such router"))
+            return
+        if link.actor_inbox.qsize() > MAX_QUEUED:
+            message.reply_to.put(Unreachable(message.node, "its queue is full"))
+            return
+        link.tell(message)
+
+    def know(self, urls: Mapping[str, str]) -> None:
+        """Start links to new addresses and stop those that are gone."""
+        for node, url in urls.items():
+            if node == self.identity.node or self.urls.get(node) == url:
+                continue
+            self.stop_link(node)
+            self.urls[node] = url
+            link = self.start_link(node, url)
+            self.links[node] = link
+            self.timers.every(1.0, link, CheckTimeouts())
+        for node in self.links.keys() - urls.keys():
+            self.stop_link(node)
+
+    def stop_link(self, node: str) -> None:
+        """Close the link to a router, if there is one."""
+        link = self.links.pop(node, None)
+        self.urls.pop(node, None)
+        if link is not None:
+            link.stop(block=False)
--- /dev/null
+++ b/src/hawthornstage/actors/servers.py
@@ -0,0 +1,162 @@
+"""Tasks that know the backend servers: their load, and who is leaving."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+import urllib3
+from pydantic import BaseModel, ValidationError
+from urllib3.exceptions import HTTPError
+
+from hawthornstage.actors.tables import TablesAdopted
+from hawthornstage.actors.task import Ask, Task
+from hawthornstage.clock import Clock
+from hawthornstage.decisions import placement as policy
+from hawthornstage.decisions.placement import (
+    Finished,
+    LeavingChanged,
+    LoadReport,
+    Place,
+    Placement,
+    Reported,
+)
+from hawthornstage.messages.tables import EMPTY_TABLES, PoolKind, Server, Tables
+from hawthornstage.observe.events import EventLog
+from hawthornstage.platform.host_list import HostListClient
+
+# Longest wait for a load report, in seconds.
+REPORT_TIMEOUT_S = 0.5
+
+
+@dataclass(frozen=True)
+class Poll:
+    """It is time to ask for news."""
+
+
+@dataclass(frozen=True)
+class ChooseServer:
+    """Asks for a server; the reply is `Placed` or `NoServer`."""
+
+    place: Place
+
+
+class Servers(Task):
+    """Owns what is known of the backend servers.
+
+    Args:
+        clock: The runtime's clock.
+        events: Takes events.
+    """
+
+    def __init__(self, clock: Clock, events: EventLog) -> None:
+        super().__init__()
+        self.clock = clock
+        self.events = events
+        self.placement = Placement()
+        self.leaving: frozenset[str] = frozenset()
+
+    def handle(self, message: Any) -> None:
+        now = self.clock.monotonic()
+        match message:
+            case Ask(message=ChooseServer(place), reply_to=reply_to):
+                self.placement, outcome = policy.place(self.placement, place, now)
+                reply_to.put(outcome)
+            case Finished():
+                self.placement = policy.finish(self.placement, message, now)
+            case Reported():
+                self.placement = policy.report(self.placement, message)
+            case LeavingChanged(servers):
+                for name in sorted(servers ^ self.leaving):
+                    self.events.emit("server", name=name, leaving=name in servers)
+                self.leaving = servers
+                self.placement = policy.change_leaving(self.placement, message)
+
+
+class HostListTask(Task):
+    """Owns the connection to the host list.
+
+    Args:
+        client: The connection.
+        servers: Gets the servers that are leaving.
+    """
+
+    def __init__(self, client: HostListClient, servers: pykka.ActorRef) -> None:
+        super().__init__()
+        self.client = client
+        self.servers = servers
+
+    def handle(self, message: Any) -> None:
+        match message:
+            case Poll():
+                hosts = self.client.fetch()
+                if hosts is not None:
+                    self.servers.tell(LeavingChanged(hosts.leaving))
+
+
+class LoadModel(BaseModel):
+    """A server's load report as it sends it."""
+
+    running: int
+    queued: int
+    age_s: float = 0.0
+    draining: bool = False
+
+
+class LoadTask(Task):
+    """Owns the connections over which engines report their load.
+
+    Args:
+        servers: Gets the reports.
+        clock: The runtime's clock.
+        draw: Returns a random number in [0, 1).
+    """
+
+    def __init__(
+        self, servers: pykka.ActorRef, clock: Clock, draw: Callable[[], float]
+    ) -> None:
+        super().__init__()
+        self.servers = servers
+        self.clock = clock
+        self.draw = draw
+        self.pool = urllib3.PoolManager(retries=False)
+        self.tables: Tables = EMPTY_TABLES
+        self.next = 0
+
+    def handle(self, message: Any) -> None:
+        match message:
+            case TablesAdopted(tables):
+                self.tables = tables
+            case Poll():
+                self.poll()
+
+    def poll(self) -> None:
+        """Ask the next engine, so that all are asked in turn."""
+        engines = [
+            server
+            for pool in self.tables.pools
+            if pool.kind is PoolKind.ENGINE
+            for server in pool.servers
+        ]
+        if not engines:
+            return
+        self.next = (self.next + 1) % len(engines)
+        server = engines[self.next]
+        report = self.ask(server)
+        if report is not None:
+            self.servers.tell(Reported(server.name, report))
+
+    def ask(self, server: Server) -> LoadReport | None:
+        """Return one engine's report, or None if it has none."""
+        try:
+            response = self.pool.request(
+                "GET", f"{server.url}/load", timeout=REPORT_TIMEOUT_S
+            )
+            model = LoadModel.model_validate_json(response.data)
+        except (HTTPError, ValidationError):
+            return None
+        return LoadReport(
+            model.running, model.queued, self.clock.monotonic() - model.age_s
+        )
--- /dev/null
+++ b/src/hawthornstage/actors/tables.py
@@ -0,0 +1,248 @@
+"""The task that holds the tables in use, and the task that watches for new ones."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pykka
+
+from hawthornstage.actors.documents import Applied, Apply, Read, ReadDone
+from hawthornstage.actors.members import MembersSeen, RevisionInUse
+from hawthornstage.actors.peers import Send
+from hawthornstage.actors.task import Ask, Task
+from hawthornstage.border.documents import TABLES_CODEC
+from hawthornstage.clock import Clock
+from hawthornstage.decisions.membership import Members, live, rank
+from hawthornstage.decisions.routes import find_faults
+from hawthornstage.decisions.tables import Edit, EditAccepted, TablesDocument, adopt
+from hawthornstage.mailbox import Forward, ReplyTo
+from hawthornstage.messages.members import TablesOffered, TablesWanted
+from hawthornstage.messages.tables import EMPTY_TABLES, Tables
+from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
+from hawthornstage.platform.key_value import KeyValueClient, KeyValueError
+
+TABLES_KEY = "hawthornstage/tables"
+# Pause before a broken watch is made again, in seconds.
+WATCH_PAUSE_S = 1.0
+# Routers that watch the key-value service; the others hear from neighbours.
+WATCHERS = 3
+
+
+@dataclass(frozen=True)
+class WantTables:
+    """Asks for the tables in use."""
+
+
+@dataclass(frozen=True)
+class TablesInUse:
+    """The tables in use and when they were last known to be the newest.
+
+    Args:
+        tables: The tables.
+        confirmed_at: Wall time, in seconds, or None if never.
+    """
+
+    tables: Tables
+    confirmed_at: float | None
+
+
+@dataclass(frozen=True)
+class ApplyEdit:
+    """Makes an edit durable; the reply is as for `documents.Apply`."""
+
+    edit: Edit
+    expires: float
+
+
+@dataclass(frozen=True)
+class Refresh:
+    """It is time to compare with the key-value service."""
+
+
+@dataclass(frozen=True)
+class DocumentSeen:
+    """The watch showed a new value."""
+
+    document: TablesDocument
+
+
+@dataclass(frozen=True)
+class ReportTo:
+    """Names the task that tells other routers the revision in use."""
+
+    membership: pykka.ActorRef
+
+
+@dataclass(frozen=True)
+class TablesAdopted:
+    """Sent to subscribers: these tables are in use from now on."""
+
+    tables: Tables
+
+
+class TablesTask(Task):
+    """Owns the tables in use; the revision never falls.
+
+    Args:
+        documents: The tables' document in the key-value service.
+        peers: Sends messages to other routers.
+        subscribers: Get `TablesAdopted`.
+        clock: The runtime's clock.
+        events: Takes events.
+        metrics: Takes the revision and its age.
+    """
+
+    def __init__(
+        self,
+        *,
+        documents: pykka.ActorRef,
+        peers: pykka.ActorRef,
+        subscribers: tuple[pykka.ActorRef, ...],
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self.documents = documents
+        self.peers = peers
+        self.subscribers = subscribers
+        self.clock = clock
+        self.events = events
+        self.metrics = metrics
+        self.tables = EMPTY_TABLES
+        self.confirmed_at: float | None = None
+        self.members: Members | None = None
+        self.membership: pykka.ActorRef | None = None
+
+    def on_start(self) -> None:
+        """Read the tables once."""
+        self.documents.tell(Read(TABLES_KEY, Forward(self.actor_ref.tell)))
+
+    def handle(self, message: Any) -> None:
+        match message:
+            case Ask(message=WantTables(), reply_to=reply_to):
+                reply_to.put(TablesInUse(self.tables, self.confirmed_at))
+            case Ask(message=TablesWanted(newer_than), reply_to=reply_to):
+                if self.tables.revision > newer_than:
+                    reply_to.put(TablesOffered(self.tables))
+            case Ask(message=TablesOffered(tables)) | TablesOffered(tables):
+                self.offer(tables, "neighbour")
+            case Ask(message=ApplyEdit(edit, expires), reply_to=reply_to):
+                self.edit(edit, expires, reply_to)
+            case ReadDone(document=document) | DocumentSeen(document=document):
+                self.confirm()
+                self.offer(document.current, "store")
+            case Applied(result=EditAccepted(tables)):
+                self.confirm()
+                self.offer(tables, "edit")
+            case Refresh():
+                self.refresh()
+            case MembersSeen(members):
+                self.see(members)
+            case ReportTo(membership):
+                self.membership = membership
+
+    def offer(self, tables: Tables, source: str) -> None:
+        """Use offered tables if they are newer and sound."""
+        chosen = adopt(self.tables, tables)
+        if chosen is self.tables:
+            return
+        faults = find_faults(chosen)
+        if faults:
+            self.events.emit(
+                "tables_refused", revision=chosen.revision, reason=faults[0].expected
+            )
+            return
+        self.tables = chosen
+        self.metrics.revision.set(chosen.revision)
+        self.events.emit("tables_adopted", revision=chosen.revision, source=source)
+        for subscriber in self.subscribers:
+            subscriber.tell(TablesAdopted(chosen))
+        if self.membership is not None:
+            self.membership.tell(RevisionInUse(chosen.revision))
+        self.announce()
+
+    def announce(self) -> None:
+        """Push the tables in use to the neighbours that are behind."""
+        if self.members is None:
+            return
+        for member in live(self.members, self.clock.monotonic()):
+            behind = member.revision < self.tables.revision
+            if behind and member.node != self.members.me.node:
+                self.peers.tell(Send(member.node, TablesOffered(self.tables)))
+
+    def edit(self, edit: Edit, expires: float, reply_to: ReplyTo) -> None:
+        """Write an edit, and adopt it at once if it was accepted."""
+
+        def done(reply: Any) -> None:
+            reply_to.put(reply)
+            self.actor_ref.tell(reply)
+
+        self.documents.tell(Apply(TABLES_KEY, edit, Forward(done), expires))
+
+    def refresh(self) -> None:
+        """Compare with the key-value service if this router is one that watches."""
+        if self.members is None:
+            return
+        nodes = [m.node for m in live(self.members, self.clock.monotonic())]
+        if self.members.me.node in rank(TABLES_KEY, nodes)[:WATCHERS]:
+            self.documents.tell(Read(TABLES_KEY, Forward(self.actor_ref.tell)))
+
+    def see(self, members: Members) -> None:
+        """Ask a neighbour for tables that this router does not have."""
+        self.members = members
+        ahead = [
+            member
+            for member in live(members, self.clock.monotonic())
+            if member.revision > self.tables.revision
+        ]
+        if ahead:
+            wanted = TablesWanted(self.tables.revision)
+            answer = Forward(self.actor_ref.tell)
+            self.peers.tell(Send(ahead[-1].node, wanted, answer))
+
+    def confirm(self) -> None:
+        """Note that the key-value service was heard."""
+        self.confirmed_at = self.clock.wall()
+        self.metrics.tables_confirmed.set(self.confirmed_at)
+
+
+class TablesWatch(threading.Thread):
+    """Owns the connection that waits for new tables.
+
+    Args:
+        store: A connection of its own to the key-value service.
+        tables: Gets `DocumentSeen`.
+        stopping: Set when the router stops.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueClient,
+        tables: pykka.ActorRef,
+        stopping: threading.Event,
+    ) -> None:
+        super().__init__(name="tables-watch", daemon=True)
+        self.store = store
+        self.tables = tables
+        self.stopping = stopping
+
+    def run(self) -> None:
+        """Watch, and watch again after the connection ends."""
+        while not self.stopping.is_set():
+            try:
+                for stored in self.store.watch(TABLES_KEY):
+                    self.tables.tell(DocumentSeen(TABLES_CODEC.decode(stored.value)))
+            except (KeyValueError, ValueError, pykka.ActorDeadError):
+                pass
+            self.stopping.wait(WATCH_PAUSE_S)
+
+
+def with_edit(
+    tables: Tables, *, edit_id: str, author: str, at: float, reason: str
+) -> Tables:
+    """Return tables that carry who edited them, when and why."""
+    return replace(tables, edit_id=edit_id, author=author, edited_at=at, reason=reason)
--- /dev/null
+++ b/src/hawthornstage/border/_cbor.py
@@ -0,0 +1,19 @@
+"""CBOR with enums written as their values."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+import cbor2
+
+
+def dumps(value: Any) -> bytes:
+    """Encode plain values and enums."""
+    return cbor2.dumps(value, default=_encode_enum)
+
+
+def _encode_enum(encoder: cbor2.CBOREncoder, value: Any) -> None:
+    if not isinstance(value, Enum):
+        raise TypeError(f"{type(value).__name__} cannot be encoded")
+    encoder.encode(value.value)
--- /dev/null
+++ b/src/hawthornstage/border/answers.py
@@ -0,0 +1,34 @@
+"""How failures look to callers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hawthornstage.errors import Failure, answer_for
+
+
+def error_document(failure: Failure, request_id: str) -> dict[str, Any]:
+    """Return the JSON document of a failure, in the style of OpenAI's errors."""
+    answer = answer_for(failure)
+    message = answer.message
+    if failure.detail:
+        message = f"{message} ({failure.detail})"
+    return {
+        "error": {
+            "type": failure.kind.value,
+            "message": message,
+            "ran": answer.ran.value,
+            "request_id": request_id,
+        }
+    }
+
+
+def error_headers(failure: Failure, request_id: str) -> list[tuple[str, str]]:
+    """Return the headers of a failure's answer."""
+    answer = answer_for(failure)
+    headers = [("X-Ran", answer.ran.value)]
+    if request_id:
+        headers.append(("X-Request-Id", request_id))
+    if answer.retry_after is not None:
+        headers.append(("Retry-After", str(answer.retry_after)))
+    return headers
--- /dev/null
+++ b/src/hawthornstage/border/frames.py
@@ -0,0 +1,96 @@
+"""Frames between routers: CBOR maps, validated on arrival."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import cache
+from typing import Any
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError
+
+from hawthornstage.border._cbor import dumps
+from hawthornstage.messages import events, members, money
+
+# Every class of message that one router may send to another.
+FRAME_MESSAGES: dict[str, type] = {
+    kind.__name__: kind
+    for kind in (
+        money.Reserve,
+        money.Reserved,
+        money.Exhausted,
+        money.Unavailable,
+        money.Release,
+        money.Settle,
+        money.Recall,
+        money.KeepCopy,
+        money.CopyKept,
+        money.CopyRefused,
+        money.Seal,
+        money.Sealed,
+        money.SealRefused,
+        money.Stored,
+        money.Acknowledged,
+        members.Heartbeat,
+        members.TablesWanted,
+        members.TablesOffered,
+    )
+}
+
+
+class FrameError(Exception):
+    """The bytes are not a frame."""
+
+
+@dataclass(frozen=True)
+class Frame:
+    """One message on a connection.
+
+    Args:
+        number: Joins a reply to its message; chosen by the sender.
+        reply: Whether this is the reply.
+        stamp: The sender's hybrid logical time.
+        message: One of the known classes.
+    """
+
+    number: int
+    reply: bool
+    stamp: events.Stamp
+    message: Any
+
+
+@cache
+def _adapter(kind: type) -> TypeAdapter[Any]:
+    return TypeAdapter(kind)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame as CBOR."""
+    kind = type(frame.message)
+    body = {
+        "n": frame.number,
+        "r": frame.reply,
+        "t": [frame.stamp.millis, frame.stamp.counter, frame.stamp.node],
+        "k": kind.__name__,
+        "m": _adapter(kind).dump_python(frame.message, mode="python"),
+    }
+    return dumps(body)
+
+
+def decode_frame(data: bytes | str) -> Frame:
+    """Decode and validate a frame.
+
+    Raises:
+        FrameError: The bytes are not a frame that this version knows.
+    """
+    if isinstance(data, str):
+        raise FrameError("a text frame")
+    try:
+        body = cbor2.loads(data)
+        kind = FRAME_MESSAGES[body["k"]]
+        message = _adapter(kind).validate_python(body["m"])
+        millis, counter, node = body["t"]
+        stamp = events.Stamp(int(millis), int(counter), str(node))
+        return Frame(int(body["n"]), bool(body["r"]), stamp, message)
+    except (cbor2.CBORError, ValidationError, LookupError, TypeError, ValueError) as e:
+        raise FrameError(f"{type(e).__name__}: {e}") from e
--- /dev/null
+++ b/src/hawthornstage/border/peer_server.py
@@ -0,0 +1,134 @@
+"""The server side of the connections between routers."""
+
+from __future__ import annotations
+
+import hmac
+import threading
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import structlog
+from websockets.exceptions import ConnectionClosed
+from websockets.http11 import Request, Response
+from websockets.sync.server import Server, ServerConnection, serve
+
+from hawthornstage.actors.peers import (
+    MAX_FRAME_BYTES,
+    PING_INTERVAL_S,
+    PING_TIMEOUT_S,
+)
+from hawthornstage.actors.task import Switchboard
+from hawthornstage.border.frames import Frame, FrameError, decode_frame, encode_frame
+from hawthornstage.clock import Clock
+from hawthornstage.mailbox import Mailbox
+from hawthornstage.observe.events import EventLog
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True)
+class FrameReply:
+    """Sends the reply to one frame over the connection that it came from."""
+
+    outbox: Mailbox
+    number: int
+
+    def put(self, reply: Any) -> None:
+        """Queue the reply for the connection's sender."""
+        self.outbox.put((self.number, reply))
+
+
+class PeerServer:
+    """Takes frames from other routers and passes them to this router's tasks.
+
+    Args:
+        host: Address to listen on.
+        port: Port to listen on; 0 lets the system choose.
+        secrets: Shared secrets that are accepted.
+        switchboard: Finds the task for each message.
+        events: Stamps frames and takes events.
+        clock: The runtime's clock.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        secrets: tuple[str, ...],
+        switchboard: Switchboard,
+        events: EventLog,
+        clock: Clock,
+    ) -> None:
+        self.secrets = secrets
+        self.switchboard = switchboard
+        self.events = events
+        self.clock = clock
+        self.server: Server = serve(
+            self.serve_connection,
+            host,
+            port,
+            process_request=self.check_secret,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            max_size=MAX_FRAME_BYTES,
+            compression=None,
+        )
+
+    def start(self) -> None:
+        """Serve in a thread of its own."""
+        threading.Thread(
+            target=self.server.serve_forever, name="peer-server", daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.server.shutdown()
+
+    def check_secret(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        """Refuse a connection that shows no accepted secret."""
+        shown = request.headers.get("Authorization", "").removeprefix("Bearer ")
+        if any(hmac.compare_digest(shown.encode(), s.encode()) for s in self.secrets):
+            return None
+        self.events.emit("peer_refused", peer=request.headers.get("X-Node", ""))
+        return connection.respond(HTTPStatus.UNAUTHORIZED, "unknown secret\n")
+
+    def serve_connection(self, connection: ServerConnection) -> None:
+        """Take frames until the connection ends or a frame is wrong."""
+        outbox = Mailbox(self.clock)
+        sender = threading.Thread(
+            target=self.send_replies, args=(connection, outbox), daemon=True
+        )
+        sender.start()
+        try:
+            for data in connection:
+                self.take(data, outbox)
+        except FrameError as error:
+            peer = connection.request.headers.get("X-Node", "")
+            self.events.emit("peer_frame_refused", peer=peer, reason=str(error))
+            connection.close(1008, "wrong frame")
+        except ConnectionClosed:
+            pass
+        finally:
+            outbox.put(None)
+
+    def take(self, data: bytes | str, outbox: Mailbox) -> None:
+        """Pass one frame on."""
+        frame = decode_frame(data)
+        self.events.clock.observe(frame.stamp)
+        reply_to = FrameReply(outbox, frame.number)
+        if not self.switchboard.deliver(frame.message, reply_to):
+            raise FrameError(f"nobody takes {type(frame.message).__name__}")
+
+    def send_replies(self, connection: ServerConnection, outbox: Mailbox) -> None:
+        """Send queued replies until the connection ends."""
+        while (item := outbox.get(timeout=3600.0)) is not None:
+            number, reply = item
+            frame = Frame(number, True, self.events.clock.now(), reply)
+            try:
+                connection.send(encode_frame(frame))
+            except ConnectionClosed:
+                return
--- /dev/null
+++ b/src/hawthornstage/border/settings.py
@@ -0,0 +1,214 @@
+"""Settings of a router: a YAML file, validated, every fault named by its path."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+
+class SettingsFault(Exception):
+    """The settings are not valid.
+
+    Args:
+        faults: One line each: the path and what was expected.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class Section(BaseModel):
+    """A part of the settings; unknown names are faults."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSettings(Section):
+    """Who this router is."""
+
+    name: str = Field(min_length=1, pattern=r"^[A-Za-z0-9._-]+$")
+    failure_domain: str = Field(min_length=1)
+
+
+class ListenSettings(Section):
+    """Where callers and operators connect; port 0 lets the system choose."""
+
+    host: str = "127.0.0.1"
+    port: int = Field(ge=0, le=65535)
+
+
+class PeerSettings(Section):
+    """How routers talk to each other.
+
+    Args:
+        host: Address to listen on.
+        port: Port to listen on.
+        secrets: Shared secrets; the first is shown, all are accepted.
+        routers: `ws://IP:PORT` of each router by name.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = Field(ge=0, le=65535)
+    secrets: list[str] = Field(min_length=1)
+    routers: dict[str, str] = {}
+
+
+class PlatformSettings(Section):
+    """Addresses of the platform's services."""
+
+    key_value_url: str = Field(pattern=r"^https?://")
+    host_list_url: str | None = Field(default=None, pattern=r"^https?://")
+    timeout_s: float = Field(default=1.0, gt=0)
+
+
+class KeySettings(Section):
+    """One API key: `ID.SECRET`, of which only the digest is kept."""
+
+    id: str = Field(min_length=1, pattern=r"^[^.\s]+$")
+    owner: str = Field(min_length=1)
+    sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+
+
+class KeysSettings(Section):
+    """API keys: of workspaces, of operators, and of the old routing setup."""
+
+    callers: list[KeySettings] = []
+    operators: list[KeySettings] = []
+    old_setup: list[KeySettings] = []
+
+
+class LimitSettings(Section):
+    """Bounds of what a router takes on."""
+
+    max_body_bytes: int = Field(default=4 * 1024 * 1024, gt=0)
+    max_header_bytes: int = Field(default=32 * 1024, gt=0)
+    max_requests: int = Field(default=256, gt=0)
+    request_timeout_s: float = Field(default=30.0, gt=0)
+
+
+class Sharing(StrEnum):
+    """Which router holds a budget's grant."""
+
+    ROUTER = "router"
+    DOMAIN = "domain"
+
+
+class BudgetSettings(Section):
+    """How grants are held. No value here permits overspend.
+
+    Args:
+        sharing: One grant for each router, or one for each failure domain.
+        patience_s: Longest wait for a larger grant; more means fewer false refusals.
+        horizon_s: Demand of this many seconds is held ahead.
+        max_share: Largest share of what is left that is held ahead.
+        idle_s: A grant without demand for so long is returned.
+        witnesses: Witnesses of each grant.
+        shards: Number of ledger documents; the same on every router.
+        flush_interval_s: Shortest time between two writes of a document.
+    """
+
+    sharing: Sharing = Sharing.ROUTER
+    patience_s: float = Field(default=2.0, gt=0)
+    horizon_s: float = Field(default=5.0, gt=0)
+    max_share: float = Field(default=0.1, gt=0, le=1)
+    idle_s: float = Field(default=30.0, gt=0)
+    witnesses: int = Field(default=2, ge=0, le=4)
+    shards: int = Field(default=16, ge=1, le=4096)
+    flush_interval_s: float = Field(default=0.2, ge=0)
+
+
+class ClaimSettings(Section):
+    """How non-idempotent calls are claimed."""
+
+    patience_s: float = Field(default=3.0, gt=0)
+    shards: int = Field(default=64, ge=1, le=4096)
+
+
+class StoreSettings(Section):
+    """Rates at which one router may write to the key-value service."""
+
+    writes_per_second: float = Field(default=40.0, gt=0)
+
+
+class MembershipSettings(Section):
+    """Times after which a silent router is treated as away."""
+
+    beat_s: float = Field(default=0.5, gt=0)
+    suspect_s: float = Field(default=3.0, gt=0)
+    lost_s: float = Field(default=30.0, gt=0)
+
+
+class DrainSettings(Section):
+    """How a router shuts down.
+
+    Args:
+        notice_s: Time for the balancer to see that the router is not ready.
+        limit_s: Longest wait for requests in progress.
+    """
+
+    notice_s: float = Field(default=2.0, ge=0)
+    limit_s: float = Field(default=600.0, gt=0)
+
+
+class Settings(Section):
+    """Everything that a router reads from its file."""
+
+    node: NodeSettings
+    listen: ListenSettings
+    peers: PeerSettings
+    platform: PlatformSettings
+    keys: KeysSettings = KeysSettings()
+    limits: LimitSettings = LimitSettings()
+    budgets: BudgetSettings = BudgetSettings()
+    claims: ClaimSettings = ClaimSettings()
+    store: StoreSettings = StoreSettings()
+    membership: MembershipSettings = MembershipSettings()
+    drain: DrainSettings = DrainSettings()
+    log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and validate a settings file.
+
+    Raises:
+        SettingsFault: The file can't be read or holds wrong values.
+    """
+    try:
+        document = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsFault([f"{path}: {error.strerror}"]) from error
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        raise SettingsFault([f"{path}: not YAML: {error}"]) from error
+    return parse_settings(document)
+
+
+def parse_settings(document: Any) -> Settings:
+    """Validate settings.
+
+    Raises:
+        SettingsFault: A value is wrong or missing.
+    """
+    if not isinstance(document, dict):
+        raise SettingsFault(["(top level): expected a mapping of sections"])
+    try:
+        return Settings.model_validate(document)
+    except ValidationError as error:
+        raise SettingsFault(fault_lines(error)) from error
+
+
+def fault_lines(error: ValidationError) -> list[str]:
+    """Return one line for each fault: its path and what was expected."""
+    return [f"{fault_path(each['loc'])}: {each['msg']}" for each in error.errors()]
+
+
+def fault_path(parts: tuple[int | str, ...]) -> str:
+    """Write a path as `keys.callers[0].id`."""
+    path = ""
+    for part in parts:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path.removeprefix(".") or "(top level)"
--- /dev/null
+++ b/src/hawthornstage/border/sse.py
@@ -0,0 +1,46 @@
+"""Server-sent events: cutting a byte stream into events."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+DONE = b"data: [DONE]\n\n"
+# Largest event, in bytes.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class EventTooLarge(Exception):
+    """An event exceeds the limit."""
+
+
+def read_events(chunks: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield whole events, each with the blank line that ends it.
+
+    An event that the stream's end cuts off is not yielded.
+
+    Raises:
+        EventTooLarge: An event exceeds the limit.
+    """
+    rest = b""
+    for chunk in chunks:
+        rest += chunk.replace(b"\r\n", b"\n")
+        *events, rest = rest.split(b"\n\n")
+        for event in events:
+            yield event + b"\n\n"
+        if len(rest) > MAX_EVENT_BYTES:
+            raise EventTooLarge(f"an event of more than {MAX_EVENT_BYTES} bytes")
+
+
+def event_data(event: bytes) -> bytes:
+    """Return an event's data, its lines joined."""
+    lines = [
+        line.removeprefix(b"data:").strip()
+        for line in event.split(b"\n")
+        if line.startswith(b"data:")
+    ]
+    return b"\n".join(lines)
+
+
+def error_event(document: bytes) -> bytes:
+    """Return an event that ends a stream with an error."""
+    return b"event: error\ndata: " + document + b"\n\n"
--- /dev/null
+++ b/src/hawthornstage/compose.py
@@ -0,0 +1,420 @@
+"""The composition root: wires the parts of a router."""
+
+from __future__ import annotations
+
+import random
+import secrets as system_secrets
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+import urllib3
+from cheroot import wsgi
+from prometheus_client import generate_latest
+
+from hawthornstage.actors import budgets as budgets_task
+from hawthornstage.actors.ask import ask
+from hawthornstage.actors.budgets import Budgets, DrainBudgets, HoldingOptions
+from hawthornstage.actors.closer import Closer, Sweep
+from hawthornstage.actors.documents import DocumentKind, Documents
+from hawthornstage.actors.members import Beat, Membership, StartDraining
+from hawthornstage.actors.peers import PeerIdentity, PeerLink, Peers
+from hawthornstage.actors.servers import HostListTask, LoadTask, Poll, Servers
+from hawthornstage.actors.settlements import Resend, Settlements
+from hawthornstage.actors.tables import Refresh, ReportTo, TablesTask, TablesWatch
+from hawthornstage.actors.task import Switchboard
+from hawthornstage.actors.timers import Timers
+from hawthornstage.actors.witnesses import Witnesses
+from hawthornstage.border.documents import CLAIMS_KIND, LEDGER_KIND, TABLES_KIND
+from hawthornstage.border.front import Front, StartResponse, send
+from hawthornstage.border.operator_api import PREFIX, OperatorApi
+from hawthornstage.border.peer_server import PeerServer
+from hawthornstage.border.settings import KeySettings, Settings, Sharing
+from hawthornstage.clock import Clock
+from hawthornstage.decisions.holder import GrantPolicy
+from hawthornstage.decisions.membership import Member, Members, MembershipPolicy
+from hawthornstage.decisions.pacing import Pace
+from hawthornstage.filters.accept import Accept, Gate
+from hawthornstage.filters.attempt import Attempt, RetryGuard
+from hawthornstage.filters.authenticate import Authenticate, KeyRing, StoredKey
+from hawthornstage.filters.choose_server import ChooseServer
+from hawthornstage.filters.claim import Claim
+from hawthornstage.filters.dispatch import Dispatch
+from hawthornstage.filters.match_route import MatchRoute
+from hawthornstage.filters.relay import Relay
+from hawthornstage.filters.reserve import Reserve, Treasury
+from hawthornstage.filters.settle import Cashier, ClaimOffice, Settle
+from hawthornstage.messages import members, money
+from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
+from hawthornstage.platform.host_list import HostListClient
+from hawthornstage.platform.key_value import KeyValueClient
+
+# Periods of the tasks' own work, in seconds.
+FAST_TICK_S = 0.1
+SLOW_TICK_S = 1.0
+SWEEP_S = 10.0
+REFRESH_S = 2.0
+HOST_LIST_S = 0.5
+LOAD_POLL_S = 0.1
+# Longest wait until all grants are returned at a shutdown, in seconds.
+RETURN_GRANTS_S = 10.0
+# Threads beyond the request limit, to say that the limit is reached.
+SPARE_THREADS = 8
+
+
+@dataclass
+class Tasks:
+    """The running tasks of a router."""
+
+    ledger: pykka.ActorRef
+    claims: pykka.ActorRef
+    tables_documents: pykka.ActorRef
+    peers: pykka.ActorRef
+    witnesses: pykka.ActorRef
+    budgets: pykka.ActorRef
+    settlements: pykka.ActorRef
+    closer: pykka.ActorRef
+    servers: pykka.ActorRef
+    load: pykka.ActorRef
+    tables: pykka.ActorRef
+    membership: pykka.ActorRef
+    host_list: pykka.ActorRef | None
+
+
+class Router:
+    """One router: all its tasks, its pipe and its servers.
+
+    Args:
+        settings: The validated settings.
+        clock: The runtime's clock.
+    """
+
+    def __init__(self, settings: Settings, *, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.random = random.Random()
+        self.stopping = threading.Event()
+        self.events = EventLog(settings.node.name, self.clock)
+        self.metrics = Metrics()
+        self.me = money.Witness(settings.node.name, new_incarnation(self.clock))
+        self.identity = PeerIdentity(self.me.node, settings.peers.secrets[0])
+        self.switchboard = Switchboard()
+        self.timers = Timers(self.clock)
+        self.gate = Gate(settings.limits.max_requests)
+        self.tasks = self.start_tasks()
+        self.register()
+        self.set_timers()
+        self.peer_server = self.make_peer_server()
+        self.front = self.make_front()
+        self.operator_api = self.make_operator_api()
+        self.http = self.make_http()
+
+    def start_tasks(self) -> Tasks:
+        """Start every task; each gets the addresses of those it talks to."""
+        options = self.holding_options()
+        peers = Peers.start(self.identity, self.switchboard, self.link, self.timers)
+        ledger = self.documents(LEDGER_KIND, self.settings.budgets.flush_interval_s)
+        claims = self.documents(CLAIMS_KIND, 0.0)
+        tables_documents = self.documents(TABLES_KIND, 0.0)
+        shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
+        budgets = Budgets.start(
+            self.me, options, documents=ledger, peers=peers, **shared
+        )
+        settlements = Settlements.start(
+            self.me.node, options.shards, documents=ledger, peers=peers, **shared
+        )
+        keys = tuple(f"hawthornstage/ledger/{n}" for n in range(options.shards))
+        closer = Closer.start(keys, documents=ledger, peers=peers, **shared)
+        servers = Servers.start(self.clock, self.events)
+        load = LoadTask.start(servers, self.clock, self.random.random)
+        tables = TablesTask.start(
+            documents=tables_documents,
+            peers=peers,
+            subscribers=(load,),
+            metrics=self.metrics,
+            **shared,
+        )
+        membership = Membership.start(
+            self.initial_members(),
+            dict(self.settings.peers.routers),
+            peers=peers,
+            subscribers=(budgets, closer, tables),
+            metrics=self.metrics,
+            **shared,
+        )
+        tables.tell(ReportTo(membership))
+        return Tasks(
+            ledger,
+            claims,
+            tables_documents,
+            peers,
+            Witnesses.start(self.me),
+            budgets,
+            settlements,
+            closer,
+            servers,
+            load,
+            tables,
+            membership,
+            self.start_host_list(servers),
+        )
+
+    def holding_options(self) -> HoldingOptions:
+        """Return how this router holds grants."""
+        chosen = self.settings.budgets
+        policy = GrantPolicy(
+            horizon_s=chosen.horizon_s,
+            max_share=chosen.max_share,
+            idle_s=chosen.idle_s,
+        )
+        return HoldingOptions(policy, chosen.witnesses, chosen.shards)
+
+    def documents(self, kind: DocumentKind, interval: float) -> pykka.ActorRef:
+        """Start the task for one kind of document."""
+        return Documents.start(
+            self.store(),
+            kind,
+            clock=self.clock,
+            timers=self.timers,
+            interval=interval,
+            pace=Pace(self.settings.store.writes_per_second),
+            draw=self.random.random,
+        )
+
+    def store(self) -> KeyValueClient:
+        """Return a new connection to the key-value service."""
+        platform = self.settings.platform
+        return KeyValueClient(platform.key_value_url, timeout=platform.timeout_s)
+
+    def link(self, name: str, url: str) -> pykka.ActorRef:
+        """Start the link to another router."""
+        return PeerLink.start(name, url, self.identity, self.clock, self.events)
+
+    def initial_members(self) -> Members:
+        """Return the view of a router that has heard of nobody."""
+        chosen = self.settings.membership
+        me = Member(
+            self.me.node,
+            self.me.incarnation,
+            self.settings.node.failure_domain,
+            self.clock.monotonic(),
+        )
+        policy = MembershipPolicy(suspect_s=chosen.suspect_s, lost_s=chosen.lost_s)
+        return Members(me, policy)
+
+    def start_host_list(self, servers: pykka.ActorRef) -> pykka.ActorRef | None:
+        """Start the task for the host list, if the settings name one."""
+        url = self.settings.platform.host_list_url
+        if url is None:
+            return None
+        client = HostListClient(url, timeout=self.settings.platform.timeout_s)
+        return HostListTask.start(client, servers)
+
+    def register(self) -> None:
+        """Say which task takes which messages of other routers."""
+        tasks, board = self.tasks, self.switchboard
+        board.register(
+            tasks.budgets,
+            (money.Reserve, money.Release, money.Settle, money.Recall),
+        )
+        board.register(tasks.witnesses, (money.KeepCopy, money.Seal))
+        board.register(tasks.settlements, (money.Stored,))
+        board.register(tasks.membership, (members.Heartbeat,))
+        board.register(tasks.tables, (members.TablesWanted, members.TablesOffered))
+
+    def set_timers(self) -> None:
+        """Arrange the tasks' regular work."""
+        every, tasks = self.timers.every, self.tasks
+        every(FAST_TICK_S, tasks.budgets, budgets_task.FastTick())
+        every(SLOW_TICK_S, tasks.budgets, budgets_task.SlowTick())
+        every(SLOW_TICK_S, tasks.settlements, Resend())
+        every(SWEEP_S, tasks.closer, Sweep())
+        every(REFRESH_S, tasks.tables, Refresh())
+        every(LOAD_POLL_S, tasks.load, Poll())
+        every(self.settings.membership.beat_s, tasks.membership, Beat())
+        if tasks.host_list is not None:
+            every(HOST_LIST_S, tasks.host_list, Poll())
+
+    def make_peer_server(self) -> PeerServer:
+        """Return the server for other routers."""
+        return PeerServer(
+            self.settings.peers.host,
+            self.settings.peers.port,
+            secrets=tuple(self.settings.peers.secrets),
+            switchboard=self.switchboard,
+            events=self.events,
+            clock=self.clock,
+        )
+
+    def make_front(self) -> Front:
+        """Wire the request pipe."""
+        options = self.holding_options()
+        shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
+        treasury = Treasury(
+            node=self.me.node,
+            shared=self.settings.budgets.sharing is Sharing.DOMAIN,
+            options=options,
+            patience_s=self.settings.budgets.patience_s,
+            peers=self.tasks.peers,
+            membership=self.tasks.membership,
+            settlements=self.tasks.settlements,
+            clock=self.clock,
+        )
+        reserve = Reserve(treasury, self.events)
+        choose = ChooseServer(self.tasks.servers, self.random.random, **shared)
+        connections = urllib3.PoolManager(
+            num_pools=200, maxsize=self.settings.limits.max_requests, retries=False
+        )
+        attempt = Attempt(
+            choose,
+            Dispatch(connections, self.events),
+            RetryGuard(),
+            self.random.random,
+            metrics=self.metrics,
+            **shared,
+        )
+        cashier = Cashier(
+            node=self.me.node,
+            treasury=treasury,
+            shards=options.shards,
+            documents=self.tasks.ledger,
+            peers=self.tasks.peers,
+            settlements=self.tasks.settlements,
+            clock=self.clock,
+        )
+        claims = self.settings.claims
+        return Front(
+            gate=self.gate,
+            accept=Accept(self.clock),
+            filters=(
+                Authenticate(key_ring(self.settings.keys.callers)),
+                MatchRoute(self.tasks.tables, **shared),
+                Claim(
+                    self.me.node,
+                    self.tasks.claims,
+                    claims.shards,
+                    claims.patience_s,
+                    **shared,
+                ),
+                reserve,
+                attempt,
+                Relay(self.clock, self.metrics),
+                Settle(
+                    cashier,
+                    ClaimOffice(self.tasks.claims, claims.shards),
+                    reserve,
+                    choose,
+                    metrics=self.metrics,
+                    **shared,
+                ),
+            ),
+            events=self.events,
+            metrics=self.metrics,
+            max_body_bytes=self.settings.limits.max_body_bytes,
+        )
+
+    def make_operator_api(self) -> OperatorApi:
+        """Wire the operators' interface."""
+        return OperatorApi(
+            keys=key_ring(self.settings.keys.operators),
+            tables=self.tasks.tables,
+            tables_documents=self.tasks.tables_documents,
+            ledger=self.tasks.ledger,
+            shards=self.settings.budgets.shards,
+            budgets=self.tasks.budgets,
+            membership=self.tasks.membership,
+            events=self.events,
+            clock=self.clock,
+        )
+
+    def make_http(self) -> wsgi.Server:
+        """Return the HTTP server for callers and operators."""
+        limits = self.settings.limits
+        server = wsgi.Server(
+            (self.settings.listen.host, self.settings.listen.port),
+            self.application,
+            numthreads=limits.max_requests + SPARE_THREADS,
+            request_queue_size=256,
+            timeout=limits.request_timeout_s,
+            accepted_queue_size=limits.max_requests,
+            accepted_queue_timeout=1,
+        )
+        server.max_request_header_size = limits.max_header_bytes
+        server.max_request_body_size = limits.max_body_bytes
+        server.prepare()
+        return server
+
+    def application(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Find who serves a path."""
+        path = environ.get("PATH_INFO", "/")
+        if path == "/healthz":
+            return send(start_response, 200, "text/plain", b"ok\n")
+        if path == "/readyz":
+            return self.ready(start_response)
+        if path == "/metrics":
+            body = generate_latest(self.metrics.registry)
+            return send(start_response, 200, "text/plain; version=0.0.4", body)
+        if path.startswith(PREFIX):
+            return self.operator_api(environ, start_response)
+        return self.front(environ, start_response)
+
+    def ready(self, start_response: StartResponse) -> Iterable[bytes]:
+        """Say whether the balancer should send requests here."""
+        if self.stopping.is_set():
+            return send(start_response, 503, "text/plain", b"draining\n")
+        if not self.metrics.revision.collect()[0].samples[0].value:
+            return send(start_response, 503, "text/plain", b"no tables yet\n")
+        return send(start_response, 200, "text/plain", b"ready\n")
+
+    def start(self) -> None:
+        """Start serving; returns at once."""
+        self.timers.start()
+        self.peer_server.start()
+        TablesWatch(self.store(), self.tasks.tables, self.stopping).start()
+        self.tasks.membership.tell(Beat())
+        threading.Thread(target=self.http.serve, name="http", daemon=True).start()
+        self.events.emit(
+            "router_started",
+            incarnation=self.me.incarnation,
+            port=self.http.bind_addr[1],
+        )
+
+    def shut_down(self) -> None:
+        """Finish what is in progress, return all grants, and stop."""
+        drain = self.settings.drain
+        self.stopping.set()
+        self.events.emit("draining")
+        self.tasks.membership.tell(StartDraining())
+        # The balancer needs time to see that this router is not ready any more.
+        self.gate_pause(drain.notice_s)
+        self.gate.close()
+        whole = self.gate.wait_empty(self.clock, drain.limit_s)
+        done = ask(
+            self.tasks.budgets, DrainBudgets(), self.clock, timeout=RETURN_GRANTS_S
+        )
+        self.events.emit("stopped", whole=whole, returned=done is not None)
+        self.http.stop()
+        self.peer_server.stop()
+
+    def gate_pause(self, seconds: float) -> None:
+        """Wait on the runtime's clock."""
+        condition = threading.Condition()
+        deadline = self.clock.monotonic() + seconds
+        with condition:
+            while (remaining := deadline - self.clock.monotonic()) > 0:
+                self.clock.wait(condition, remaining)
+
+
+def new_incarnation(clock: Clock) -> str:
+    """Name this process; later processes of a host compare greater."""
+    return f"{int(clock.wall() * 1000):013x}-{system_secrets.token_hex(4)}"
+
+
+def key_ring(keys: list[KeySettings]) -> KeyRing:
+    """Return the key ring for keys from the settings."""
+    return KeyRing({key.id: StoredKey(key.owner, key.sha256) for key in keys})
--- /dev/null
+++ b/src/hawthornstage/daemon.py
@@ -0,0 +1,38 @@
+"""The router daemon: reads its settings, serves, and drains on SIGTERM."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from hawthornstage.border.settings import SettingsFault, load_settings
+from hawthornstage.compose import Router
+from hawthornstage.observe.logs import configure_logs
+
+# Exit code for wrong settings or wrong use.
+EXIT_USAGE = 2
+
+
+def run_router(settings_path: Path) -> int:
+    """Run a router until it is told to stop.
+
+    Returns:
+        The exit code.
+    """
+    try:
+        settings = load_settings(settings_path)
+    except SettingsFault as fault:
+        for line in fault.faults:
+            print(f"settings: {line}", file=sys.stderr)
+        return EXIT_USAGE
+    configure_logs(settings.log_level)
+    told = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told.set())
+    router = Router(settings)
+    router.start()
+    told.wait()
+    router.shut_down()
+    return 0
--- /dev/null
+++ b/src/hawthornstage/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure policy: no socket, thread, clock, random source or codec."""
--- /dev/null
+++ b/src/hawthornstage/decisions/closing.py
@@ -0,0 +1,74 @@
+"""Closing the grants of holders that are gone.
+
+A bill is final once one witness of its grant keeps a copy or the ledger holds it.
+When every witness has refused further bills, what they kept is therefore all that
+can still come, and the rest of the grant goes back to the budget, whether or not
+the holder is really dead.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from hawthornstage.decisions.ledger import Close, Ledger
+from hawthornstage.messages.money import Sealed, Witness
+
+
+@dataclass(frozen=True)
+class Closing:
+    """One grant on its way to being closed.
+
+    Args:
+        budget: The workspace.
+        grant_id: The grant.
+        witnesses: All that must seal.
+        sealed: Witnesses that have.
+        bills: What they kept, tokens by request id.
+    """
+
+    budget: str
+    grant_id: str
+    witnesses: tuple[Witness, ...]
+    sealed: frozenset[Witness] = frozenset()
+    bills: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def missing(self) -> tuple[Witness, ...]:
+        """Witnesses that have not sealed."""
+        return tuple(each for each in self.witnesses if each not in self.sealed)
+
+
+def orphans(ledger: Ledger, live: Mapping[str, str]) -> tuple[Closing, ...]:
+    """List the grants whose holder is gone.
+
+    Args:
+        ledger: A shard as last read.
+        live: Incarnation by node of the routers heard of within the grace time.
+    """
+    return tuple(
+        Closing(name, grant_id, grant.witnesses)
+        for name, budget in ledger.budgets.items()
+        for grant_id, grant in budget.grants.items()
+        if live.get(grant.holder) != grant.incarnation
+    )
+
+
+def step(closing: Closing, message: Sealed) -> tuple[Closing, Close | None]:
+    """Take one witness's seal; return the closing mutation once all have sealed."""
+    if message.witness not in closing.witnesses:
+        return closing, None
+    bills = {bill.request_id: bill.tokens for bill in message.bills}
+    closing = replace(
+        closing,
+        sealed=closing.sealed | {message.witness},
+        bills={**closing.bills, **bills},
+    )
+    return closing, finish(closing)
+
+
+def finish(closing: Closing) -> Close | None:
+    """Return the closing mutation if no witness is missing."""
+    if closing.missing:
+        return None
+    return Close(closing.budget, closing.grant_id, closing.bills)
--- /dev/null
+++ b/src/hawthornstage/decisions/holder.py
@@ -0,0 +1,643 @@
+"""What a router does with the grants it holds of one budget.
+
+The holder promises tokens out of its grant without asking anybody, enlarges and
+shrinks the grant by demand, and closes it once nothing under it is open. Safety
+rests on two facts only: a reservation is made once out of an amount that the
+ledger moved to this grant before, and an unresolved reservation keeps its tokens
+until the grant's witnesses refuse further bills. All amounts are tokens, all
+times seconds of the monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from hawthornstage.decisions.ledger import (
+    BillsRecorded,
+    Close,
+    Closed,
+    GrantClosed,
+    Mutation,
+    RecordBills,
+    Resize,
+    Resized,
+    Result,
+    ToppedUp,
+)
+from hawthornstage.messages.money import (
+    Exhausted,
+    GrantRef,
+    Recall,
+    Release,
+    Reserve,
+    Reserved,
+    ReserveOutcome,
+    Sealed,
+    Settle,
+    Unavailable,
+    Witness,
+)
+
+
+@dataclass(frozen=True)
+class GrantPolicy:
+    """How large grants are and how long things may take.
+
+    Args:
+        horizon_s: Demand of this many seconds is held ahead.
+        max_share: Largest share of what is left that is asked for ahead.
+        least_requests: As many requests like the last are held ahead at least.
+        recall_interval_s: Shortest time between two recalls.
+        idle_s: A grant without demand for so long is closed.
+        runner_grace_s: How long a lost runner's reservations stay untouched.
+        max_bills: A grant with more bills is replaced, to bound the document.
+    """
+
+    horizon_s: float = 5.0
+    max_share: float = 0.1
+    least_requests: int = 4
+    recall_interval_s: float = 0.2
+    idle_s: float = 30.0
+    runner_grace_s: float = 30.0
+    max_bills: int = 500
+
+
+@dataclass(frozen=True)
+class Promise:
+    """Tokens reserved for one attempt of a runner."""
+
+    tokens: int
+    runner: str
+
+
+@dataclass(frozen=True)
+class HeldGrant:
+    """A grant as its holder sees it.
+
+    Args:
+        id: The grant's id.
+        witnesses: Who keeps copies of its bills.
+        amount: What the ledger moved to it.
+        sequence: Number of the last resize whose result is known.
+        promises: Open reservations by attempt.
+        unstored: Final bills not yet in the ledger, by request id.
+        stored: Tokens of the bills that are in the ledger.
+        stored_bills: Their number.
+        retiring: Whether nothing more is promised under it.
+        seals: Witnesses that refuse further bills, asked after a runner was lost.
+        sealed_bills: What these witnesses kept.
+        lost: Runners whose promises end once the witnesses are sealed.
+        closing: Whether the closing mutation was submitted.
+    """
+
+    id: str
+    witnesses: tuple[Witness, ...]
+    amount: int = 0
+    sequence: int = 0
+    promises: dict[str, Promise] = field(default_factory=dict)
+    unstored: dict[str, int] = field(default_factory=dict)
+    stored: int = 0
+    stored_bills: int = 0
+    retiring: bool = False
+    seals: frozenset[str] = frozenset()
+    sealed_bills: dict[str, int] = field(default_factory=dict)
+    lost: frozenset[str] = frozenset()
+    closing: bool = False
+
+    @property
+    def used(self) -> int:
+        """Tokens that are promised or billed."""
+        promised = sum(promise.tokens for promise in self.promises.values())
+        return promised + sum(self.unstored.values()) + self.stored
+
+    @property
+    def free(self) -> int:
+        """Tokens that may still be promised."""
+        return 0 if self.retiring else self.amount - self.used
+
+    @property
+    def ref(self) -> GrantRef:
+        """The grant's name for other routers."""
+        return GrantRef(self.id, self.witnesses)
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A reservation that waits for a larger grant."""
+
+    reserve: Reserve
+    deadline: float
+
+
+@dataclass(frozen=True)
+class Holder:
+    """The state of one router's grants of one budget.
+
+    Args:
+        node: The router's name.
+        incarnation: Its process.
+        budget: The workspace.
+        policy: Sizes and times.
+        witnesses: Whom the next grant will name.
+        opened: Grants opened so far.
+        grants: Grants not yet closed, oldest first.
+        resizing: The grant whose resize is on its way, or None.
+        waiting: Reservations that wait.
+        demand: Recent demand, in tokens a second.
+        demand_at: When `demand` was brought up to date.
+        last_tokens: Size of the last reservation asked for.
+        left: Tokens outside all grants when the ledger last answered.
+        others: Routers that held grants of this budget then.
+        recalled_at: Time of the last recall sent.
+        draining: Whether the router is shutting down.
+    """
+
+    node: str
+    incarnation: str
+    budget: str
+    policy: GrantPolicy = GrantPolicy()
+    witnesses: tuple[Witness, ...] = ()
+    opened: int = 0
+    grants: dict[str, HeldGrant] = field(default_factory=dict)
+    resizing: str | None = None
+    waiting: tuple[Waiting, ...] = ()
+    demand: float = 0.0
+    demand_at: float = 0.0
+    last_tokens: int = 0
+    left: int = 0
+    others: tuple[str, ...] = ()
+    recalled_at: float = float("-inf")
+    draining: bool = False
+
+    @property
+    def current(self) -> HeldGrant | None:
+        """The grant that new reservations come from."""
+        live = [grant for grant in self.grants.values() if not grant.retiring]
+        return live[-1] if live else None
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True)
+class Drain:
+    """The router is shutting down: return everything."""
+
+
+@dataclass(frozen=True)
+class WitnessesChanged:
+    """Names the routers that are fit to witness a new grant."""
+
+    witnesses: tuple[Witness, ...]
+
+
+@dataclass(frozen=True)
+class RunnerLost:
+    """A runner has been silent for longer than the grace time."""
+
+    node: str
+
+
+@dataclass(frozen=True)
+class LedgerAnswered:
+    """A submitted mutation has taken effect."""
+
+    result: Result
+
+
+HolderMessage = (
+    Reserve
+    | Release
+    | Settle
+    | Recall
+    | Tick
+    | Drain
+    | WitnessesChanged
+    | RunnerLost
+    | Sealed
+    | LedgerAnswered
+)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Effect: tell the runner what came of its reservation."""
+
+    attempt: str
+    outcome: ReserveOutcome
+
+
+@dataclass(frozen=True)
+class Submit:
+    """Effect: put a mutation into the ledger."""
+
+    mutation: Mutation
+
+
+@dataclass(frozen=True)
+class RecallFrom:
+    """Effect: ask other holders to return what they do not need."""
+
+    nodes: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class AskSeals:
+    """Effect: ask witnesses to refuse further bills of a grant."""
+
+    grant_id: str
+    witnesses: tuple[Witness, ...]
+
+
+@dataclass(frozen=True)
+class AnnounceStored:
+    """Effect: tell runners and witnesses that bills are in the ledger."""
+
+    grant: GrantRef
+    request_ids: tuple[str, ...]
+
+
+Effect = Answer | Submit | RecallFrom | AskSeals | AnnounceStored
+Step = tuple[Holder, tuple[Effect, ...]]
+
+
+def step(holder: Holder, message: HolderMessage, now: float) -> Step:
+    """Take one message and return the new state and what is to be done."""
+    match message:
+        case Reserve():
+            return _reserve(holder, message, now)
+        case Release():
+            return _resolve(holder, message.grant_id, message.attempt, None, 0, now)
+        case Settle(bill=bill):
+            return _resolve(
+                holder, bill.grant.id, bill.attempt, bill.request_id, bill.tokens, now
+            )
+        case Recall():
+            return _shrink(holder, 0.0)
+        case Tick():
+            return _tick(holder, now)
+        case Drain():
+            return _drain(holder, now)
+        case WitnessesChanged(witnesses):
+            return _change_witnesses(holder, witnesses, now)
+        case RunnerLost(node):
+            return _lose_runner(holder, node)
+        case Sealed():
+            return _seal(holder, message)
+        case LedgerAnswered(result):
+            return _ledger_answered(holder, result, now)
+
+
+def _reserve(holder: Holder, message: Reserve, now: float) -> Step:
+    if holder.draining:
+        return holder, (Answer(message.attempt, Unavailable("the holder drains")),)
+    holder = _count_demand(holder, message.tokens, now)
+    grant = holder.current
+    if grant is not None and grant.free >= message.tokens and not holder.waiting:
+        holder, answer = _promise(holder, grant, message)
+        holder, effects = _refill(holder, now)
+        return holder, (answer, *effects)
+    waiting = Waiting(message, now + message.patience_s)
+    return _refill(replace(holder, waiting=(*holder.waiting, waiting)), now)
+
+
+def _promise(
+    holder: Holder, grant: HeldGrant, message: Reserve
+) -> tuple[Holder, Answer]:
+    promise = Promise(message.tokens, message.runner)
+    grant = replace(grant, promises={**grant.promises, message.attempt: promise})
+    answer = Answer(message.attempt, Reserved(grant.ref, holder.node))
+    return _put(holder, grant), answer
+
+
+def _count_demand(holder: Holder, tokens: int, now: float) -> Holder:
+    """Keep an exponentially weighted average over the policy's horizon."""
+    horizon = holder.policy.horizon_s
+    elapsed = min(max(now - holder.demand_at, 0.0), horizon)
+    demand = holder.demand * (1.0 - elapsed / horizon) + tokens / horizon
+    return replace(holder, demand=demand, demand_at=now, last_tokens=tokens)
+
+
+def _demand_at(holder: Holder, now: float) -> float:
+    elapsed = min(max(now - holder.demand_at, 0.0), holder.policy.horizon_s)
+    return holder.demand * (1.0 - elapsed / holder.policy.horizon_s)
+
+
+def _refill(holder: Holder, now: float) -> Step:
+    """Ask for a larger grant if the current one is too small for the demand."""
+    if holder.resizing is not None or holder.draining:
+        return holder, ()
+    grant = holder.current
+    free = grant.free if grant else 0
+    needed = sum(each.reserve.tokens for each in holder.waiting)
+    ahead = _ahead(holder, now)
+    if not needed and free >= min(ahead, holder.left * holder.policy.max_share) / 2:
+        return holder, ()
+    if grant is None:
+        holder, grant = _open(holder)
+    least = 0
+    if needed:
+        least = grant.used + min(each.reserve.tokens for each in holder.waiting)
+    return _submit_resize(holder, grant, grant.used + needed, least, ahead)
+
+
+def _ahead(holder: Holder, now: float) -> int:
+    """Return the tokens to hold beyond what is needed now."""
+    if now - holder.demand_at > holder.policy.horizon_s:
+        return 0
+    demand = _demand_at(holder, now) * holder.policy.horizon_s
+    return int(max(demand, holder.last_tokens * holder.policy.least_requests))
+
+
+def _open(holder: Holder) -> tuple[Holder, HeldGrant]:
+    number = holder.opened + 1
+    name = f"{holder.node}/{holder.incarnation}/{holder.budget}/{number}"
+    grant = HeldGrant(name, holder.witnesses)
+    return replace(_put(holder, grant), opened=number), grant
+
+
+def _submit_resize(
+    holder: Holder, grant: HeldGrant, amount: int, least: int, ahead: int
+) -> Step:
+    mutation = Resize(
+        budget=holder.budget,
+        grant_id=grant.id,
+        holder=holder.node,
+        incarnation=holder.incarnation,
+        witnesses=grant.witnesses,
+        sequence=grant.sequence + 1,
+        amount=amount,
+        least=least,
+        ahead=ahead,
+        max_share=holder.policy.max_share,
+    )
+    return replace(holder, resizing=grant.id), (Submit(mutation),)
+
+
+def _shrink(holder: Holder, keep: float) -> Step:
+    """Return all free tokens but `keep` to the budget."""
+    grant = holder.current
+    if grant is None or holder.resizing is not None or holder.waiting:
+        return holder, ()
+    if grant.free <= keep:
+        return holder, ()
+    amount = grant.used + int(keep)
+    # The tokens are given up here before the ledger hears of it.
+    holder = _put(holder, replace(grant, amount=amount))
+    return _submit_resize(holder, grant, amount, 0, 0)
+
+
+def _resolve(
+    holder: Holder,
+    grant_id: str,
+    attempt: str,
+    request_id: str | None,
+    tokens: int,
+    now: float,
+) -> Step:
+    """Replace a promise by its bill, or free it if there is no bill."""
+    grant = holder.grants.get(grant_id) or _grant_with(holder, attempt)
+    if grant is None or attempt not in grant.promises:
+        return _forget_waiting(holder, attempt), ()
+    promises = {key: kept for key, kept in grant.promises.items() if key != attempt}
+    grant = replace(grant, promises=promises)
+    if request_id is None:
+        return _after_resolve(_put(holder, grant), now)
+    unstored = {**grant.unstored, request_id: tokens}
+    holder = _put(holder, replace(grant, unstored=unstored))
+    record = RecordBills(holder.budget, grant_id, {request_id: tokens})
+    holder, effects = _after_resolve(holder, now)
+    return holder, (Submit(record), *effects)
+
+
+def _grant_with(holder: Holder, attempt: str) -> HeldGrant | None:
+    """Find the grant of a reservation whose answer its runner did not hear."""
+    grants = holder.grants.values()
+    return next((grant for grant in grants if attempt in grant.promises), None)
+
+
+def _forget_waiting(holder: Holder, attempt: str) -> Holder:
+    waiting = tuple(w for w in holder.waiting if w.reserve.attempt != attempt)
+    return replace(holder, waiting=waiting)
+
+
+def _after_resolve(holder: Holder, now: float) -> Step:
+    holder, admitted = _admit_waiting(holder)
+    holder, closes = _close_resolved(holder)
+    return holder, (*admitted, *closes)
+
+
+def _admit_waiting(holder: Holder) -> Step:
+    effects: list[Effect] = []
+    left: list[Waiting] = []
+    for each in holder.waiting:
+        grant = holder.current
+        if grant is None or grant.free < each.reserve.tokens:
+            left.append(each)
+            continue
+        holder, answer = _promise(holder, grant, each.reserve)
+        effects.append(answer)
+    return replace(holder, waiting=tuple(left)), tuple(effects)
+
+
+def _tick(holder: Holder, now: float) -> Step:
+    holder, expired = _expire_waiting(holder, now)
+    holder, retired = _retire_spent(holder, now)
+    if holder.waiting:
+        holder, effects = _refill(holder, now)
+    else:
+        keep = _ahead(holder, now)
+        grant = holder.current
+        too_much = grant is not None and grant.free > 2 * keep
+        holder, effects = _shrink(holder, keep) if too_much else (holder, ())
+    return holder, (*expired, *retired, *effects)
+
+
+def _expire_waiting(holder: Holder, now: float) -> Step:
+    expired = [each for each in holder.waiting if each.deadline <= now]
+    if not expired:
+        return holder, ()
+    left = tuple(each for each in holder.waiting if each.deadline > now)
+    outcome: ReserveOutcome = Exhausted(holder.left)
+    if holder.resizing is not None:
+        outcome = Unavailable("the ledger did not answer in time")
+    answers = tuple(Answer(each.reserve.attempt, outcome) for each in expired)
+    return replace(holder, waiting=left), answers
+
+
+def _retire_spent(holder: Holder, now: float) -> Step:
+    """Retire a grant that is idle or has gathered many bills."""
+    grant = holder.current
+    if grant is None or holder.waiting or holder.resizing is not None:
+        return holder, ()
+    idle = now - holder.demand_at >= holder.policy.idle_s and not grant.promises
+    if not idle and grant.stored_bills < holder.policy.max_bills:
+        return holder, ()
+    return _close_resolved(_put(holder, replace(grant, retiring=True)))
+
+
+def _drain(holder: Holder, now: float) -> Step:
+    outcome = Unavailable("the holder drains")
+    answers = tuple(Answer(each.reserve.attempt, outcome) for each in holder.waiting)
+    holder = replace(holder, draining=True, waiting=())
+    for grant in holder.grants.values():
+        holder = _put(holder, replace(grant, retiring=True))
+    holder, closes = _close_resolved(holder)
+    return holder, (*answers, *closes)
+
+
+def _change_witnesses(
+    holder: Holder, witnesses: tuple[Witness, ...], now: float
+) -> Step:
+    """Retire the current grant if one of its witnesses is gone."""
+    holder = replace(holder, witnesses=witnesses)
+    grant = holder.current
+    if grant is None or set(grant.witnesses) == set(witnesses):
+        return holder, ()
+    holder, closes = _close_resolved(_put(holder, replace(grant, retiring=True)))
+    holder, refill = _refill(holder, now)
+    return holder, (*closes, *refill)
+
+
+def _lose_runner(holder: Holder, node: str) -> Step:
+    """Retire each grant that the runner has promises under, and seal it."""
+    effects: list[Effect] = []
+    for grant in holder.grants.values():
+        if all(promise.runner != node for promise in grant.promises.values()):
+            continue
+        grant = replace(grant, retiring=True, lost=grant.lost | {node})
+        holder = _put(holder, _drop_sealed(grant))
+        wanted = tuple(each for each in grant.witnesses if each.node != node)
+        effects.append(AskSeals(grant.id, wanted))
+    holder, closes = _close_resolved(holder)
+    return holder, (*effects, *closes)
+
+
+def _seal(holder: Holder, message: Sealed) -> Step:
+    grant = holder.grants.get(message.grant_id)
+    if grant is None:
+        return holder, ()
+    bills = {bill.request_id: bill.tokens for bill in message.bills}
+    grant = replace(
+        grant,
+        retiring=True,
+        seals=grant.seals | {message.witness.node},
+        sealed_bills={**grant.sealed_bills, **bills},
+    )
+    return _close_resolved(_put(holder, _drop_sealed(grant)))
+
+
+def _drop_sealed(grant: HeldGrant) -> HeldGrant:
+    """Drop the lost runners' promises that no witness will take a bill for.
+
+    A runner never counts itself as a witness, so its own seal is not needed.
+    """
+    witnesses = {each.node for each in grant.witnesses}
+    closed = {node for node in grant.lost if witnesses - {node} <= grant.seals}
+    promises = {
+        key: kept for key, kept in grant.promises.items() if kept.runner not in closed
+    }
+    return replace(grant, promises=promises)
+
+
+def _close_resolved(holder: Holder) -> Step:
+    """Close each retired grant under which nothing is open."""
+    effects: list[Effect] = []
+    for grant in holder.grants.values():
+        ready = grant.retiring and not grant.promises and not grant.closing
+        if not ready or holder.resizing == grant.id:
+            continue
+        bills = {**grant.sealed_bills, **grant.unstored}
+        effects.append(Submit(Close(holder.budget, grant.id, bills)))
+        holder = _put(holder, replace(grant, closing=True))
+    return holder, tuple(effects)
+
+
+def _ledger_answered(holder: Holder, result: Result, now: float) -> Step:
+    match result:
+        case Resized():
+            return _resized(holder, result, now)
+        case GrantClosed(grant_id):
+            return _grant_closed(holder, grant_id, now)
+        case BillsRecorded(grant_id, request_ids):
+            return _bills_recorded(holder, grant_id, request_ids, now)
+        case Closed(grant_id):
+            return _closed(holder, grant_id, now)
+        case ToppedUp():
+            return holder, ()
+
+
+def _resized(holder: Holder, result: Resized, now: float) -> Step:
+    name, holder = holder.resizing, replace(holder, resizing=None)
+    holder = replace(holder, left=result.left, others=result.others)
+    grant = holder.grants.get(name or "")
+    if grant is None:
+        return holder, ()
+    grant = replace(grant, amount=result.amount, sequence=result.sequence)
+    holder, admitted = _admit_waiting(_put(holder, grant))
+    holder, closes = _close_resolved(holder)
+    holder, more = _seek_more(holder, now)
+    return holder, (*admitted, *closes, *more)
+
+
+def _seek_more(holder: Holder, now: float) -> Step:
+    """Refuse what nobody can cover, or recall from those who hold the rest."""
+    if not holder.waiting:
+        return holder, ()
+    smallest = min(each.reserve.tokens for each in holder.waiting)
+    grant = holder.current
+    if holder.left + (grant.free if grant else 0) >= smallest:
+        return _refill(holder, now)
+    retiring = any(each.retiring for each in holder.grants.values())
+    if not holder.others and not retiring:
+        outcome = Exhausted(holder.left)
+        answers = tuple(
+            Answer(each.reserve.attempt, outcome) for each in holder.waiting
+        )
+        return replace(holder, waiting=()), answers
+    if now - holder.recalled_at < holder.policy.recall_interval_s:
+        return holder, ()
+    return replace(holder, recalled_at=now), (RecallFrom(holder.others),)
+
+
+def _grant_closed(holder: Holder, grant_id: str, now: float) -> Step:
+    """Forget a grant that others closed after this router was taken for dead."""
+    if holder.resizing == grant_id:
+        holder = replace(holder, resizing=None)
+    grants = {key: kept for key, kept in holder.grants.items() if key != grant_id}
+    return _refill(replace(holder, grants=grants), now)
+
+
+def _bills_recorded(
+    holder: Holder, grant_id: str, request_ids: tuple[str, ...], now: float
+) -> Step:
+    grant = holder.grants.get(grant_id)
+    if grant is None:
+        return holder, ()
+    moved = {key: grant.unstored[key] for key in request_ids if key in grant.unstored}
+    grant = replace(
+        grant,
+        unstored={
+            key: kept for key, kept in grant.unstored.items() if key not in moved
+        },
+        stored=grant.stored + sum(moved.values()),
+        stored_bills=grant.stored_bills + len(moved),
+    )
+    return _put(holder, grant), (AnnounceStored(grant.ref, request_ids),)
+
+
+def _closed(holder: Holder, grant_id: str, now: float) -> Step:
+    grant = holder.grants.get(grant_id)
+    if grant is None:
+        return holder, ()
+    ids = tuple({**grant.sealed_bills, **grant.unstored})
+    grants = {key: kept for key, kept in holder.grants.items() if key != grant_id}
+    holder = replace(holder, grants=grants)
+    holder, refill = _refill(holder, now)
+    return holder, (AnnounceStored(grant.ref, ids), *refill)
+
+
+def _put(holder: Holder, grant: HeldGrant) -> Holder:
+    return replace(holder, grants={**holder.grants, grant.id: grant})
--- /dev/null
+++ b/src/hawthornstage/decisions/membership.py
@@ -0,0 +1,138 @@
+"""Who is there: used to find neighbours and witnesses, never for safety."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from hawthornstage.messages.money import Witness
+
+
+@dataclass(frozen=True)
+class Member:
+    """A router as seen by another.
+
+    Args:
+        node: Its name.
+        incarnation: Its process.
+        failure_domain: Where it stands.
+        heard_at: Monotonic time of its last heartbeat, in seconds.
+        draining: Whether it is shutting down.
+        revision: Revision of the tables that it uses.
+    """
+
+    node: str
+    incarnation: str
+    failure_domain: str
+    heard_at: float
+    draining: bool = False
+    revision: int = 0
+
+
+@dataclass(frozen=True)
+class MembershipPolicy:
+    """Times after which a silent router is treated as away, in seconds.
+
+    Args:
+        suspect_s: It gets no new tasks.
+        lost_s: What it left behind is closed.
+    """
+
+    suspect_s: float = 3.0
+    lost_s: float = 30.0
+
+
+@dataclass(frozen=True)
+class Members:
+    """All routers that were ever heard of, by node, this one included."""
+
+    me: Member
+    policy: MembershipPolicy = MembershipPolicy()
+    others: dict[str, Member] = field(default_factory=dict)
+
+
+def hear(members: Members, member: Member) -> Members:
+    """Take a heartbeat; one of an earlier process of the same node is ignored."""
+    known = members.others.get(member.node)
+    if known is not None and known.incarnation > member.incarnation:
+        return members
+    return replace(members, others={**members.others, member.node: member})
+
+
+def forget(members: Members, node: str) -> Members:
+    """Drop a router that the host list no longer has."""
+    others = {key: kept for key, kept in members.others.items() if key != node}
+    return replace(members, others=others)
+
+
+def live(members: Members, now: float) -> tuple[Member, ...]:
+    """List the routers heard of lately, this one first."""
+    limit = now - members.policy.suspect_s
+    others = [each for each in members.others.values() if each.heard_at >= limit]
+    return (members.me, *others)
+
+
+def lost(members: Members, now: float) -> tuple[Member, ...]:
+    """List the routers that have been silent for so long that others clean up."""
+    limit = now - members.policy.lost_s
+    return tuple(each for each in members.others.values() if each.heard_at < limit)
+
+
+def rank(name: str, nodes: Iterable[str]) -> list[str]:
+    """Order nodes by rendezvous hashing for a name, the best first."""
+    return sorted(nodes, key=lambda node: _weight(name, node), reverse=True)
+
+
+def choose_witnesses(
+    members: Members, previous: tuple[Witness, ...], now: float, *, count: int
+) -> tuple[Witness, ...]:
+    """Choose routers to witness grants: other failure domains first.
+
+    Previous witnesses that are still fit are kept, so that grants last. One place
+    goes to a router of the own failure domain, which stays reachable when the
+    domain is cut off.
+    """
+    fit = {
+        each.node: each
+        for each in live(members, now)
+        if each.node != members.me.node and not each.draining
+    }
+    kept = [
+        each
+        for each in previous
+        if each.node in fit and fit[each.node].incarnation == each.incarnation
+    ]
+    if len(kept) >= min(count, len(fit)):
+        return tuple(kept[:count])
+    order = rank(members.me.node, fit)
+    home = members.me.failure_domain
+    far = [node for node in order if fit[node].failure_domain != home]
+    near = [node for node in order if fit[node].failure_domain == home]
+    picked = [*far[: count - 1], *near[:1], *far[count - 1 :], *near[1:]]
+    chosen = [Witness(node, fit[node].incarnation) for node in picked]
+    return tuple(chosen[:count])
+
+
+def holder_for(members: Members, budget: str, now: float, *, shared: bool) -> str:
+    """Name the router that holds this router's grant of a budget.
+
+    Args:
+        members: The view of this router.
+        budget: The workspace.
+        now: Monotonic time, in seconds.
+        shared: Whether one router holds for its whole failure domain.
+    """
+    if not shared:
+        return members.me.node
+    domain = members.me.failure_domain
+    near = [
+        each.node
+        for each in live(members, now)
+        if each.failure_domain == domain and not each.draining
+    ]
+    return rank(budget, near)[0] if near else members.me.node
+
+
+def _weight(name: str, node: str) -> bytes:
+    return hashlib.blake2b(f"{name}\n{node}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/hawthornstage/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The request pipe: one module for each filter."""
--- /dev/null
+++ b/src/hawthornstage/messages/members.py
@@ -0,0 +1,48 @@
+"""Messages about routers and tables between routers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hawthornstage.messages.tables import Tables
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """Tells a neighbour that this router is there.
+
+    Args:
+        node: Its name.
+        incarnation: Its process; later ones compare greater.
+        failure_domain: Where it stands.
+        draining: Whether it is shutting down.
+        revision: Revision of the tables that it uses.
+    """
+
+    node: str
+    incarnation: str
+    failure_domain: str
+    draining: bool
+    revision: int
+
+
+@dataclass(frozen=True)
+class TablesWanted:
+    """Asks a neighbour for tables newer than a revision."""
+
+    newer_than: int
+
+
+@dataclass(frozen=True)
+class TablesOffered:
+    """Hands tables to a neighbour, which adopts them if they are newer."""
+
+    tables: Tables
+
+
+@dataclass(frozen=True)
+class Unreachable:
+    """The neighbour did not answer; it may have taken the message."""
+
+    node: str
+    reason: str
--- /dev/null
+++ b/src/hawthornstage/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see: events, logs and metrics."""
--- /dev/null
+++ b/src/hawthornstage/observe/timeline.py
@@ -0,0 +1,67 @@
+"""The time line: the events of all processes in one order."""
+
+from __future__ import annotations
+
+import heapq
+from datetime import UTC, datetime
+from typing import Any
+
+
+def merge(answers: dict[str, list[dict[str, Any]]]) -> list[dict[str, Any]]:
+    """Merge the events of several routers by their stamps.
+
+    Args:
+        answers: Each router's events in its own order.
+    """
+    return list(heapq.merge(*answers.values(), key=order))
+
+
+def order(event: dict[str, Any]) -> tuple[int, int, str]:
+    """Return what an event is ordered by."""
+    stamp = event["stamp"]
+    return stamp["millis"], stamp["counter"], stamp["node"]
+
+
+def line(event: dict[str, Any]) -> str:
+    """Write an event for people."""
+    stamp = event["stamp"]
+    at = datetime.fromtimestamp(stamp["millis"] / 1000, UTC)
+    fields = " ".join(f"{name}={value}" for name, value in event["fields"].items())
+    request = event["request_id"] or "-"
+    clock = f"{at:%H:%M:%S}.{at.microsecond // 1000:03d}+{stamp['counter']}"
+    return f"{clock:<16} {stamp['node']:<12} {event['name']:<18} {request:<26} {fields}"
+
+
+def explain(events: list[dict[str, Any]]) -> dict[str, Any]:
+    """Sum up what happened to one request."""
+    found: dict[str, Any] = {"outcome": "unknown"}
+    for event in events:
+        fields = event["fields"]
+        match event["name"]:
+            case "routed":
+                found["workspace"] = fields["workspace"]
+                found["route"] = (
+                    f"{fields['route']} (purpose {fields['purpose']},"
+                    f" tables revision {fields['revision']})"
+                )
+                found["pool"] = fields["pool"]
+            case "claimed":
+                found["claim"] = f"held by attempt {fields['attempt']}"
+            case "reserved":
+                found["grant"] = (
+                    f"{fields['grant']}, {fields['tokens']} tokens reserved"
+                )
+            case "placed":
+                found["servers"] = [*found.get("servers", []), fields["server"]]
+            case "retry":
+                found["retries"] = [*found.get("retries", []), fields["reason"]]
+            case "billed":
+                found["bill"] = f"{fields['tokens']} tokens under {fields['grant']}"
+            case "bill_pending":
+                found["bill"] = f"{fields['tokens']} tokens, not final"
+            case "answered" | "replayed" | "caller_left":
+                found["outcome"] = event["name"]
+            case "refused" | "stream_failed":
+                detail = fields.get("detail") or fields.get("reason") or ""
+                found["outcome"] = f"{event['name']}: {fields['kind']} {detail}".strip()
+    return found
--- /dev/null
+++ b/src/hawthornstage/operator_client.py
@@ -0,0 +1,109 @@
+"""Client of the routers' operator interface, for the command line and programs."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+# Longest wait for a router, in seconds.
+TIMEOUT_S = 10.0
+
+
+class OperatorError(Exception):
+    """A router refused a call or no router answered.
+
+    Args:
+        message: What was said.
+        status: HTTP status code, or 0 if no router answered.
+        document: The answer's JSON document.
+    """
+
+    def __init__(self, message: str, status: int = 0, document: Any = None) -> None:
+        super().__init__(message)
+        self.status = status
+        self.document = document
+
+
+@dataclass(frozen=True)
+class OperatorClient:
+    """Calls routers with an operator's key.
+
+    Args:
+        routers: Base addresses, such as `http://10.0.0.1:8080`.
+        key: The operator's key.
+    """
+
+    routers: tuple[str, ...]
+    key: str
+
+    def get(self, path: str, **query: Any) -> Any:
+        """Ask the first router that answers."""
+        return self.call("GET", path, query=query)
+
+    def post(self, path: str, body: bytes, **query: Any) -> Any:
+        """Send to the first router that can be reached."""
+        return self.call("POST", path, body=body, query=query)
+
+    def get_all(self, path: str, **query: Any) -> dict[str, Any]:
+        """Ask every router.
+
+        Returns:
+            Each router's document, or an `OperatorError`, by address.
+        """
+        answers: dict[str, Any] = {}
+        for router in self.routers:
+            try:
+                answers[router] = self.ask(router, "GET", path, b"", query)
+            except OperatorError as error:
+                answers[router] = error
+        return answers
+
+    def call(
+        self, method: str, path: str, *, body: bytes = b"", query: dict[str, Any]
+    ) -> Any:
+        """Try the routers in turn until one answers."""
+        last = OperatorError(
+            "no router is named: use --routers or HAWTHORNSTAGE_ROUTERS"
+        )
+        for router in self.routers:
+            try:
+                return self.ask(router, method, path, body, query)
+            except OperatorError as error:
+                if error.status:
+                    raise
+                last = error
+        raise last
+
+    def ask(
+        self, router: str, method: str, path: str, body: bytes, query: dict[str, Any]
+    ) -> Any:
+        """Ask one router.
+
+        Raises:
+            OperatorError: The router can't be reached or refuses.
+        """
+        url = f"{router.rstrip('/')}/operator/v1/{path}"
+        if query:
+            url += "?" + urlencode(query)
+        headers = {"Authorization": f"Bearer {self.key}"}
+        try:
+            response = urllib3.request(
+                method,
+                url,
+                body=body or None,
+                headers=headers,
+                timeout=TIMEOUT_S,
+                retries=False,
+            )
+            document = json.loads(response.data)
+        except (HTTPError, ValueError) as error:
+            raise OperatorError(f"{router}: {error}") from error
+        if response.status != 200:
+            message = document.get("error", f"status {response.status}")
+            raise OperatorError(str(message), response.status, document)
+        return document
--- /dev/null
+++ b/src/hawthornstage/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services, one module for each."""
--- /dev/null
+++ b/standins/_http.py
@@ -0,0 +1,63 @@
+"""What the stand-ins share: a small HTTP server and its command line."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import signal
+import sys
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cheroot import wsgi
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
+# Threads of a stand-in: calls that it serves at a time.
+THREADS = 300
+
+
+def read_json(environ: dict[str, Any]) -> Any:
+    """Return the call's body as JSON, or an empty mapping."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    body = environ["wsgi.input"].read(length) if length else b""
+    return json.loads(body) if body else {}
+
+
+def read_bytes(environ: dict[str, Any]) -> bytes:
+    """Return the call's body."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    return environ["wsgi.input"].read(length) if length else b""
+
+
+def send_json(
+    start: StartResponse, document: Any, status: str = "200 OK"
+) -> list[bytes]:
+    """Send a JSON answer."""
+    body = json.dumps(document).encode()
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    start(status, headers)
+    return [body]
+
+
+def parser(description: str) -> argparse.ArgumentParser:
+    """Return the options that every stand-in has."""
+    made = argparse.ArgumentParser(description=description)
+    made.add_argument("--port", type=int, default=0, help="0: chosen by the system")
+    return made
+
+
+def serve(application: Application, port: int) -> None:
+    """Serve until SIGTERM; the first line of output names the port."""
+    server = wsgi.Server(
+        ("127.0.0.1", port), application, numthreads=THREADS, request_queue_size=256
+    )
+    server.prepare()
+    print(f"port {server.bind_addr[1]}", flush=True)
+    told = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: told.set())
+    threading.Thread(target=server.serve, daemon=True).start()
+    told.wait()
+    sys.exit(0)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for demonstrations, load and measurements."""
--- /dev/null
+++ b/tools/cluster.py
@@ -0,0 +1,253 @@
+"""Starts routers and stand-ins as separate processes on loopback."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import urllib3
+import yaml
+
+from hawthornstage.operator_client import OperatorClient
+
+ROOT = Path(__file__).resolve().parent.parent
+OPERATOR_KEY = "ops.operator-secret"
+OLD_SETUP_KEY = "old.old-setup-secret"
+# Longest wait for a process to serve, in seconds.
+START_S = 20.0
+# Pause between two looks at something that is waited for, in seconds.
+LOOK_S = 0.05
+
+
+def free_port() -> int:
+    """Return a port that nobody uses now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def key_of(workspace: str) -> str:
+    """Return the API key of a workspace in test clusters."""
+    return f"{workspace}.secret-of-{workspace}"
+
+
+def stored_key(key: str, owner: str) -> dict[str, str]:
+    """Return the settings entry for a key."""
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return {"id": key.partition(".")[0], "owner": owner, "sha256": digest}
+
+
+def wait_until(holds: Any, *, timeout: float = START_S, what: str = "it") -> None:
+    """Look until a condition holds.
+
+    Raises:
+        TimeoutError: It did not hold in time.
+    """
+    deadline = time.monotonic() + timeout
+    while not holds():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{what} did not come to hold in {timeout} s")
+        time.sleep(LOOK_S)
+
+
+@dataclass
+class Process:
+    """A started process and where it serves."""
+
+    name: str
+    popen: subprocess.Popen
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Base address."""
+        return f"http://127.0.0.1:{self.port}"
+
+    def kill(self) -> None:
+        """End the process without warning."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self, timeout: float = 30.0) -> int:
+        """Ask the process to stop, and return its exit code."""
+        self.popen.terminate()
+        return self.popen.wait(timeout)
+
+
+@dataclass
+class RouterPlan:
+    """Where one router of a cluster will serve."""
+
+    name: str
+    failure_domain: str
+    port: int
+    peer_port: int
+
+
+@dataclass
+class Cluster:
+    """Processes on loopback; ends them all when it is left.
+
+    Args:
+        workspaces: Workspaces that have an API key.
+        settings: Overrides of router settings, section by section.
+    """
+
+    workspaces: Sequence[str]
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    processes: dict[str, Process] = field(default_factory=dict)
+    plans: dict[str, RouterPlan] = field(default_factory=dict)
+    directory: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
+    key_value: Process | None = None
+    hosts: Process | None = None
+
+    def __enter__(self) -> Cluster:
+        self.key_value = self.stand_in("key-value", "key_value")
+        self.hosts = self.stand_in("hosts", "host_list", "--lag-s", "0.5")
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for process in self.processes.values():
+            process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+
+    def stand_in(self, name: str, module: str, *options: str) -> Process:
+        """Start a stand-in and wait until it serves."""
+        command = [sys.executable, "-m", f"standins.{module}", *options]
+        popen = subprocess.Popen(
+            command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+        )
+        assert popen.stdout is not None
+        port = int(popen.stdout.readline().split()[1])
+        self.processes[name] = Process(name, popen, port)
+        return self.processes[name]
+
+    def plan_routers(self, count: int, domains: Sequence[str]) -> None:
+        """Choose names, failure domains and ports of routers."""
+        for number in range(1, count + 1):
+            name = f"r{number}"
+            domain = domains[(number - 1) % len(domains)]
+            self.plans[name] = RouterPlan(name, domain, free_port(), free_port())
+
+    def start_routers(self) -> None:
+        """Start every planned router and wait until each answers."""
+        for name in self.plans:
+            self.start_router(name)
+        for name in self.plans:
+            self.wait_healthy(name)
+
+    def start_router(self, name: str) -> Process:
+        """Start one planned router."""
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(self.router_settings(self.plans[name])))
+        command = [sys.executable, "-m", "hawthornstage.cli", "router"]
+        log = open(self.directory / f"{name}.log", "ab")  # noqa: SIM115
+        environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        popen = subprocess.Popen(
+            [*command, "--settings", str(path)],
+            cwd=ROOT,
+            env=environment,
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        process = Process(name, popen, self.plans[name].port)
+        self.processes[name] = process
+        return process
+
+    def wait_healthy(self, name: str) -> None:
+        """Wait until a router answers."""
+        process = self.processes[name]
+        wait_until(lambda: responds(process.url + "/healthz"), what=f"{name} serving")
+
+    def wait_ready(self) -> None:
+        """Wait until every router has tables."""
+        for name in self.plans:
+            url = self.processes[name].url + "/readyz"
+            wait_until(lambda url=url: responds(url), what=f"{name} being ready")
+
+    def router_settings(self, plan: RouterPlan) -> dict[str, Any]:
+        """Return one router's settings."""
+        assert self.key_value is not None
+        assert self.hosts is not None
+        document: dict[str, dict[str, Any]] = {
+            "node": {"name": plan.name, "failure_domain": plan.failure_domain},
+            "listen": {"port": plan.port},
+            "peers": {
+                "port": plan.peer_port,
+                "secrets": ["peer-secret"],
+                "routers": {
+                    each.name: f"ws://127.0.0.1:{each.peer_port}"
+                    for each in self.plans.values()
+                },
+            },
+            "platform": {
+                "key_value_url": self.key_value.url,
+                "host_list_url": self.hosts.url + "/hosts",
+            },
+            "keys": {
+                "callers": [stored_key(key_of(w), w) for w in self.workspaces],
+                "operators": [stored_key(OPERATOR_KEY, "bench")],
+                "old_setup": [stored_key(OLD_SETUP_KEY, "old-setup")],
+            },
+        }
+        for section, values in self.settings.items():
+            document[section] = {**document.get(section, {}), **values}
+        return document
+
+    def operator(self) -> OperatorClient:
+        """Return an operator's client for all planned routers."""
+        urls = tuple(f"http://127.0.0.1:{plan.port}" for plan in self.plans.values())
+        return OperatorClient(urls, OPERATOR_KEY)
+
+    def fault(self, **faults: Any) -> None:
+        """Set faults of the key-value service."""
+        assert self.key_value is not None
+        post(self.key_value.url + "/standin/faults", faults)
+
+    def log_of(self, name: str) -> str:
+        """Return what a router has logged."""
+        return (self.directory / f"{name}.log").read_text()
+
+
+def responds(url: str) -> bool:
+    """Tell whether a GET is answered with 200."""
+    try:
+        return urllib3.request("GET", url, timeout=1.0, retries=False).status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
+def post(url: str, document: Any) -> Any:
+    """Send JSON and return the JSON answer."""
+    return urllib3.request("POST", url, json=document, timeout=5.0).json()
+
+
+def counts(process: Process) -> Any:
+    """Return what a stand-in counted."""
+    return urllib3.request("GET", process.url + "/standin/counts", timeout=5.0).json()
