Add the demonstration and the audit by the stand-ins' counts

Cause: nothing showed the whole path under a router's death. Found by it and mended: a leaving server kept getting work, because the event's field 'name' clashed with the event's own and the task failed; copies at witnesses were never dropped, because only one task heard 'Stored'; bills of a dead router waited for the closing round, so witnesses now store old copies themselves; the window of 256 remembered bills per budget hid bills from the audit and would have billed late retries twice, now 6,000 a shard.

--- a/src/hawthornstage/actors/servers.py
+++ b/src/hawthornstage/actors/servers.py
@@ -36,6 +36,14 @@
     """It is time to ask for news."""
 
 
+@dataclass(frozen=True)
+class SaysDraining:
+    """Whether a server says of itself that it is leaving."""
+
+    server: str
+    draining: bool
+
+
 @dataclass(frozen=True)
 class ChooseServer:
     """Asks for a server; the reply is `Placed` or `NoServer`."""
@@ -56,7 +64,8 @@
         self.clock = clock
         self.events = events
         self.placement = Placement()
-        self.leaving: frozenset[str] = frozenset()
+        self.listed: frozenset[str] = frozenset()
+        self.draining: frozenset[str] = frozenset()
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
@@ -68,11 +77,21 @@
                 self.placement = policy.finish(self.placement, message, now)
             case Reported():
                 self.placement = policy.report(self.placement, message)
+            case SaysDraining(server, draining):
+                rest = self.draining - {server}
+                self.change_leaving(self.listed, rest | {server} if draining else rest)
             case LeavingChanged(servers):
-                for name in sorted(servers ^ self.leaving):
-                    self.events.emit("server", name=name, leaving=name in servers)
-                self.leaving = servers
-                self.placement = policy.change_leaving(self.placement, message)
+                self.change_leaving(servers, self.draining)
+
+    def change_leaving(self, listed: frozenset[str], draining: frozenset[str]) -> None:
+        """Take the leaving servers by the host list and by their own word."""
+        before, after = self.listed | self.draining, listed | draining
+        self.listed, self.draining = listed, draining
+        if before == after:
+            return
+        for name in sorted(before ^ after):
+            self.events.emit("server", server=name, leaving=name in after)
+        self.placement = policy.change_leaving(self.placement, LeavingChanged(after))
 
 
 class HostListTask(Task):
@@ -87,13 +106,19 @@
         super().__init__()
         self.client = client
         self.servers = servers
+        self.seen: frozenset[str] = frozenset()
 
     def handle(self, message: Any) -> None:
         match message:
             case Poll():
                 hosts = self.client.fetch()
-                if hosts is not None:
-                    self.servers.tell(LeavingChanged(hosts.leaving))
+                if hosts is None:
+                    return
+                # A host that was listed and is no longer has left for good.
+                present = hosts.live | hosts.leaving
+                self.seen |= present
+                gone = self.seen - present
+                self.servers.tell(LeavingChanged(hosts.leaving | gone))
 
 
 class LoadModel(BaseModel):
@@ -144,19 +169,20 @@
             return
         self.next = (self.next + 1) % len(engines)
         server = engines[self.next]
-        report = self.ask(server)
-        if report is not None:
-            self.servers.tell(Reported(server.name, report))
+        model = self.ask(server)
+        if model is None:
+            return
+        at = self.clock.monotonic() - model.age_s
+        report = LoadReport(model.running, model.queued, at)
+        self.servers.tell(Reported(server.name, report))
+        self.servers.tell(SaysDraining(server.name, model.draining))
 
-    def ask(self, server: Server) -> LoadReport | None:
+    def ask(self, server: Server) -> LoadModel | None:
         """Return one engine's report, or None if it has none."""
         try:
             response = self.pool.request(
                 "GET", f"{server.url}/load", timeout=REPORT_TIMEOUT_S
             )
-            model = LoadModel.model_validate_json(response.data)
+            return LoadModel.model_validate_json(response.data)
         except (HTTPError, ValidationError):
             return None
-        return LoadReport(
-            model.running, model.queued, self.clock.monotonic() - model.age_s
-        )
--- a/src/hawthornstage/actors/task.py
+++ b/src/hawthornstage/actors/task.py
@@ -42,23 +42,27 @@
 
 
 class Switchboard:
-    """Finds the task that handles each class of message.
+    """Finds the tasks that handle each class of message.
 
-    The composition root fills it before the first message is delivered.
+    The composition root fills it before the first message is delivered. Where
+    several tasks take a class, the one registered first replies.
     """
 
     def __init__(self) -> None:
-        self.tasks: dict[type, pykka.ActorRef] = {}
+        self.tasks: dict[type, list[pykka.ActorRef]] = {}
 
     def register(self, task: pykka.ActorRef, kinds: Iterable[type]) -> None:
         """Route these classes of message to a task."""
         for kind in kinds:
-            self.tasks[kind] = task
+            self.tasks.setdefault(kind, []).append(task)
 
     def deliver(self, message: Any, reply_to: ReplyTo) -> bool:
         """Pass a message on; False if no task takes its class."""
-        task = self.tasks.get(type(message))
-        if task is None:
+        tasks = self.tasks.get(type(message))
+        if not tasks:
             return False
-        task.tell(Ask(message, reply_to))
+        first, *others = tasks
+        first.tell(Ask(message, reply_to))
+        for task in others:
+            task.tell(Ask(message))
         return True
--- a/src/hawthornstage/actors/witnesses.py
+++ b/src/hawthornstage/actors/witnesses.py
@@ -2,11 +2,35 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
+import pykka
+
+from hawthornstage.actors.budgets import ledger_key
+from hawthornstage.actors.documents import Applied, Apply
 from hawthornstage.actors.task import Ask, Task
+from hawthornstage.clock import Clock
+from hawthornstage.decisions.ledger import GrantClosed, RecordBills
 from hawthornstage.decisions.witness import WitnessState, step
-from hawthornstage.messages.money import Acknowledged, Witness
+from hawthornstage.mailbox import Forward
+from hawthornstage.messages.money import (
+    Acknowledged,
+    Bill,
+    KeepCopy,
+    Stored,
+    Witness,
+)
+from hawthornstage.observe.events import EventLog
+
+# A copy older than this is written to the ledger by the witness itself, in seconds:
+# its holder and its runner should have done so long before.
+STORE_COPY_S = 4.0
+
+
+@dataclass(frozen=True)
+class CheckCopies:
+    """Look for copies that should have been stored."""
 
 
 class Witnesses(Task):
@@ -14,14 +38,65 @@
 
     Args:
         me: The name under which grants know this process.
+        shards: Number of ledger documents.
+        documents: The ledger's documents.
+        clock: The runtime's clock.
+        events: Takes events.
     """
 
-    def __init__(self, me: Witness) -> None:
+    def __init__(
+        self,
+        me: Witness,
+        shards: int,
+        *,
+        documents: pykka.ActorRef,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
         super().__init__()
         self.state = WitnessState(me)
+        self.shards = shards
+        self.documents = documents
+        self.clock = clock
+        self.events = events
+        self.kept_at: dict[tuple[str, str], float] = {}
 
     def handle(self, message: Any) -> None:
         match message:
             case Ask(message=inner, reply_to=reply_to):
                 self.state, reply = step(self.state, inner)
                 reply_to.put(reply if reply is not None else Acknowledged())
+                if isinstance(inner, KeepCopy):
+                    key = (inner.bill.grant.id, inner.bill.request_id)
+                    self.kept_at.setdefault(key, self.clock.monotonic())
+            case CheckCopies():
+                self.check_copies()
+            case Applied(mutation, result):
+                self.stored(mutation, result)
+
+    def check_copies(self) -> None:
+        """Write old copies to the ledger."""
+        now = self.clock.monotonic()
+        for (grant_id, request_id), kept_at in list(self.kept_at.items()):
+            bill = self.state.copies.get(grant_id, {}).get(request_id)
+            if bill is None:
+                del self.kept_at[(grant_id, request_id)]
+            elif now - kept_at >= STORE_COPY_S:
+                self.kept_at[(grant_id, request_id)] = now
+                self.store(bill)
+
+    def store(self, bill: Bill) -> None:
+        """Write one bill to the ledger; a bill that is there already stays one."""
+        record = RecordBills(bill.budget, bill.grant.id, {bill.request_id: bill.tokens})
+        key = ledger_key(bill.budget, self.shards)
+        self.documents.tell(Apply(key, record, Forward(self.actor_ref.tell)))
+
+    def stored(self, mutation: RecordBills, result: Any) -> None:
+        """Drop copies that the ledger has; report one that it refused."""
+        if isinstance(result, GrantClosed):
+            for request_id in mutation.bills:
+                self.events.emit(
+                    "bill_refused", request_id=request_id, grant=mutation.grant_id
+                )
+        stored = Stored(mutation.grant_id, tuple(mutation.bills))
+        self.state, _ = step(self.state, stored)
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -26,7 +26,7 @@
 from hawthornstage.actors.tables import Refresh, ReportTo, TablesTask, TablesWatch
 from hawthornstage.actors.task import Switchboard
 from hawthornstage.actors.timers import Timers
-from hawthornstage.actors.witnesses import Witnesses
+from hawthornstage.actors.witnesses import CheckCopies, Witnesses
 from hawthornstage.border.documents import CLAIMS_KIND, LEDGER_KIND, TABLES_KIND
 from hawthornstage.border.front import Front, StartResponse, send
 from hawthornstage.border.operator_api import PREFIX, OperatorApi
@@ -146,12 +146,13 @@
             **shared,
         )
         tables.tell(ReportTo(membership))
+        witnesses = Witnesses.start(self.me, options.shards, documents=ledger, **shared)
         return Tasks(
             ledger,
             claims,
             tables_documents,
             peers,
-            Witnesses.start(self.me),
+            witnesses,
             budgets,
             settlements,
             closer,
@@ -220,7 +221,7 @@
             tasks.budgets,
             (money.Reserve, money.Release, money.Settle, money.Recall),
         )
-        board.register(tasks.witnesses, (money.KeepCopy, money.Seal))
+        board.register(tasks.witnesses, (money.KeepCopy, money.Seal, money.Stored))
         board.register(tasks.settlements, (money.Stored,))
         board.register(tasks.membership, (members.Heartbeat,))
         board.register(tasks.tables, (members.TablesWanted, members.TablesOffered))
@@ -231,6 +232,7 @@
         every(FAST_TICK_S, tasks.budgets, budgets_task.FastTick())
         every(SLOW_TICK_S, tasks.budgets, budgets_task.SlowTick())
         every(SLOW_TICK_S, tasks.settlements, Resend())
+        every(SLOW_TICK_S, tasks.witnesses, CheckCopies())
         every(SWEEP_S, tasks.closer, Sweep())
         every(REFRESH_S, tasks.tables, Refresh())
         every(LOAD_POLL_S, tasks.load, Poll())
--- a/src/hawthornstage/decisions/ledger.py
+++ b/src/hawthornstage/decisions/ledger.py
@@ -11,8 +11,11 @@
 
 from hawthornstage.messages.money import Bill, Witness
 
-# Bills of closed grants that a budget remembers to recognise a caller's retry.
-RECENT_BILLS_PER_BUDGET = 256
+# Bills of closed grants that a shard remembers to recognise a caller's retry: at
+# about 45 bytes each they stay under a third of the largest value of 1 MB.
+RECENT_BILLS_PER_SHARD = 6_000
+# Bills that every budget of a full shard keeps all the same.
+RECENT_BILLS_PER_BUDGET = 32
 # Top-up ids that a budget remembers to recognise a repeated top-up.
 TOP_UP_IDS_PER_BUDGET = 64
 # Closed grants that a budget remembers to refuse their late messages.
@@ -211,7 +214,26 @@
             changed, result = _close(budget, mutation)
     if changed is budget:
         return ledger, result
-    return Ledger({**ledger.budgets, mutation.budget: changed}), result
+    budgets = {**ledger.budgets, mutation.budget: changed}
+    if isinstance(mutation, Close):
+        budgets = _prune_recent(budgets)
+    return Ledger(budgets), result
+
+
+def _prune_recent(budgets: dict[str, Budget]) -> dict[str, Budget]:
+    """Forget the oldest bills of the budgets with the most, down to the limit."""
+    excess = sum(len(each.recent) for each in budgets.values())
+    excess -= RECENT_BILLS_PER_SHARD
+    pruned = dict(budgets)
+    while excess > 0:
+        name = max(pruned, key=lambda each: len(pruned[each].recent))
+        recent = pruned[name].recent
+        kept = max(RECENT_BILLS_PER_BUDGET, len(recent) - excess, len(recent) // 2)
+        if kept >= len(recent):
+            break
+        excess -= len(recent) - kept
+        pruned[name] = replace(pruned[name], recent=_newest(recent, kept))
+    return pruned
 
 
 def _top_up(budget: Budget, message: TopUp) -> tuple[Budget, Result]:
@@ -278,7 +300,7 @@
         budget,
         billed=budget.billed + spent,
         grants=grants,
-        recent=_newest({**budget.recent, **bills}, RECENT_BILLS_PER_BUDGET),
+        recent={**budget.recent, **bills},
         closed=(*budget.closed, message.grant_id)[-CLOSED_GRANTS_PER_BUDGET:],
     )
     return changed, Closed(message.grant_id, grant.amount - spent)
--- a/src/hawthornstage/observe/events.py
+++ b/src/hawthornstage/observe/events.py
@@ -61,7 +61,7 @@
         self.clock = HybridClock(node, clock)
         self.kept: deque[Event] = deque(maxlen=KEPT_EVENTS)
 
-    def emit(self, name: str, *, request_id: str = "", **fields: Any) -> None:
+    def emit(self, name: str, /, *, request_id: str = "", **fields: Any) -> None:
         """Record an event and write it to the log as one line."""
         self.kept.append(Event(self.clock.now(), name, request_id, fields))
         named = {"request_id": request_id} if request_id else {}
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,331 @@
+"""`make demo`: both users' main jobs, end to end, with a router's death in between.
+
+For each user the stand-ins and three routers are started as separate processes.
+Callers send that user's requests; one router is killed, one backend server
+leaves, the tables change, and one router shuts down gracefully under load. The
+report is computed from the stand-ins' own counts.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from tools import audit
+from tools.audit import Asked, Verdict
+from tools.caller import Answer, Caller, expected_text
+from tools.cluster import ROOT, Cluster, Process, counts, post, wait_until
+
+# Length of the load before and after the router's death, in seconds.
+PHASE_S = 3.0
+# Callers that send at the same time, and the pause between their requests.
+CALLERS = 8
+PAUSE_S = 0.05
+# Tries of one request, over all routers.
+MAX_TRIES = 5
+# Time after which a leaving server must get nothing new, in seconds.
+LEAVE_S = 3.0
+# Time within which a table change must be in force everywhere, in seconds.
+IN_FORCE_S = 3.0
+
+
+@dataclass(frozen=True)
+class Job:
+    """One kind of request that a user's callers send.
+
+    Args:
+        name: What the user calls it.
+        workspace: Who sends it.
+        purpose: What routes match on.
+        booking: Whether it must not run twice.
+        chat: Whether a model answers it.
+    """
+
+    name: str
+    workspace: str
+    purpose: str
+    booking: bool = False
+    chat: bool = False
+
+
+@dataclass(frozen=True)
+class User:
+    """One of the two users.
+
+    Args:
+        name: The user's name.
+        tables: The file with the example tables.
+        jobs: What the callers send.
+        budgets: Tokens prepaid by each workspace.
+        domains: Failure domains.
+    """
+
+    name: str
+    tables: Path
+    jobs: tuple[Job, ...]
+    budgets: dict[str, int]
+    domains: tuple[str, ...]
+
+
+NORDSPYD = User(
+    "Nordspyd Franchise A/S",
+    ROOT / "examples/nordspyd/tables.yaml",
+    (
+        Job("drafts", "shop-aarhus", "draft", chat=True),
+        Job("counter questions", "shop-odense", "counter", chat=True),
+        Job("order reads", "shop-aalborg", "orders"),
+        Job("refunds", "shop-aarhus", "refunds", booking=True),
+    ),
+    {"shop-aarhus": 60_000, "shop-odense": 4_000, "shop-aalborg": 20_000},
+    ("dk-a", "dk-b", "dk-c"),
+)
+TYWI = User(
+    "Cyngor Dŵr a Signal Dyffryn Tywi",
+    ROOT / "examples/tywi/tables.yaml",
+    (
+        Job("coverage queries", "desk", "coverage", chat=True),
+        Job("survey summaries", "survey-crews", "survey", chat=True),
+        Job("dead-spot reports", "desk", "tickets", booking=True),
+        Job("map reads", "planners", "maps"),
+    ),
+    {"desk": 60_000, "survey-crews": 6_000, "planners": 20_000},
+    ("cy-a", "cy-b", "cy-c"),
+)
+
+
+@dataclass
+class Load:
+    """Callers that send a user's requests until they are told to stop."""
+
+    user: User
+    cluster: Cluster
+    seed: int
+    asked: list[Asked] = field(default_factory=list)
+    stop: threading.Event = field(default_factory=threading.Event)
+
+    def run(self, number: int) -> None:
+        """Send requests one after the other."""
+        draw = random.Random(self.seed * 1000 + number)
+        callers = {w: Caller(w) for w in self.user.budgets}
+        while not self.stop.wait(PAUSE_S):
+            job = draw.choice(self.user.jobs)
+            self.asked.append(self.ask(job, callers[job.workspace], draw))
+
+    def ask(self, job: Job, caller: Caller, draw: random.Random) -> Asked:
+        """Send one request, again at another router if the answer is not whole."""
+        key = f"{job.name}-{uuid.uuid4().hex}"
+        prompt = (
+            f"{job.name} number {draw.randrange(10**6)} tokens={draw.randint(5, 40)}"
+        )
+        expected = expected_text(prompt) if job.chat else None
+        tries: list[Answer] = []
+        for _ in range(MAX_TRIES):
+            tries.append(self.once(job, caller, draw, key, prompt))
+            if tries[-1].whole or tries[-1].kind == "budget_exhausted":
+                break
+        return Asked(job.name, job.workspace, tries[-1], expected, key, tries)
+
+    def once(
+        self, job: Job, caller: Caller, draw: random.Random, key: str, prompt: str
+    ) -> Answer:
+        """Send one try to a router that the balancer would choose."""
+        router = draw.choice(self.routers())
+        if job.chat:
+            return caller.chat(router, prompt, purpose=job.purpose, key=key)
+        if job.booking:
+            return caller.service(
+                router, job.purpose, method="POST", body=prompt.encode(), key=key
+            )
+        return caller.service(router, job.purpose, path="12", key=key)
+
+    def routers(self) -> list[str]:
+        """Return the routers whose processes run, as the balancer's checks would."""
+        running = [
+            self.cluster.processes[name]
+            for name in self.cluster.plans
+            if self.cluster.processes[name].popen.poll() is None
+        ]
+        return [process.url for process in running]
+
+
+def start_servers(cluster: Cluster, tables: dict[str, Any]) -> dict[str, list[Process]]:
+    """Start a stand-in for each server of the tables and put its address in."""
+    started: dict[str, list[Process]] = {"engine": [], "service": []}
+    for pool in tables["pools"]:
+        for server in pool["servers"]:
+            options = ["--name", server["name"]]
+            if pool["kind"] == "engine":
+                speed = 300.0 * server.get("speed", 1.0)
+                options += ["--tokens-per-s", str(speed)]
+            process = cluster.stand_in(server["name"], pool["kind"], *options)
+            server["url"] = process.url
+            started[pool["kind"]].append(process)
+    return started
+
+
+def demonstrate(user: User, seed: int) -> bool:
+    """Run one user's demonstration; True if every promise held."""
+    tables = yaml.safe_load(user.tables.read_text(encoding="utf-8"))
+    with Cluster(tuple(user.budgets), {"drain": {"notice_s": 0.5}}) as cluster:
+        servers = start_servers(cluster, tables)
+        cluster.plan_routers(3, user.domains)
+        cluster.start_routers()
+        operator = cluster.operator()
+        operator.post("tables", yaml.safe_dump(tables).encode(), edit_id="first")
+        for name, tokens in user.budgets.items():
+            body = f'{{"id": "invoice-1", "tokens": {tokens}}}'.encode()
+            operator.post(f"budgets/{name}/top-up", body)
+        cluster.wait_ready()
+        load = Load(user, cluster, seed)
+        with ThreadPoolExecutor(CALLERS) as pool:
+            for number in range(CALLERS):
+                pool.submit(load.run, number)
+            verdicts = disturb(cluster, servers, tables)
+            load.stop.set()
+        settle(cluster, load.asked)
+        verdicts += judge(cluster, servers, load.asked)
+        report(user, cluster, load.asked, verdicts)
+    return all(verdict.held for verdict in verdicts)
+
+
+def disturb(
+    cluster: Cluster, servers: dict[str, list[Process]], tables: dict[str, Any]
+) -> list[Verdict]:
+    """Kill a router, let a server leave, change the tables, stop a router."""
+    time.sleep(PHASE_S)
+    cluster.processes["r2"].kill()
+    assert cluster.hosts is not None
+    leaving = servers["engine"][-1]
+    post(
+        cluster.hosts.url + "/standin/hosts", {"name": leaving.name, "state": "leaving"}
+    )
+    changed = change_tables(cluster, tables)
+    time.sleep(LEAVE_S)
+    before = len(counts(leaving)["runs"])
+    time.sleep(PHASE_S)
+    after = len(counts(leaving)["runs"])
+    left = Verdict(
+        "a leaving server gets nothing new after a few seconds",
+        after == before,
+        f"{after - before} calls later than {LEAVE_S} s after the sign",
+    )
+    stopped = stop_gracefully(cluster)
+    return [changed, left, stopped]
+
+
+def change_tables(cluster: Cluster, tables: dict[str, Any]) -> Verdict:
+    """Change the tables and time until every live router uses them."""
+    tables["revision"] = 1
+    tables["pools"][0]["max_tokens"] += 1
+    operator = cluster.operator()
+    started = time.monotonic()
+    body = yaml.safe_dump(tables).encode()
+    revision = operator.post("tables", body, edit_id="second")["revision"]
+
+    def everywhere() -> bool:
+        answers = operator.get_all("status").values()
+        known = [each for each in answers if isinstance(each, dict)]
+        return all(each["revision"] >= revision for each in known)
+
+    wait_until(everywhere, what="the change being in force")
+    seconds = time.monotonic() - started
+    return Verdict(
+        "a table change is in force everywhere within seconds",
+        seconds <= IN_FORCE_S,
+        f"revision {revision} on all live routers after {seconds:.2f} s",
+    )
+
+
+def stop_gracefully(cluster: Cluster) -> Verdict:
+    """Stop a router with streams open on it."""
+    process = cluster.processes["r3"]
+    caller = Caller(cluster.workspaces[0])
+    prompt = "a long answer tokens=64"
+    answers: list[Answer] = []
+
+    def ask() -> None:
+        answers.append(caller.chat(process.url, prompt))
+
+    threads = [threading.Thread(target=ask) for _ in range(8)]
+    start_all(threads)
+    time.sleep(0.1)
+    code = process.terminate()
+    for thread in threads:
+        thread.join()
+    cut = [a for a in answers if not a.whole and a.ran != "no"]
+    return Verdict(
+        "a graceful shutdown cuts off no request",
+        code == 0 and not cut and len(answers) == len(threads),
+        f"{sum(a.whole for a in answers)} streams finished, {len(cut)} cut",
+    )
+
+
+def start_all(threads: list[threading.Thread]) -> None:
+    """Start threads."""
+    for thread in threads:
+        thread.start()
+
+
+def settle(cluster: Cluster, asked: list[Asked]) -> None:
+    """Wait until the ledger has a bill for each answered request."""
+
+    def stored() -> bool:
+        bills = audit.bills_of(audit.read_budgets(cluster))
+        return all(each.answer.request_id in bills for each in asked if each.answered)
+
+    try:
+        wait_until(stored, timeout=15.0, what="all bills being stored")
+    except TimeoutError as error:
+        print(error)
+
+
+def judge(
+    cluster: Cluster, servers: dict[str, list[Process]], asked: list[Asked]
+) -> list[Verdict]:
+    """Check the promises that need the whole run."""
+    budgets = audit.read_budgets(cluster)
+    return [
+        audit.no_overspend(budgets),
+        audit.billed_once(asked, budgets, servers["engine"]),
+        audit.whole_answers(asked),
+        audit.true_refusals(asked, servers["engine"]),
+        audit.at_most_once(servers["service"]),
+    ]
+
+
+def report(
+    user: User, cluster: Cluster, asked: list[Asked], verdicts: list[Verdict]
+) -> None:
+    """Print what happened."""
+    print(f"\n{user.name}: {len(asked)} requests, one router killed in the middle")
+    for job in user.jobs:
+        mine = [each for each in asked if each.kind == job.name]
+        answered = sum(each.answered for each in mine)
+        print(f"  {job.name:<20} {answered:>4} answered of {len(mine)}")
+    for reason, number in audit.refused_by_kind(asked).most_common():
+        print(f"  not answered: {number} x {reason}")
+    for name, budget in sorted(audit.read_budgets(cluster).items()):
+        print(f"  {name:<20} billed {budget.total_billed} of {budget.topped_up} tokens")
+    for verdict in verdicts:
+        mark = "held  " if verdict.held else "BROKEN"
+        print(f"  {mark} {verdict.promise}: {verdict.numbers}")
+
+
+def main(run: Callable[[User, int], bool] = demonstrate) -> None:
+    """Run both demonstrations; exit code 1 if a promise was broken."""
+    held = [run(user, seed) for seed, user in enumerate((NORDSPYD, TYWI), 1)]
+    sys.exit(0 if all(held) else 1)
+
+
+if __name__ == "__main__":
+    main()
