Prove the money decisions against an adversary

Cause: nothing showed that grants, witnesses and closing rounds are safe when letters are late, lost or doubled and a paused holder wakes up. Made: a state machine over the product's own decisions, with focused scenarios; the runner's billing became a decision of its own so that it could be in it.

--- a/src/hawthornstage/filters/settle.py
+++ b/src/hawthornstage/filters/settle.py
@@ -16,7 +16,19 @@
 from hawthornstage.border.sse import error_event
 from hawthornstage.clock import Clock
 from hawthornstage.decisions import claims
-from hawthornstage.decisions.ledger import BillsRecorded, GrantClosed, RecordBills
+from hawthornstage.decisions.billing import (
+    AskHolder,
+    AskLedger,
+    AskWitness,
+    Begin,
+    Billing,
+    BillingMessage,
+    Final,
+    NoAnswer,
+    NotFinal,
+    step,
+)
+from hawthornstage.decisions.ledger import RecordBills
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.choose_server import ChooseServer
 from hawthornstage.filters.claim import claim_name, claims_key
@@ -25,8 +37,8 @@
 from hawthornstage.messages.money import (
     Bill,
     CopyKept,
+    CopyRefused,
     KeepCopy,
-    Reserved,
 )
 from hawthornstage.messages.money import (
     Settle as SettleMessage,
@@ -39,8 +51,6 @@
 WITNESS_WAIT_S = 0.5
 # Longest wait for the ledger where no witness takes the bill, in seconds.
 LEDGER_WAIT_S = 5.0
-# New reservations that one bill may need after its grant was closed.
-MAX_NEW_GRANTS = 2
 
 
 @dataclass(frozen=True)
@@ -71,46 +81,53 @@
         self, held: Reservation, *, request_id: str, attempt: str, tokens: int
     ) -> bool:
         """Make the bill for a reservation final; False if nobody could take it."""
-        for number in range(MAX_NEW_GRANTS + 1):
-            bill = Bill(held.budget, held.grant, request_id, attempt, tokens)
-            outcome = self.witnessed(bill) or self.recorded(bill)
-            # Even a bill that may not be final keeps its tokens for good.
-            settle = SettleMessage(bill, self.node)
-            self.settlements.tell(Deliver(held.holder, settle))
-            if not isinstance(outcome, GrantClosed):
-                return outcome is not None
-            attempt = f"{attempt}+{number + 1}"
-            match self.treasury.reserve(held.budget, attempt, tokens):
-                case Reserved(grant, holder):
-                    held = Reservation(held.budget, grant, holder, tokens)
-                case _:
-                    return False
-        return False
-
-    def witnessed(self, bill: Bill) -> CopyKept | None:
-        """Ask the grant's witnesses in turn; this router does not count."""
-        for witness in bill.grant.witnesses:
-            if witness.node == self.node:
-                continue
-            mailbox = Mailbox(self.clock)
-            self.peers.tell(Send(witness.node, KeepCopy(bill, witness), mailbox))
-            reply = mailbox.get(timeout=WITNESS_WAIT_S)
-            if isinstance(reply, CopyKept):
-                return reply
-        return None
-
-    def recorded(self, bill: Bill) -> BillsRecorded | GrantClosed | None:
-        """Write the bill into the ledger itself."""
+        bill = Bill(held.budget, held.grant, request_id, attempt, tokens)
+        billing = Billing(self.node, bill, held.holder)
+        message: BillingMessage = Begin()
+        while True:
+            billing, effect = step(billing, message)
+            match effect:
+                case AskWitness():
+                    message = self.ask_witness(effect)
+                case AskLedger():
+                    message = self.ask_ledger(effect)
+                case AskHolder():
+                    message = self.ask_holder(effect)
+                case Final(bill, holder) | NotFinal(bill, holder):
+                    # Even a bill that may not be final keeps its tokens for good.
+                    self.tell_holder(bill, holder)
+                    return isinstance(effect, Final)
+
+    def tell_holder(self, bill: Bill, holder: str) -> None:
+        """Bring the bill to its holder, and keep it until it is stored."""
+        self.settlements.tell(Deliver(holder, SettleMessage(bill, self.node)))
+
+    def ask_witness(self, effect: AskWitness) -> BillingMessage:
+        """Ask a witness to keep a copy."""
         mailbox = Mailbox(self.clock)
+        keep = KeepCopy(effect.bill, effect.witness)
+        self.peers.tell(Send(effect.witness.node, keep, mailbox))
+        reply = mailbox.get(timeout=WITNESS_WAIT_S)
+        return reply if isinstance(reply, CopyKept | CopyRefused) else NoAnswer()
+
+    def ask_ledger(self, effect: AskLedger) -> BillingMessage:
+        """Write the bill into the ledger."""
+        bill, mailbox = effect.bill, Mailbox(self.clock)
         expires = self.clock.monotonic() + LEDGER_WAIT_S
         key = ledger_key(bill.budget, self.shards)
         record = RecordBills(bill.budget, bill.grant.id, {bill.request_id: bill.tokens})
-        self.documents.tell(Apply(key, record, mailbox, expires))
+        self.documents.tell(Apply(key, record, mailbox, expires, urgent=True))
         match mailbox.get(timeout=LEDGER_WAIT_S + 2.0):
             case Applied(result=result):
                 return result
             case _:
-                return None
+                return NoAnswer()
+
+    def ask_holder(self, effect: AskHolder) -> BillingMessage:
+        """Reserve the bill's tokens under an open grant."""
+        self.tell_holder(effect.old, effect.old_holder)
+        bill = effect.old
+        return self.treasury.reserve(bill.budget, effect.attempt, bill.tokens)
 
 
 @dataclass(frozen=True)
