Test the promises over real processes

Cause: the decisions were proved in memory only; sockets, processes and the store's faults were not in the proof. Made: thirteen tests with SIGKILL, SIGSTOP/SIGCONT, a store outage, lost answers, an engine's death, wrong frames, a leaving server and a drain; after each, no router may have logged a task or pipe error or a refused bill.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,106 @@
+"""Fixtures that the tests share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+from typing import Any
+
+import pytest
+import yaml
+
+from tools.cluster import Cluster, Process
+
+WORKSPACES = ("shop-a", "shop-b")
+# Times of test clusters: silent routers are cleaned up after soon.
+FAST = {
+    "membership": {"beat_s": 0.2, "suspect_s": 1.0, "lost_s": 3.0},
+    "drain": {"notice_s": 0.2},
+    "log_level": "info",
+}
+
+
+def example_tables(engines: list[Process], services: list[Process]) -> dict[str, Any]:
+    """Return tables for engines and plain services."""
+    return {
+        "revision": 0,
+        "routes": [
+            {
+                "name": "chat",
+                "workspaces": ["*"],
+                "purposes": ["chat", "draft"],
+                "pool": "engines",
+            },
+            {
+                "name": "orders",
+                "workspaces": ["*"],
+                "purposes": ["orders"],
+                "pool": "services",
+            },
+            {
+                "name": "refunds",
+                "workspaces": ["*"],
+                "purposes": ["refunds"],
+                "pool": "services",
+                "idempotent": False,
+            },
+        ],
+        "pools": [
+            {
+                "name": "engines",
+                "kind": "engine",
+                "model": "m",
+                "max_tokens": 2000,
+                "servers": [{"name": e.name, "url": e.url} for e in engines],
+            },
+            {
+                "name": "services",
+                "kind": "service",
+                "call_tokens": 5,
+                "servers": [{"name": s.name, "url": s.url} for s in services],
+            },
+        ],
+    }
+
+
+def top_up(cluster: Cluster, workspace: str, tokens: int, name: str = "first") -> None:
+    """Add to a budget."""
+    body = f'{{"id": "{name}", "tokens": {tokens}}}'.encode()
+    cluster.operator().post(f"budgets/{workspace}/top-up", body)
+
+
+@pytest.fixture
+def start_cluster() -> Iterator[Callable[..., Cluster]]:
+    """Return a function that starts routers, servers and the platform."""
+    started_clusters: list[Cluster] = []
+    with ExitStack() as stack:
+
+        def start(
+            *,
+            routers: int = 3,
+            engines: int = 1,
+            settings: dict[str, Any] | None = None,
+        ) -> Cluster:
+            chosen = {k: v for k, v in FAST.items() if isinstance(v, dict)}
+            for section, values in (settings or {}).items():
+                chosen[section] = {**chosen.get(section, {}), **values}
+            cluster = stack.enter_context(Cluster(WORKSPACES, chosen))
+            started_clusters.append(cluster)
+            names = [f"engine-{number}" for number in range(1, engines + 1)]
+            started = [cluster.stand_in(n, "engine", "--name", n) for n in names]
+            service = cluster.stand_in("service-1", "service")
+            cluster.plan_routers(routers, ("a", "b", "c"))
+            cluster.start_routers()
+            tables = example_tables(started, [service])
+            body = yaml.safe_dump(tables).encode()
+            cluster.operator().post("tables", body, edit_id="first")
+            cluster.wait_ready()
+            return cluster
+
+        yield start
+        for cluster in started_clusters:
+            for name in cluster.plans:
+                log = cluster.log_of(name)
+                assert "task_error" not in log
+                assert "pipe_error" not in log
+                assert "bill_refused" not in log
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,304 @@
+"""The promises over real processes: kills, freezes, cuts and outages."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+import pytest
+from websockets.exceptions import ConnectionClosed
+from websockets.sync.client import connect
+
+from tests.conftest import top_up
+from tools import audit
+from tools.audit import Asked
+from tools.caller import Answer, Caller, expected_text
+from tools.cluster import Cluster, counts, post, wait_until
+
+StartCluster = Callable[..., Cluster]
+LONG = "a long answer tokens=600"
+
+
+def in_background(call: Callable[[], Answer]) -> tuple[threading.Thread, list[Answer]]:
+    """Start a call in a thread; its answer comes into the list."""
+    answers: list[Answer] = []
+    thread = threading.Thread(target=lambda: answers.append(call()))
+    thread.start()
+    return thread, answers
+
+
+def wait_running(cluster: Cluster, runs: int = 1) -> None:
+    """Wait until the first engine has begun a number of calls."""
+    engine = cluster.processes["engine-1"]
+    wait_until(lambda: len(counts(engine)["runs"]) >= runs, what="the call running")
+
+
+def wait_stored(cluster: Cluster, asked: list[Asked]) -> None:
+    """Wait until the ledger holds a bill for each answered request."""
+
+    def stored() -> bool:
+        bills = audit.bills_of(audit.read_budgets(cluster))
+        return all(each.answer.request_id in bills for each in asked if each.answered)
+
+    wait_until(stored, timeout=40.0, what="all bills being stored")
+
+
+def assert_money(cluster: Cluster, asked: list[Asked]) -> None:
+    """Check overspend, bills and texts."""
+    wait_stored(cluster, asked)
+    budgets = audit.read_budgets(cluster)
+    engines = [p for name, p in cluster.processes.items() if name.startswith("engine")]
+    alive = [process for process in engines if process.popen.poll() is None]
+    for verdict in (
+        audit.no_overspend(budgets),
+        audit.billed_once(asked, budgets, alive),
+        audit.whole_answers(asked),
+    ):
+        assert verdict.held, verdict
+
+
+def test_retry_after_a_routers_death_is_billed_once(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 5_000)
+    caller, first = Caller("shop-a"), cluster.processes["r1"]
+    thread, answers = in_background(
+        lambda: caller.chat(first.url, LONG, max_tokens=700, key="k1")
+    )
+    wait_running(cluster)
+    first.kill()
+    thread.join()
+    assert not answers[0].whole
+    second = cluster.processes["r2"].url
+    again = caller.chat(second, LONG, max_tokens=700, key="k1")
+    asked = [Asked("chat", "shop-a", again, expected_text(LONG, 700))]
+    assert again.whole
+    assert_money(cluster, asked)
+    wait_until(
+        lambda: audit.read_budgets(cluster)["shop-a"].total_billed == 604,
+        what="one bill of 4 prompt and 600 answer tokens",
+    )
+
+
+def test_dead_holders_grant_comes_back(start_cluster: StartCluster) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 2_000)
+    caller, first = Caller("shop-a"), cluster.processes["r1"]
+    answer = caller.chat(first.url, "hello", max_tokens=1_500)
+    assert answer.whole
+    first.kill()
+    second = cluster.processes["r2"].url
+
+    def served() -> bool:
+        return caller.chat(second, "hello again", max_tokens=1_800).whole
+
+    wait_until(served, timeout=60.0, what="the dead holder's tokens being free again")
+    assert_money(cluster, [Asked("chat", "shop-a", answer, expected_text("hello"))])
+
+
+def test_frozen_router_does_no_harm_when_it_wakes(start_cluster: StartCluster) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 2_000)
+    caller, first = Caller("shop-a"), cluster.processes["r1"]
+    thread, answers = in_background(
+        lambda: caller.chat(first.url, LONG, max_tokens=1_500, timeout=120.0)
+    )
+    wait_running(cluster)
+    first.pause()
+    second = cluster.processes["r2"].url
+    others: list[Answer] = []
+
+    def served() -> bool:
+        others.append(caller.chat(second, "hello tokens=1700", max_tokens=1_700))
+        return others[-1].whole
+
+    # The frozen router's grant is closed by the others, and spent.
+    wait_until(served, timeout=90.0, what="the frozen router's tokens being free")
+    first.resume()
+    thread.join()
+    # Its own stream can't be paid for any more, so its end is withheld.
+    assert not answers[0].whole
+    text = expected_text("hello tokens=1700", 1_700)
+    assert_money(cluster, [Asked("chat", "shop-a", others[-1], text)])
+
+
+def test_bills_of_an_outage_survive_a_routers_death(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 50_000)
+    caller, first = Caller("shop-a"), cluster.processes["r1"]
+    warm = caller.chat(first.url, "warm up", max_tokens=400)
+    wait_stored(cluster, [Asked("chat", "shop-a", warm, None)])
+    cluster.fault(down=True)
+    asked: list[Asked] = []
+    for number in range(5):
+        prompt = f"question {number}"
+        answer = caller.chat(first.url, prompt, max_tokens=64)
+        asked.append(Asked("chat", "shop-a", answer, expected_text(prompt)))
+    assert all(each.answered for each in asked), [each.answer for each in asked]
+    first.kill()
+    cluster.fault(down=False)
+    assert_money(cluster, asked)
+
+
+def test_lost_answers_of_the_store_do_nothing_twice(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 1_000)
+    cluster.fault(lose_answers=2)
+    top_up(cluster, "shop-a", 500, name="second")
+    assert audit.read_budgets(cluster)["shop-a"].topped_up == 1_500
+    cluster.fault(lose_answers=1)
+    caller, router = Caller("shop-a"), cluster.processes["r1"].url
+    for _ in range(3):
+        caller.service(router, "refunds", method="POST", body=b"5 kr", key="refund-1")
+    ran = counts(cluster.processes["service-1"])["ran"]
+    assert ran == {"refund-1": 1}
+
+
+def test_refund_is_refused_truthfully_in_an_outage(start_cluster: StartCluster) -> None:
+    settings = {"claims": {"patience_s": 0.5}}
+    cluster = start_cluster(settings=settings)
+    top_up(cluster, "shop-a", 1_000)
+    caller, router = Caller("shop-a"), cluster.processes["r1"].url
+    cluster.fault(down=True)
+    answer = caller.service(router, "refunds", method="POST", body=b"x", key="refund-2")
+    assert (answer.kind, answer.ran) == ("claim_unavailable", "no")
+    assert counts(cluster.processes["service-1"])["ran"] == {}
+    cluster.fault(down=False)
+
+    def booked() -> bool:
+        again = caller.service(
+            router, "refunds", method="POST", body=b"x", key="refund-2"
+        )
+        return again.status == 201
+
+    # The refusal left no claim behind that would keep the refund from being booked.
+    wait_until(booked, what="the refund being booked after the outage")
+    assert counts(cluster.processes["service-1"])["ran"] == {"refund-2": 1}
+
+
+def test_refund_with_unknown_outcome_is_not_run_again(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 1_000)
+    service = cluster.processes["service-1"]
+    service.pause()
+    caller, first = Caller("shop-a"), cluster.processes["r1"]
+    thread, _ = in_background(
+        lambda: caller.service(first.url, "refunds", method="POST", key="refund-3")
+    )
+    wait_until(lambda: "dispatched" in cluster.log_of("r1"), what="the dispatch")
+    first.kill()
+    service.resume()
+    thread.join()
+    second = cluster.processes["r2"].url
+    again = caller.service(second, "refunds", method="POST", key="refund-3")
+    assert (again.kind, again.ran) == ("outcome_unknown", "unknown")
+    assert counts(service)["ran"].get("refund-3", 0) <= 1
+
+
+def test_stream_cut_by_an_engines_death_is_said_and_not_billed(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 5_000)
+    caller, router = Caller("shop-a"), cluster.processes["r1"].url
+    thread, answers = in_background(lambda: caller.chat(router, LONG, max_tokens=700))
+    wait_running(cluster)
+    time.sleep(0.2)
+    cluster.processes["engine-1"].kill()
+    thread.join()
+    assert (answers[0].whole, answers[0].kind) == (False, "stream_cut")
+    bills = audit.bills_of(audit.read_budgets(cluster))
+    assert answers[0].request_id not in bills
+
+
+def test_call_goes_elsewhere_if_an_engine_cannot_be_reached(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster(engines=2)
+    top_up(cluster, "shop-a", 50_000)
+    cluster.processes["engine-1"].kill()
+    caller, router = Caller("shop-a"), cluster.processes["r1"].url
+    asked = [
+        Asked("chat", "shop-a", caller.chat(router, f"q {n}"), expected_text(f"q {n}"))
+        for n in range(6)
+    ]
+    assert all(each.answered for each in asked), [each.answer for each in asked]
+    assert_money(cluster, asked)
+
+
+def test_caller_gone_cancels_the_engine(start_cluster: StartCluster) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 5_000)
+    caller, router = Caller("shop-a"), cluster.processes["r1"].url
+    answer = caller.chat(router, LONG, max_tokens=700, timeout=0.02)
+    assert not answer.whole
+    engine = cluster.processes["engine-1"]
+    load = engine.url + "/load"
+    wait_until(lambda: post(load, {})["running"] == 0, what="the engine being free")
+    [run] = counts(engine)["runs"]
+    assert not run["complete"]
+
+
+def test_graceful_shutdown_under_load_cuts_nothing(start_cluster: StartCluster) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 50_000)
+    caller, first = Caller("shop-a"), cluster.processes["r1"]
+    calls = [
+        in_background(lambda: caller.chat(first.url, LONG, max_tokens=700))
+        for _ in range(6)
+    ]
+    wait_running(cluster, 6)
+    assert first.terminate(timeout=60.0) == 0
+    asked = []
+    for thread, answers in calls:
+        thread.join()
+        asked.append(Asked("chat", "shop-a", answers[0], expected_text(LONG, 700)))
+    assert all(each.answered for each in asked)
+    assert_money(cluster, asked)
+    grants = audit.read_budgets(cluster)["shop-a"].grants.values()
+    assert all(grant.holder != "r1" for grant in grants)
+
+
+def test_wrong_frame_closes_only_its_own_connection(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 5_000)
+    url = f"ws://127.0.0.1:{cluster.plans['r1'].peer_port}"
+    headers = {"Authorization": "Bearer peer-secret", "X-Node": "stranger"}
+    with connect(url, additional_headers=headers, proxy=None) as connection:
+        connection.send(b"\xff\x00 not a frame")
+        with pytest.raises(ConnectionClosed):
+            connection.recv(timeout=10.0)
+    assert "peer_frame_refused" in cluster.log_of("r1")
+    answer = Caller("shop-a").chat(cluster.processes["r1"].url, "hello")
+    assert answer.whole
+
+
+def test_leaving_server_gets_nothing_new(start_cluster: StartCluster) -> None:
+    cluster = start_cluster(engines=2)
+    top_up(cluster, "shop-a", 50_000)
+    assert cluster.hosts is not None
+    change = {"name": "engine-2", "state": "leaving"}
+    post(cluster.hosts.url + "/standin/hosts", change)
+
+    def known() -> bool:
+        return all(
+            "server=engine-2 leaving=true" in cluster.log_of(r) for r in cluster.plans
+        )
+
+    wait_until(known, what="every router knowing")
+    before = len(counts(cluster.processes["engine-2"])["runs"])
+    caller = Caller("shop-a")
+    for name in cluster.plans:
+        for number in range(4):
+            assert caller.chat(cluster.processes[name].url, f"q {number}").whole
+    assert len(counts(cluster.processes["engine-2"])["runs"]) == before
