Write the log in a task of its own; add the load tool

Cause: a profile of a router under short calls showed a quarter of the interpreter's time in writing and flushing log lines from request threads. Change: one task owns the log's file and writes what has gathered.

--- a/src/hawthornstage/observe/logs.py
+++ b/src/hawthornstage/observe/logs.py
@@ -2,14 +2,70 @@
 
 from __future__ import annotations
 
+import atexit
 import logging
+import queue
 import sys
+import threading
+from typing import TextIO
 
 import structlog
 
+# Lines that wait to be written at most; further ones are dropped and counted.
+MAX_WAITING_LINES = 50_000
+# Longest wait for the last lines at the end of the process, in seconds.
+CLOSE_WAIT_S = 2.0
+
+
+class LineWriter(threading.Thread):
+    """Owns the log's file, so that no request waits for a write.
+
+    Args:
+        file: Where the lines go.
+    """
+
+    def __init__(self, file: TextIO) -> None:
+        super().__init__(name="log", daemon=True)
+        self.file = file
+        self.lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Queue a line."""
+        if self.lines.qsize() >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self.lines.put(text)
+
+    def flush(self) -> None:
+        """Do nothing: the thread flushes whenever it has written."""
+
+    def run(self) -> None:
+        """Write lines, all that wait at a time, until told to close."""
+        while True:
+            batch = [self.lines.get()]
+            while not self.lines.empty():
+                batch.append(self.lines.get())
+            text = "".join(line for line in batch if line is not None)
+            if self.dropped:
+                dropped, self.dropped = self.dropped, 0
+                text += f"level=warning event=log_lines_dropped count={dropped}\n"
+            self.file.write(text)
+            self.file.flush()
+            if None in batch:
+                return
+
+    def close(self) -> None:
+        """Write what waits and end the thread."""
+        self.lines.put(None)
+        self.join(CLOSE_WAIT_S)
+
 
 def configure_logs(level: str) -> None:
     """Write log lines to standard error from a level up."""
+    writer = LineWriter(sys.stderr)
+    writer.start()
+    atexit.register(writer.close)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -22,6 +78,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=writer),
         cache_logger_on_first_use=True,
     )
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,261 @@
+"""Open-loop load on routers, measured against calls straight to the engine.
+
+`python -m tools.load streams` measures the time that a router adds to the first
+token and between tokens, at several numbers of open streams; `python -m
+tools.load requests` measures short calls a second and processor time a call.
+"""
+
+from __future__ import annotations
+
+import random
+import resource
+import threading
+import time
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import fire
+import yaml
+from hdrh.histogram import HdrHistogram
+
+from tools.caller import Answer, Caller
+from tools.cluster import Cluster, Process
+
+# Largest recorded time and resolution, in microseconds and digits.
+MAX_MICROS = 120_000_000
+DIGITS = 3
+WORKSPACE = "load"
+
+
+@dataclass
+class Recorder:
+    """Histograms of one run; times in microseconds."""
+
+    first: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, MAX_MICROS, DIGITS)
+    )
+    gaps: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, MAX_MICROS, DIGITS)
+    )
+    answered: int = 0
+    failed: list[str] = field(default_factory=list)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def take(self, answer: Answer) -> None:
+        """Record one answer."""
+        with self.lock:
+            if not answer.whole:
+                self.failed.append(answer.kind or str(answer.status))
+                return
+            self.answered += 1
+            self.first.record_value(max(1, int(answer.first_s * 1e6)))
+            for gap in answer.gaps_s:
+                self.gaps.record_value(max(1, int(gap * 1e6)))
+
+
+def millis(histogram: HdrHistogram, percentile: float) -> float:
+    """Return a percentile in milliseconds."""
+    return histogram.get_value_at_percentile(percentile) / 1000
+
+
+def open_loop(
+    call: Callable[[int], Answer], *, rate: float, seconds: float, seed: int
+) -> Recorder:
+    """Start calls at random times of a given mean rate, whatever the answers do.
+
+    Args:
+        call: Makes one call; takes its number.
+        rate: Calls a second.
+        seconds: Length of the run; no call starts later.
+        seed: Fixes the times.
+    """
+    draw, recorder = random.Random(seed), Recorder()
+    workers = min(400, int(rate * 30) + 8)
+    with ThreadPoolExecutor(workers) as pool:
+        started, at, number = time.monotonic(), 0.0, 0
+        while True:
+            at += draw.expovariate(rate)
+            if at >= seconds:
+                break
+            pause = started + at - time.monotonic()
+            if pause > 0:
+                time.sleep(pause)
+            pool.submit(lambda n=number: recorder.take(call(n)))
+            number += 1
+    return recorder
+
+
+def load_tables(engine: Process, service: Process) -> str:
+    """Return tables for one engine and one plain service."""
+    everyone = {"workspaces": ["*"]}
+    document = {
+        "revision": 0,
+        "routes": [
+            {"name": "chat", "purposes": ["chat"], "pool": "engines", **everyone},
+            {"name": "reads", "purposes": ["reads"], "pool": "services", **everyone},
+        ],
+        "pools": [
+            {
+                "name": "engines",
+                "kind": "engine",
+                "model": "m",
+                "max_tokens": 4_000,
+                "slots": 400,
+                "timeout_s": 60,
+                "servers": [{"name": engine.name, "url": engine.url}],
+            },
+            {
+                "name": "services",
+                "kind": "service",
+                "slots": 400,
+                "servers": [{"name": service.name, "url": service.url}],
+            },
+        ],
+    }
+    return yaml.safe_dump(document)
+
+
+def start(cluster: Cluster, routers: int) -> tuple[Process, Process]:
+    """Start an engine, a service and routers, and fill the budget."""
+    engine = cluster.stand_in(
+        "engine", "engine", "--slots", "280", "--tokens-per-s", "25"
+    )
+    service = cluster.stand_in("service", "service", "--delay-s", "0.0")
+    cluster.plan_routers(routers, ("a", "b", "c"))
+    cluster.start_routers()
+    operator = cluster.operator()
+    operator.post("tables", load_tables(engine, service).encode(), edit_id="load")
+    body = b'{"id": "load", "tokens": 1000000000}'
+    operator.post(f"budgets/{WORKSPACE}/top-up", body)
+    cluster.wait_ready()
+    return engine, service
+
+
+def cpu_seconds(process: Process) -> float:
+    """Return the processor time that a process has used."""
+    with open(f"/proc/{process.popen.pid}/stat") as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / 100.0
+
+
+class LoadCommands:
+    """Measures routers on this machine."""
+
+    def streams(
+        self,
+        counts: Sequence[int] = (10, 50, 200),
+        seconds: float = 20.0,
+        tokens: int = 40,
+        seed: int = 1,
+    ) -> None:
+        """Measure added time at several numbers of open streams on one router.
+
+        Args:
+            counts: Streams that are open at a time, on the average.
+            seconds: Length of each run.
+            tokens: Tokens of each answer, at 25 a second.
+            seed: Fixes the times of the calls.
+        """
+        print(
+            "streams  where    answered  first p50  p95  p99   gap p50  p95  p99 (ms)"
+        )
+        caller = Caller(WORKSPACE)
+        with Cluster((WORKSPACE,)) as cluster:
+            engine, _ = start(cluster, 3)
+            router = cluster.processes["r1"]
+            for count in counts:
+                rate = count / (tokens / 25.0)
+                for where, url in (("engine", engine.url), ("router", router.url)):
+                    before = cpu_seconds(router)
+                    recorder = open_loop(
+                        lambda n, url=url: caller.chat(
+                            url, f"call {n} tokens={tokens}", max_tokens=tokens
+                        ),
+                        rate=rate,
+                        seconds=seconds,
+                        seed=seed,
+                    )
+                    used = cpu_seconds(router) - before
+                    self.line(count, where, recorder, used)
+
+    def line(self, count: int, where: str, recorder: Recorder, used: float) -> None:
+        """Print one run."""
+        first = [f"{millis(recorder.first, p):7.1f}" for p in (50, 95, 99)]
+        gaps = [f"{millis(recorder.gaps, p):6.1f}" for p in (50, 95, 99)]
+        per_call = 1000 * used / max(1, recorder.answered)
+        print(
+            f"{count:>7}  {where:<7} {recorder.answered:>8}  {' '.join(first)}"
+            f"  {' '.join(gaps)}  cpu {per_call:.1f} ms/call"
+            f"  failed {len(recorder.failed)} {recorder.failed[:2]}",
+            flush=True,
+        )
+
+    def rate(
+        self, rate: float = 10.0, seconds: float = 20.0, tokens: int = 20, seed: int = 1
+    ) -> None:
+        """Measure added time at a rate of streamed calls to one router.
+
+        Args:
+            rate: Calls a second.
+            seconds: Length of each run.
+            tokens: Tokens of each answer, at 25 a second.
+            seed: Fixes the times of the calls.
+        """
+        caller = Caller(WORKSPACE)
+        with Cluster((WORKSPACE,)) as cluster:
+            engine, _ = start(cluster, 3)
+            router = cluster.processes["r1"]
+            for where, url in (("engine", engine.url), ("router", router.url)):
+                before = cpu_seconds(router)
+                recorder = open_loop(
+                    lambda n, url=url: caller.chat(
+                        url, f"call {n} tokens={tokens}", max_tokens=tokens
+                    ),
+                    rate=rate,
+                    seconds=seconds,
+                    seed=seed,
+                )
+                self.line(int(rate), where, recorder, cpu_seconds(router) - before)
+
+    def requests(
+        self, callers: int = 16, seconds: float = 10.0, routers: int = 1
+    ) -> None:
+        """Measure short plain-service calls a second through one router.
+
+        Args:
+            callers: Callers that each send one call after the other.
+            seconds: Length of the run.
+            routers: Routers in the cluster; one is called.
+        """
+        with Cluster((WORKSPACE,)) as cluster:
+            start(cluster, routers)
+            router = cluster.processes["r1"]
+            before = cpu_seconds(router)
+            done = closed_loop(router.url, callers, seconds)
+            used = cpu_seconds(router) - before
+            print(
+                f"{done / seconds:.0f} calls/s, {1000 * used / done:.2f} ms of"
+                f" processor time a call, {callers} callers, {routers} router(s);"
+                f" the load tool used"
+                f" {resource.getrusage(resource.RUSAGE_SELF).ru_utime:.1f} s"
+            )
+
+
+def closed_loop(url: str, callers: int, seconds: float) -> int:
+    """Let callers send one call after the other; return the calls answered."""
+    caller, deadline = Caller(WORKSPACE), time.monotonic() + seconds
+
+    def run(_: int) -> int:
+        done = 0
+        while time.monotonic() < deadline:
+            done += caller.service(url, "reads", path="1").whole
+        return done
+
+    with ThreadPoolExecutor(callers) as pool:
+        return sum(pool.map(run, range(callers)))
+
+
+if __name__ == "__main__":
+    fire.Fire(LoadCommands)
