--- a/src/hawthornstage/border/operator_api.py
+++ b/src/hawthornstage/border/operator_api.py
@@ -32,6 +32,7 @@
 from hawthornstage.border.settings import SettingsFault, fault_lines
 from hawthornstage.border.tables_file import parse_tables, tables_document
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.claims import ClaimEntry, ClaimState
 from hawthornstage.decisions.ledger import Budget, Ledger, ToppedUp, TopUp
 from hawthornstage.decisions.membership import live
 from hawthornstage.decisions.tables import Edit, EditAccepted, EditRaced
@@ -103,6 +104,8 @@
         tables_documents: The tables' document.
         ledger: The ledger's documents.
         shards: Number of ledger documents.
+        claims: The claims' documents.
+        claim_shards: Number of claim documents.
         budgets: The task that holds this router's grants.
         membership: The task that knows the routers.
         events: This router's events.
@@ -114,6 +117,8 @@
     tables_documents: pykka.ActorRef
     ledger: pykka.ActorRef
     shards: int
+    claims: pykka.ActorRef
+    claim_shards: int
     budgets: pykka.ActorRef
     membership: pykka.ActorRef
     events: EventLog
@@ -163,6 +168,10 @@
                 return self.show_budget(name)
             case ("POST", "budgets", name, "top-up"):
                 return self.top_up(name, call.body, call.operator)
+            case ("GET", "bills"):
+                return self.show_bills()
+            case ("GET", "claims"):
+                return self.show_claims()
             case ("GET", "status"):
                 return self.status()
             case ("GET", "events"):
@@ -270,6 +279,28 @@
         }
         return ApiAnswer(200, document)
 
+    def show_bills(self) -> ApiAnswer:
+        """Return every bill that the ledger remembers."""
+        bills: list[dict[str, Any]] = []
+        for shard in range(self.shards):
+            ledger = self.read(self.ledger, f"hawthornstage/ledger/{shard}")
+            if ledger is None:
+                return UNAVAILABLE
+            for name, budget in ledger.budgets.items():
+                bills.extend(bill_documents(name, budget))
+        return ApiAnswer(200, {"bills": bills})
+
+    def show_claims(self) -> ApiAnswer:
+        """Return every claim."""
+        found: list[dict[str, Any]] = []
+        for shard in range(self.claim_shards):
+            document = self.read(self.claims, f"hawthornstage/claims/{shard}")
+            if document is None:
+                return UNAVAILABLE
+            for name, entry in document.claims.items():
+                found.append(claim_document(name, entry))
+        return ApiAnswer(200, {"claims": found})
+
     def top_up(self, name: str, body: bytes, operator: str) -> ApiAnswer:
         """Add to a budget; a repeated id counts once."""
         try:
@@ -340,6 +371,28 @@
         return reply.document if isinstance(reply, ReadDone) else None
 
 
+def bill_documents(workspace: str, budget: Budget) -> list[dict[str, Any]]:
+    """Return a budget's remembered bills as plain values."""
+    bills = dict(budget.recent)
+    for grant in budget.grants.values():
+        bills.update(grant.bills)
+    return [
+        {"workspace": workspace, "request_id": request_id, "tokens": tokens}
+        for request_id, tokens in bills.items()
+    ]
+
+
+def claim_document(name: str, entry: ClaimEntry) -> dict[str, Any]:
+    """Return a claim as plain values."""
+    workspace, _, key = name.partition("\n")
+    return {
+        "workspace": workspace,
+        "key": key,
+        "claimant": entry.claimant,
+        "finished": entry.state is ClaimState.FINISHED,
+    }
+
+
 def budget_document(budget: Budget) -> dict[str, Any]:
     """Return a budget's sums, in tokens."""
     granted = sum(grant.amount - grant.billed for grant in budget.grants.values())
--- a/src/hawthornstage/cli.py
+++ b/src/hawthornstage/cli.py
@@ -11,28 +11,35 @@
 import time
 import uuid
 from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import fire
+import urllib3
 import yaml
+from pydantic import ValidationError
 
-from hawthornstage.border.settings import SettingsFault
+from hawthornstage.border.old_setup_api import REQUEST_PREFIX
+from hawthornstage.border.settings import SettingsFault, fault_lines
 from hawthornstage.border.tables_file import parse_tables
 from hawthornstage.daemon import EXIT_USAGE, run_router
 from hawthornstage.observe import timeline as timeline_module
 from hawthornstage.operator_client import OperatorClient, OperatorError
+from hawthornstage.reconcile import ClaimRecord, Journal, LedgerBill, compare
 
 # Exit codes: refused by the system, not reachable, raced by another edit, late.
 EXIT_REFUSED = 1
 EXIT_UNREACHABLE = 3
 EXIT_RACED = 4
 EXIT_LATE = 5
+# Longest wait for the old setup's journal, in seconds.
+JOURNAL_WAIT_S = 30.0
 # Pause between two looks at the routers while waiting, in seconds.
 WAIT_STEP_S = 0.2
 
 
-def fail(message: str, code: int) -> None:
+def fail(message: str, code: int) -> NoReturn:
     """Print why a command failed and end with an exit code."""
     print(f"hawthornstage: {message}", file=sys.stderr)
     raise SystemExit(code)
@@ -337,6 +344,51 @@
         rows = [f"{name:<10} {value}" for name, value in found.items()]
         show(found, json, "\n".join(rows))
 
+    def reconcile(
+        self, journal: str, old_owner: str = "old-setup", json: bool = False
+    ) -> None:
+        """Compare the old setup's journal with the ledger and the claims.
+
+        Exit code 1 if they differ. Only bills within the ledger's window and claims
+        not yet forgotten can be compared.
+
+        Args:
+            journal: File or http address of the old setup's journal, in JSON.
+            old_owner: Name of the old setup's key in the settings.
+            json: Print JSON.
+        """
+        old = self.load_journal(journal)
+        client = self.tables.client
+        bills = guarded(lambda: client.get("bills"))["bills"]
+        claims = guarded(lambda: client.get("claims"))["claims"]
+        found = compare(
+            old,
+            [LedgerBill.model_validate(bill) for bill in bills],
+            [ClaimRecord.model_validate(claim) for claim in claims],
+            old_owner=old_owner,
+            prefix=REQUEST_PREFIX,
+        )
+        heading = ["DIFFERENCE", "WORKSPACE", "REQUEST OR KEY", "DETAIL"]
+        rows = [[each.kind, each.workspace, each.name, each.detail] for each in found]
+        agreed = f"old and new agree on {len(old.bills)} bills and {len(old.ran)} runs"
+        text = table([heading, *rows]) if found else agreed
+        show([asdict(each) for each in found], json, text)
+        if found:
+            raise SystemExit(EXIT_REFUSED)
+
+    def load_journal(self, source: str) -> Journal:
+        """Read the old setup's journal from a file or an address."""
+        try:
+            if source.startswith(("http://", "https://")):
+                text = urllib3.request("GET", source, timeout=JOURNAL_WAIT_S).data
+            else:
+                text = Path(source).read_bytes()
+            return Journal.model_validate_json(text)
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            fail(f"{source}: {error}", EXIT_UNREACHABLE)
+        except ValidationError as error:
+            fail(f"{source}: " + "; ".join(fault_lines(error)), EXIT_USAGE)
+
     def events(self, request: str, last: float) -> list[dict[str, Any]]:
         """Collect events from all routers; say which can't be reached."""
         since = int((time.time() - last) * 1000) if last else 0
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -21,15 +21,18 @@
 from hawthornstage.actors.documents import DocumentKind, Documents
 from hawthornstage.actors.members import Beat, Membership, StartDraining
 from hawthornstage.actors.peers import PeerIdentity, PeerLink, Peers
+from hawthornstage.actors.reservations import CheckReservations, Reservations
 from hawthornstage.actors.servers import HostListTask, LoadTask, Poll, Servers
 from hawthornstage.actors.settlements import Resend, Settlements
 from hawthornstage.actors.tables import Refresh, ReportTo, TablesTask, TablesWatch
 from hawthornstage.actors.task import Switchboard
 from hawthornstage.actors.timers import Timers
 from hawthornstage.actors.witnesses import CheckCopies, Witnesses
+from hawthornstage.border import old_setup_api, operator_api
 from hawthornstage.border.documents import CLAIMS_KIND, LEDGER_KIND, TABLES_KIND
 from hawthornstage.border.front import Front, StartResponse, send
-from hawthornstage.border.operator_api import PREFIX, OperatorApi
+from hawthornstage.border.old_setup_api import OldSetupApi
+from hawthornstage.border.operator_api import OperatorApi
 from hawthornstage.border.peer_server import PeerServer
 from hawthornstage.border.settings import KeySettings, Settings, Sharing
 from hawthornstage.clock import Clock
@@ -81,6 +84,7 @@
     load: pykka.ActorRef
     tables: pykka.ActorRef
     membership: pykka.ActorRef
+    reservations: pykka.ActorRef
     host_list: pykka.ActorRef | None
 
 
@@ -108,7 +112,10 @@
         self.register()
         self.set_timers()
         self.peer_server = self.make_peer_server()
+        self.treasury = self.make_treasury()
+        self.cashier = self.make_cashier()
         self.front = self.make_front()
+        self.old_setup_api = self.make_old_setup_api()
         self.operator_api = self.make_operator_api()
         self.http = self.make_http()
 
@@ -160,6 +167,7 @@
             load,
             tables,
             membership,
+            Reservations.start(settlements, self.clock, self.events),
             self.start_host_list(servers),
         )
 
@@ -233,6 +241,7 @@
         every(SLOW_TICK_S, tasks.budgets, budgets_task.SlowTick())
         every(SLOW_TICK_S, tasks.settlements, Resend())
         every(SLOW_TICK_S, tasks.witnesses, CheckCopies())
+        every(SLOW_TICK_S, tasks.reservations, CheckReservations())
         every(SWEEP_S, tasks.closer, Sweep())
         every(REFRESH_S, tasks.tables, Refresh())
         every(LOAD_POLL_S, tasks.load, Poll())
@@ -251,21 +260,47 @@
             clock=self.clock,
         )
 
-    def make_front(self) -> Front:
-        """Wire the request pipe."""
-        options = self.holding_options()
-        shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
-        treasury = Treasury(
+    def make_treasury(self) -> Treasury:
+        """Wire what asks the holders of grants."""
+        return Treasury(
             node=self.me.node,
             shared=self.settings.budgets.sharing is Sharing.DOMAIN,
-            options=options,
             patience_s=self.settings.budgets.patience_s,
             peers=self.tasks.peers,
             membership=self.tasks.membership,
             settlements=self.tasks.settlements,
             clock=self.clock,
         )
-        reserve = Reserve(treasury, self.events)
+
+    def make_cashier(self) -> Cashier:
+        """Wire what makes bills final."""
+        return Cashier(
+            node=self.me.node,
+            treasury=self.treasury,
+            shards=self.settings.budgets.shards,
+            documents=self.tasks.ledger,
+            peers=self.tasks.peers,
+            settlements=self.tasks.settlements,
+            clock=self.clock,
+        )
+
+    def make_old_setup_api(self) -> OldSetupApi:
+        """Wire the interface for the old routing setup."""
+        return OldSetupApi(
+            keys=key_ring(self.settings.keys.old_setup),
+            treasury=self.treasury,
+            cashier=self.cashier,
+            reservations=self.tasks.reservations,
+            claims=self.tasks.claims,
+            claim_shards=self.settings.claims.shards,
+            clock=self.clock,
+            events=self.events,
+        )
+
+    def make_front(self) -> Front:
+        """Wire the request pipe."""
+        shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
+        reserve = Reserve(self.treasury, self.events)
         choose = ChooseServer(self.tasks.servers, self.random.random, **shared)
         connections = urllib3.PoolManager(
             num_pools=200, maxsize=self.settings.limits.max_requests, retries=False
@@ -278,15 +313,6 @@
             metrics=self.metrics,
             **shared,
         )
-        cashier = Cashier(
-            node=self.me.node,
-            treasury=treasury,
-            shards=options.shards,
-            documents=self.tasks.ledger,
-            peers=self.tasks.peers,
-            settlements=self.tasks.settlements,
-            clock=self.clock,
-        )
         claims = self.settings.claims
         return Front(
             gate=self.gate,
@@ -305,7 +331,7 @@
                 attempt,
                 Relay(self.clock, self.metrics),
                 Settle(
-                    cashier,
+                    self.cashier,
                     ClaimOffice(self.tasks.claims, claims.shards),
                     reserve,
                     choose,
@@ -326,6 +352,8 @@
             tables_documents=self.tasks.tables_documents,
             ledger=self.tasks.ledger,
             shards=self.settings.budgets.shards,
+            claims=self.tasks.claims,
+            claim_shards=self.settings.claims.shards,
             budgets=self.tasks.budgets,
             membership=self.tasks.membership,
             events=self.events,
@@ -361,8 +389,10 @@
         if path == "/metrics":
             body = generate_latest(self.metrics.registry)
             return send(start_response, 200, "text/plain; version=0.0.4", body)
-        if path.startswith(PREFIX):
+        if path.startswith(operator_api.PREFIX):
             return self.operator_api(environ, start_response)
+        if path.startswith(old_setup_api.PREFIX):
+            return self.old_setup_api(environ, start_response)
         return self.front(environ, start_response)
 
     def ready(self, start_response: StartResponse) -> Iterable[bytes]:
--- a/src/hawthornstage/decisions/holder.py
+++ b/src/hawthornstage/decisions/holder.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field, replace
 
 from hawthornstage.decisions.ledger import (
@@ -44,6 +45,7 @@
     """How large grants are and how long things may take.
 
     Args:
+        window_s: Time over which demand is averaged.
         horizon_s: Demand of this many seconds is held ahead.
         max_share: Largest share of what is left that is asked for ahead.
         least_requests: As many requests like the last are held ahead at least.
@@ -53,6 +55,7 @@
         max_bills: A grant with more bills is replaced, to bound the document.
     """
 
+    window_s: float = 60.0
     horizon_s: float = 5.0
     max_share: float = 0.1
     least_requests: int = 4
@@ -313,16 +316,15 @@
 
 
 def _count_demand(holder: Holder, tokens: int, now: float) -> Holder:
-    """Keep an exponentially weighted average over the policy's horizon."""
-    horizon = holder.policy.horizon_s
-    elapsed = min(max(now - holder.demand_at, 0.0), horizon)
-    demand = holder.demand * (1.0 - elapsed / horizon) + tokens / horizon
+    """Keep an exponentially weighted average over the policy's window."""
+    window = holder.policy.window_s
+    demand = _demand_at(holder, now) + tokens / window
     return replace(holder, demand=demand, demand_at=now, last_tokens=tokens)
 
 
 def _demand_at(holder: Holder, now: float) -> float:
-    elapsed = min(max(now - holder.demand_at, 0.0), holder.policy.horizon_s)
-    return holder.demand * (1.0 - elapsed / holder.policy.horizon_s)
+    elapsed = max(now - holder.demand_at, 0.0)
+    return holder.demand * math.exp(-elapsed / holder.policy.window_s)
 
 
 def _refill(holder: Holder, now: float) -> Step:
@@ -345,8 +347,6 @@
 
 def _ahead(holder: Holder, now: float) -> int:
     """Return the tokens to hold beyond what is needed now."""
-    if now - holder.demand_at > holder.policy.horizon_s:
-        return 0
     demand = _demand_at(holder, now) * holder.policy.horizon_s
     return int(max(demand, holder.last_tokens * holder.policy.least_requests))
 
--- a/src/hawthornstage/filters/reserve.py
+++ b/src/hawthornstage/filters/reserve.py
@@ -6,7 +6,6 @@
 
 import pykka
 
-from hawthornstage.actors.budgets import HoldingOptions
 from hawthornstage.actors.members import MembersSeen, WantMembers
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.settlements import Deliver
@@ -35,7 +34,6 @@
     Args:
         node: This router's name.
         shared: Whether one router holds for its whole failure domain.
-        options: How grants are held.
         patience_s: Longest wait for a larger grant, in seconds.
         peers: Sends messages to holders.
         membership: Knows the routers.
@@ -45,7 +43,6 @@
 
     node: str
     shared: bool
-    options: HoldingOptions
     patience_s: float
     peers: pykka.ActorRef
     membership: pykka.ActorRef
