Choose servers by a router's own calls; block calls that crash servers

Change: calls on a server are estimated as this router's own times the number of routers, and the shortest time to a first token by speed and slots is taken. Also: a call whose server breaks off becomes a suspect on every router and runs again only where no other suspect runs; a second broken server blocks it.

--- a/src/hawthornstage/actors/servers.py
+++ b/src/hawthornstage/actors/servers.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import pykka
@@ -11,17 +10,17 @@
 from pydantic import BaseModel, ValidationError
 from urllib3.exceptions import HTTPError
 
+from hawthornstage.actors.members import MembersSeen
 from hawthornstage.actors.tables import TablesAdopted
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions import placement as policy
+from hawthornstage.decisions.membership import live
 from hawthornstage.decisions.placement import (
     Finished,
     LeavingChanged,
-    LoadReport,
     Place,
     Placement,
-    Reported,
 )
 from hawthornstage.messages.tables import EMPTY_TABLES, PoolKind, Server, Tables
 from hawthornstage.observe.events import EventLog
@@ -66,17 +65,19 @@
         self.placement = Placement()
         self.listed: frozenset[str] = frozenset()
         self.draining: frozenset[str] = frozenset()
+        self.routers = 1
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
             case Ask(message=ChooseServer(place), reply_to=reply_to):
+                place = replace(place, routers=self.routers)
                 self.placement, outcome = policy.place(self.placement, place, now)
                 reply_to.put(outcome)
             case Finished():
                 self.placement = policy.finish(self.placement, message, now)
-            case Reported():
-                self.placement = policy.report(self.placement, message)
+            case MembersSeen(members):
+                self.routers = len(live(members, now))
             case SaysDraining(server, draining):
                 rest = self.draining - {server}
                 self.change_leaving(self.listed, rest | {server} if draining else rest)
@@ -122,30 +123,21 @@
 
 
 class LoadModel(BaseModel):
-    """A server's load report as it sends it."""
+    """What is read of a server's load report."""
 
-    running: int
-    queued: int
-    age_s: float = 0.0
     draining: bool = False
 
 
 class LoadTask(Task):
-    """Owns the connections over which engines report their load.
+    """Owns the connections over which engines say whether they are leaving.
 
     Args:
-        servers: Gets the reports.
-        clock: The runtime's clock.
-        draw: Returns a random number in [0, 1).
+        servers: Gets what they say.
     """
 
-    def __init__(
-        self, servers: pykka.ActorRef, clock: Clock, draw: Callable[[], float]
-    ) -> None:
+    def __init__(self, servers: pykka.ActorRef) -> None:
         super().__init__()
         self.servers = servers
-        self.clock = clock
-        self.draw = draw
         self.pool = urllib3.PoolManager(retries=False)
         self.tables: Tables = EMPTY_TABLES
         self.next = 0
@@ -172,9 +164,6 @@
         model = self.ask(server)
         if model is None:
             return
-        at = self.clock.monotonic() - model.age_s
-        report = LoadReport(model.running, model.queued, at)
-        self.servers.tell(Reported(server.name, report))
         self.servers.tell(SaysDraining(server.name, model.draining))
 
     def ask(self, server: Server) -> LoadModel | None:
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -10,7 +10,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from hawthornstage.border._cbor import dumps
-from hawthornstage.messages import events, members, money
+from hawthornstage.messages import crashes, events, members, money
 
 # Every class of message that one router may send to another.
 FRAME_MESSAGES: dict[str, type] = {
@@ -34,6 +34,12 @@
         members.Heartbeat,
         members.TablesWanted,
         members.TablesOffered,
+        crashes.SuspectSeen,
+        crashes.SuspectCleared,
+        crashes.RequestBlocked,
+        crashes.AskSlot,
+        crashes.SlotGranted,
+        crashes.ReleaseSlot,
     )
 }
 
--- a/src/hawthornstage/border/settings.py
+++ b/src/hawthornstage/border/settings.py
@@ -104,6 +104,7 @@
     Args:
         sharing: One grant for each router, or one for each failure domain.
         patience_s: Longest wait for a larger grant; more means fewer false refusals.
+        window_s: Time over which demand is averaged.
         horizon_s: Demand of this many seconds is held ahead.
         max_share: Largest share of what is left that is held ahead.
         idle_s: A grant without demand for so long is returned.
@@ -112,10 +113,11 @@
         flush_interval_s: Shortest time between two writes of a document.
     """
 
-    sharing: Sharing = Sharing.ROUTER
+    sharing: Sharing = Sharing.DOMAIN
     patience_s: float = Field(default=2.0, gt=0)
-    horizon_s: float = Field(default=5.0, gt=0)
-    max_share: float = Field(default=0.1, gt=0, le=1)
+    window_s: float = Field(default=60.0, gt=0)
+    horizon_s: float = Field(default=180.0, gt=0)
+    max_share: float = Field(default=0.2, gt=0, le=1)
     idle_s: float = Field(default=30.0, gt=0)
     witnesses: int = Field(default=2, ge=0, le=4)
     shards: int = Field(default=16, ge=1, le=4096)
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -18,6 +18,7 @@
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.budgets import Budgets, DrainBudgets, HoldingOptions
 from hawthornstage.actors.closer import Closer, Sweep
+from hawthornstage.actors.crash_guard import CrashGuard
 from hawthornstage.actors.documents import DocumentKind, Documents
 from hawthornstage.actors.members import Beat, Membership, StartDraining
 from hawthornstage.actors.peers import PeerIdentity, PeerLink, Peers
@@ -45,11 +46,12 @@
 from hawthornstage.filters.choose_server import ChooseServer
 from hawthornstage.filters.claim import Claim
 from hawthornstage.filters.dispatch import Dispatch
+from hawthornstage.filters.isolate import Isolate
 from hawthornstage.filters.match_route import MatchRoute
 from hawthornstage.filters.relay import Relay
 from hawthornstage.filters.reserve import Reserve, Treasury
 from hawthornstage.filters.settle import Cashier, ClaimOffice, Settle
-from hawthornstage.messages import members, money
+from hawthornstage.messages import crashes, members, money
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.host_list import HostListClient
@@ -85,6 +87,7 @@
     tables: pykka.ActorRef
     membership: pykka.ActorRef
     reservations: pykka.ActorRef
+    crash_guard: pykka.ActorRef
     host_list: pykka.ActorRef | None
 
 
@@ -136,7 +139,7 @@
         keys = tuple(f"hawthornstage/ledger/{n}" for n in range(options.shards))
         closer = Closer.start(keys, documents=ledger, peers=peers, **shared)
         servers = Servers.start(self.clock, self.events)
-        load = LoadTask.start(servers, self.clock, self.random.random)
+        load = LoadTask.start(servers)
         tables = TablesTask.start(
             documents=tables_documents,
             peers=peers,
@@ -144,11 +147,12 @@
             metrics=self.metrics,
             **shared,
         )
+        crash_guard = CrashGuard.start(self.me.node, peers, **shared)
         membership = Membership.start(
             self.initial_members(),
             dict(self.settings.peers.routers),
             peers=peers,
-            subscribers=(budgets, closer, tables),
+            subscribers=(budgets, closer, tables, crash_guard, servers),
             metrics=self.metrics,
             **shared,
         )
@@ -168,6 +172,7 @@
             tables,
             membership,
             Reservations.start(settlements, self.clock, self.events),
+            crash_guard,
             self.start_host_list(servers),
         )
 
@@ -175,6 +180,7 @@
         """Return how this router holds grants."""
         chosen = self.settings.budgets
         policy = GrantPolicy(
+            window_s=chosen.window_s,
             horizon_s=chosen.horizon_s,
             max_share=chosen.max_share,
             idle_s=chosen.idle_s,
@@ -232,6 +238,16 @@
         board.register(tasks.witnesses, (money.KeepCopy, money.Seal, money.Stored))
         board.register(tasks.settlements, (money.Stored,))
         board.register(tasks.membership, (members.Heartbeat,))
+        board.register(
+            tasks.crash_guard,
+            (
+                crashes.AskSlot,
+                crashes.ReleaseSlot,
+                crashes.SuspectSeen,
+                crashes.SuspectCleared,
+                crashes.RequestBlocked,
+            ),
+        )
         board.register(tasks.tables, (members.TablesWanted, members.TablesOffered))
 
     def set_timers(self) -> None:
@@ -305,8 +321,10 @@
         connections = urllib3.PoolManager(
             num_pools=200, maxsize=self.settings.limits.max_requests, retries=False
         )
+        isolate = Isolate(self.tasks.crash_guard, self.clock)
         attempt = Attempt(
             choose,
+            isolate,
             Dispatch(connections, self.events),
             RetryGuard(),
             self.random.random,
@@ -335,6 +353,7 @@
                     ClaimOffice(self.tasks.claims, claims.shards),
                     reserve,
                     choose,
+                    isolate,
                     metrics=self.metrics,
                     **shared,
                 ),
--- a/src/hawthornstage/decisions/holder.py
+++ b/src/hawthornstage/decisions/holder.py
@@ -56,8 +56,8 @@
     """
 
     window_s: float = 60.0
-    horizon_s: float = 5.0
-    max_share: float = 0.1
+    horizon_s: float = 180.0
+    max_share: float = 0.2
     least_requests: int = 4
     recall_interval_s: float = 0.2
     idle_s: float = 30.0
--- a/src/hawthornstage/decisions/membership.py
+++ b/src/hawthornstage/decisions/membership.py
@@ -73,6 +73,12 @@
     return (members.me, *others)
 
 
+def present(members: Members, now: float) -> tuple[Member, ...]:
+    """List the other routers that may be there, though perhaps slow."""
+    limit = now - members.policy.lost_s
+    return tuple(each for each in members.others.values() if each.heard_at >= limit)
+
+
 def lost(members: Members, now: float) -> tuple[Member, ...]:
     """List the routers that have been silent for so long that others clean up."""
     limit = now - members.policy.lost_s
--- a/src/hawthornstage/decisions/placement.py
+++ b/src/hawthornstage/decisions/placement.py
@@ -1,41 +1,25 @@
 """Choosing a backend server for a call.
 
-The work on each server is estimated from what this router has sent and from the
-server's own reports, which count less the older they are. Amounts of work are
-tokens, times seconds of the monotonic clock.
+The calls on each server are estimated as this router's own calls there times the
+number of routers, as the balancer gives each router its share. Reports of load lag
+too far behind to be better than that (docs/MEASUREMENTS.md); routers that know
+only their own calls don't all rush to one server. Times are seconds of the
+monotonic clock.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from hawthornstage.messages.tables import Pool, Priority, Server
 
 
-@dataclass(frozen=True)
-class LoadReport:
-    """What a server said of itself.
-
-    Args:
-        running: Calls that it runs.
-        queued: Calls that wait there.
-        at: Time of the report.
-    """
-
-    running: int
-    queued: int
-    at: float
-
-
 @dataclass(frozen=True)
 class ServerState:
     """What is known of one server.
 
     Args:
         outstanding: Calls of this router that it runs or queues.
-        work: Their tokens.
-        report: Its last load report.
         leaving: Whether it gets nothing new.
         failures: Failed calls in a row.
         retry_at: Time until which it is avoided after failures.
@@ -44,8 +28,6 @@
     """
 
     outstanding: int = 0
-    work: int = 0
-    report: LoadReport | None = None
     leaving: bool = False
     failures: int = 0
     retry_at: float = float("-inf")
@@ -58,19 +40,23 @@
     """Weights of the choice.
 
     Args:
-        report_life_s: A report's weight falls to nothing within this time.
         backoff_s: A failed server is avoided for this time, doubled per failure.
         max_backoff_s: The longest avoidance.
-        prefix_bonus: Part of a call's own work saved by a cached prefix.
+        first_part: Time to the first token as a part of a whole call's time.
+        tie_part: Weight of the calls on a server that has free slots.
+        prefix_bonus: Part of the time to the first token that a cached prefix saves.
         kept_prefixes: Prefixes remembered for each server.
-        low_share: Part of the slots that low-priority calls may fill.
+        queue: Calls that may wait on a server, as a multiple of its slots.
+        low_share: Part of slots and queue that low-priority calls may fill.
     """
 
-    report_life_s: float = 4.0
     backoff_s: float = 0.5
     max_backoff_s: float = 30.0
+    first_part: float = 0.06
+    tie_part: float = 0.015
     prefix_bonus: float = 0.5
     kept_prefixes: int = 64
+    queue: float = 4.0
     low_share: float = 0.75
 
 
@@ -89,18 +75,18 @@
     Args:
         pool: Where to look.
         priority: The call's urgency.
-        tokens: The call's expected work.
         prefix: Hash of its prompt's beginning, or empty.
         excluded: Servers that were tried before.
-        draws: Two numbers in [0, 1) that pick the two candidates.
+        routers: Live routers, this one included.
+        draw: A number in [0, 1) that decides between equals.
     """
 
     pool: Pool
     priority: Priority
-    tokens: int
     prefix: str
     excluded: frozenset[str]
-    draws: tuple[float, float]
+    routers: int
+    draw: float
 
 
 @dataclass(frozen=True)
@@ -123,25 +109,15 @@
 
     Args:
         server: The server's name.
-        tokens: The work that `Place` counted.
         seconds: How long the call took, or None if that says nothing.
         failed: Whether the server is to blame for a failure.
     """
 
     server: str
-    tokens: int
     seconds: float | None
     failed: bool
 
 
-@dataclass(frozen=True)
-class Reported:
-    """A server reported its load."""
-
-    server: str
-    report: LoadReport
-
-
 @dataclass(frozen=True)
 class LeavingChanged:
     """The servers that are leaving now."""
@@ -152,7 +128,7 @@
 def place(
     placement: Placement, message: Place, now: float
 ) -> tuple[Placement, Placed | NoServer]:
-    """Choose the better of two drawn servers by estimated wait."""
+    """Choose the server with the shortest estimated time to the first token."""
     pool = message.pool
     states = {server.name: _state(placement, server.name) for server in pool.servers}
     fit = [
@@ -164,13 +140,18 @@
     ]
     if not fit:
         return placement, NoServer("every server is leaving, failing or was tried")
-    slots = pool.slots
+    limit = pool.slots * (1.0 + placement.policy.queue)
     if message.priority is Priority.LOW:
-        slots = max(1, int(slots * placement.policy.low_share))
-    fit = [server for server in fit if states[server.name].outstanding < slots]
+        limit *= placement.policy.low_share
+    fit = [s for s in fit if _calls(message, states[s.name]) < limit]
     if not fit:
         return placement, NoServer("every server's queue is full")
-    server = _better_of_two(placement, message, fit, states, now)
+    # Equals are taken in turn from a drawn place on.
+    start = int(message.draw * len(fit))
+    server = min(
+        (*fit[start:], *fit[:start]),
+        key=lambda each: _wait(placement.policy, message, each, states[each.name]),
+    )
     changed = _sent(placement.policy, states[server.name], message)
     return _put(placement, server.name, changed), Placed(server)
 
@@ -178,11 +159,7 @@
 def finish(placement: Placement, message: Finished, now: float) -> Placement:
     """Take back a call's work, and note whether the server failed."""
     state = _state(placement, message.server)
-    state = replace(
-        state,
-        outstanding=max(0, state.outstanding - 1),
-        work=max(0, state.work - message.tokens),
-    )
+    state = replace(state, outstanding=max(0, state.outstanding - 1))
     if message.failed:
         failures = state.failures + 1
         pause = placement.policy.backoff_s * 2 ** min(failures - 1, 10)
@@ -194,12 +171,6 @@
     return _put(placement, message.server, state)
 
 
-def report(placement: Placement, message: Reported) -> Placement:
-    """Take a load report."""
-    state = _state(placement, message.server)
-    return _put(placement, message.server, replace(state, report=message.report))
-
-
 def change_leaving(placement: Placement, message: LeavingChanged) -> Placement:
     """Mark exactly the named servers as leaving."""
     names = placement.servers.keys() | message.servers
@@ -210,52 +181,22 @@
     return replace(placement, servers=servers)
 
 
-def _better_of_two(
-    placement: Placement,
-    message: Place,
-    fit: list[Server],
-    states: Mapping[str, ServerState],
-    now: float,
-) -> Server:
-    first = fit[int(message.draws[0] * len(fit))]
-    others = [server for server in fit if server is not first] or [first]
-    second = others[int(message.draws[1] * len(others))]
-    candidates = [first, second]
-    cached = [
-        s for s in fit if message.prefix and message.prefix in states[s.name].prefixes
-    ]
-    candidates.extend(cached[:1])
-    policy = placement.policy
-    return min(
-        candidates,
-        key=lambda server: _wait(policy, message, server, states[server.name], now),
-    )
+def _calls(message: Place, state: ServerState) -> int:
+    """Estimate the calls of all routers on a server."""
+    return state.outstanding * message.routers
 
 
 def _wait(
-    policy: PlacementPolicy,
-    message: Place,
-    server: Server,
-    state: ServerState,
-    now: float,
+    policy: PlacementPolicy, message: Place, server: Server, state: ServerState
 ) -> float:
-    """Estimate the time until the call is done there, in arbitrary units."""
-    own = float(message.tokens)
+    """Estimate the time to the first token, in calls of a server of speed 1."""
+    slots = message.pool.slots
+    queued = max(0, _calls(message, state) + 1 - slots)
+    first = policy.first_part
     if message.prefix and message.prefix in state.prefixes:
-        own *= 1.0 - policy.prefix_bonus
-    work = state.work + _foreign_work(policy, message, state, now)
-    return (work + own) / max(server.speed, 0.01)
-
-
-def _foreign_work(
-    policy: PlacementPolicy, message: Place, state: ServerState, now: float
-) -> float:
-    """Estimate the work that other routers have put on the server."""
-    if state.report is None:
-        return 0.0
-    weight = max(0.0, 1.0 - (now - state.report.at) / policy.report_life_s)
-    foreign = state.report.running + state.report.queued - state.outstanding
-    return max(0, foreign) * message.tokens * weight
+        first *= 1.0 - policy.prefix_bonus
+    tie = policy.tie_part * (state.outstanding + 1)
+    return (first + queued / slots + tie) / max(server.speed, 0.01)
 
 
 def _sent(policy: PlacementPolicy, state: ServerState, message: Place) -> ServerState:
@@ -266,7 +207,6 @@
     return replace(
         state,
         outstanding=state.outstanding + 1,
-        work=state.work + message.tokens,
         prefixes=prefixes,
     )
 
--- a/src/hawthornstage/filters/attempt.py
+++ b/src/hawthornstage/filters/attempt.py
@@ -11,6 +11,7 @@
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.choose_server import ChooseServer
 from hawthornstage.filters.dispatch import Dispatch
+from hawthornstage.filters.isolate import Isolate
 from hawthornstage.mailbox import Mailbox
 from hawthornstage.messages.request import Exchange
 from hawthornstage.observe.events import EventLog
@@ -49,6 +50,7 @@
 
     Args:
         choose: Picks a server.
+        isolate: Keeps calls that crash servers apart.
         dispatch: Sends the call.
         guard: Limits retries.
         draw: Returns a random number in [0, 1).
@@ -58,6 +60,7 @@
     """
 
     choose: ChooseServer
+    isolate: Isolate
     dispatch: Dispatch
     guard: RetryGuard
     draw: Callable[[], float]
@@ -86,11 +89,17 @@
 
     def once(self, exchange: Exchange) -> Exchange | Failure:
         """Choose a server and dispatch to it."""
+        exchange.progress.crashed = False
         chosen = self.choose.apply(exchange)
         if isinstance(chosen, Failure):
             return chosen
-        outcome = self.dispatch.apply(chosen)
+        admitted = self.isolate.apply(chosen)
+        if isinstance(admitted, Failure):
+            self.choose.finish(chosen, failed=False)
+            return admitted
+        outcome = self.dispatch.apply(admitted)
         if isinstance(outcome, Failure):
+            self.isolate.ended(chosen, whole=False)
             self.choose.finish(chosen, failed=outcome.kind in SERVER_FAULTS)
         return outcome
 
@@ -105,4 +114,5 @@
     def undo(self, exchange: Exchange) -> None:
         """Cancel the call on its server."""
         self.dispatch.undo(exchange)
+        self.isolate.undo(exchange)
         self.choose.undo(exchange)
--- a/src/hawthornstage/filters/choose_server.py
+++ b/src/hawthornstage/filters/choose_server.py
@@ -12,7 +12,6 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.placement import Finished, NoServer, Place, Placed
 from hawthornstage.errors import ErrorKind, Failure
-from hawthornstage.filters.reserve import worst_case
 from hawthornstage.mailbox import Mailbox
 from hawthornstage.messages.request import ChatCall, Exchange
 from hawthornstage.observe.events import EventLog
@@ -45,10 +44,11 @@
         place = Place(
             pool=exchange.pool,
             priority=exchange.route.priority,
-            tokens=worst_case(exchange),
             prefix=call.prefix if isinstance(call, ChatCall) else "",
             excluded=frozenset(exchange.progress.attempts),
-            draws=(self.draw(), self.draw()),
+            # The servers task fills in how many routers there are.
+            routers=1,
+            draw=self.draw(),
         )
         mailbox = Mailbox(self.clock)
         self.servers.tell(Ask(Choose(place), mailbox))
@@ -74,5 +74,4 @@
         """Tell the servers task that the call has left its server."""
         if exchange.server is None:
             return
-        finished = Finished(exchange.server.name, worst_case(exchange), seconds, failed)
-        self.servers.tell(finished)
+        self.servers.tell(Finished(exchange.server.name, seconds, failed))
--- a/src/hawthornstage/filters/dispatch.py
+++ b/src/hawthornstage/filters/dispatch.py
@@ -13,6 +13,7 @@
     HTTPError,
     NameResolutionError,
     NewConnectionError,
+    ProtocolError,
 )
 
 from hawthornstage.border.sse import EventTooLarge, read_events
@@ -34,6 +35,8 @@
 ENGINE_PRIORITY = {Priority.HIGH: 0, Priority.LOW: 10}
 # Errors after which no byte of the call can have reached the server.
 NOT_SENT = (NewConnectionError, ConnectTimeoutError, NameResolutionError)
+# Errors that a server's death leads to while it runs a call.
+BROKEN_OFF = (ProtocolError, ConnectionError)
 
 
 @dataclass(frozen=True)
@@ -61,6 +64,7 @@
             return Failure(ErrorKind.SERVER_UNREACHABLE, str(error))
         except (HTTPError, OSError, EventTooLarge) as error:
             exchange.progress.sent = True
+            exchange.progress.crashed = isinstance(error, BROKEN_OFF)
             return Failure(ErrorKind.SERVER_FAILED, str(error))
 
     def send(self, exchange: Exchange) -> Exchange | Failure:
--- a/src/hawthornstage/filters/relay.py
+++ b/src/hawthornstage/filters/relay.py
@@ -13,6 +13,7 @@
 from hawthornstage.border.sse import DONE, EventTooLarge, event_data
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.filters.dispatch import BROKEN_OFF
 from hawthornstage.messages.request import (
     ChatCall,
     Exchange,
@@ -111,6 +112,7 @@
             yield event
     except (HTTPError, OSError, EventTooLarge) as error:
         progress.cut = str(error) or type(error).__name__
+        progress.crashed = isinstance(error, BROKEN_OFF)
 
 
 def finishes(choices: Any) -> bool:
--- a/src/hawthornstage/filters/settle.py
+++ b/src/hawthornstage/filters/settle.py
@@ -32,6 +32,7 @@
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.choose_server import ChooseServer
 from hawthornstage.filters.claim import claim_name, claims_key
+from hawthornstage.filters.isolate import Isolate
 from hawthornstage.filters.reserve import Reserve, Treasury
 from hawthornstage.mailbox import Mailbox
 from hawthornstage.messages.money import (
@@ -163,6 +164,7 @@
         office: Stores outcomes of claimed calls.
         reserve: Gives reservations back.
         choose: Takes calls off their servers.
+        isolate: Learns how calls left their servers.
         clock: The runtime's clock.
         events: Takes events.
         metrics: Counts billed tokens.
@@ -172,6 +174,7 @@
     office: ClaimOffice
     reserve: Reserve
     choose: ChooseServer
+    isolate: Isolate
     clock: Clock
     events: EventLog
     metrics: Metrics
@@ -183,7 +186,7 @@
         assert upstream is not None
         if upstream.events is not None:
             return replace(exchange, reply=replace(reply, body=self.follow(exchange)))
-        self.leave_server(exchange, failed=False)
+        self.leave_server(exchange, whole=True)
         final = self.bill(exchange)
         self.office.finish(exchange, exchange.progress.tail)
         if not final:
@@ -200,7 +203,8 @@
         try:
             yield from exchange.reply.body
             ended = True
-            self.leave_server(exchange, failed=progress.cut is not None)
+            whole = progress.cut is None
+            self.leave_server(exchange, whole=whole, failed=not whole)
             yield self.end(exchange)
         finally:
             exchange.upstream.close()
@@ -231,7 +235,7 @@
 
     def caller_left(self, exchange: Exchange) -> None:
         """Bill what a caller used that left before the end."""
-        self.leave_server(exchange, failed=False)
+        self.leave_server(exchange, whole=False)
         self.events.emit("caller_left", request_id=exchange.request.id)
         if exchange.progress.usage is None:
             self.reserve.undo(exchange)
@@ -262,10 +266,13 @@
             self.metrics.billed.inc(tokens)
         return final
 
-    def leave_server(self, exchange: Exchange, *, failed: bool) -> None:
-        """Tell the servers task that the call is over."""
+    def leave_server(
+        self, exchange: Exchange, *, whole: bool, failed: bool = False
+    ) -> None:
+        """Tell how the call left its server."""
         seconds = self.clock.monotonic() - exchange.request.arrived
         self.choose.finish(exchange, failed=failed, seconds=seconds)
+        self.isolate.ended(exchange, whole=whole)
 
     def undo(self, exchange: Exchange) -> None:
         """Do nothing: this is the last filter."""
--- a/src/hawthornstage/messages/request.py
+++ b/src/hawthornstage/messages/request.py
@@ -133,6 +133,7 @@
         tail: The end of the answer, held back until the bill is final.
         cut: Why the answer broke off, or None while it is whole.
         sent: Whether a server may have executed the call.
+        crashed: Whether the server broke off while it ran the call.
         settling: Whether a bill may exist, so that nothing may be released.
         attempts: Servers that were tried.
     """
@@ -142,6 +143,7 @@
     tail: bytes = b""
     cut: str | None = None
     sent: bool = False
+    crashed: bool = False
     settling: bool = False
     attempts: list[str] = field(default_factory=list)
 
--- a/src/hawthornstage/messages/tables.py
+++ b/src/hawthornstage/messages/tables.py
@@ -50,7 +50,7 @@
         model: The model's name for engines.
         max_tokens: Most output tokens a call may ask for.
         call_tokens: Price of one call of a plain service, in tokens.
-        slots: Calls that one server runs at a time.
+        slots: Calls that a server of the pool runs at a time.
         timeout_s: Longest wait for a server's next byte, in seconds.
     """
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -79,6 +79,7 @@
             *,
             routers: int = 3,
             engines: int = 1,
+            domains: tuple[str, ...] = ("a", "b", "c"),
             settings: dict[str, Any] | None = None,
         ) -> Cluster:
             chosen = {k: v for k, v in FAST.items() if isinstance(v, dict)}
@@ -89,7 +90,7 @@
             names = [f"engine-{number}" for number in range(1, engines + 1)]
             started = [cluster.stand_in(n, "engine", "--name", n) for n in names]
             service = cluster.stand_in("service-1", "service")
-            cluster.plan_routers(routers, ("a", "b", "c"))
+            cluster.plan_routers(routers, domains)
             cluster.start_routers()
             tables = example_tables(started, [service])
             body = yaml.safe_dump(tables).encode()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -10,11 +13,20 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
+from standins.engine import CRASH_MARK
 from tests.conftest import top_up
 from tools import audit
 from tools.audit import Asked
 from tools.caller import Answer, Caller, expected_text
-from tools.cluster import Cluster, counts, post, wait_until
+from tools.cluster import (
+    OLD_SETUP_KEY,
+    OPERATOR_KEY,
+    Cluster,
+    Process,
+    counts,
+    post,
+    wait_until,
+)
 
 StartCluster = Callable[..., Cluster]
 LONG = "a long answer tokens=600"
@@ -272,7 +284,7 @@
 ) -> None:
     cluster = start_cluster()
     top_up(cluster, "shop-a", 5_000)
-    url = f"ws://127.0.0.1:{cluster.plans['r1'].peer_port}"
+    url = f"ws://{cluster.host}:{cluster.plans['r1'].peer_port}"
     headers = {"Authorization": "Bearer peer-secret", "X-Node": "stranger"}
     with connect(url, additional_headers=headers, proxy=None) as connection:
         connection.send(b"\xff\x00 not a frame")
@@ -302,3 +314,117 @@
         for number in range(4):
             assert caller.chat(cluster.processes[name].url, f"q {number}").whole
     assert len(counts(cluster.processes["engine-2"])["runs"]) == before
+
+
+def holder_in(cluster: Cluster, workspace: str) -> str:
+    """Return the router that holds the workspace's only grant."""
+    [grant] = audit.read_budgets(cluster)[workspace].grants.values()
+    return grant.holder
+
+
+def test_stream_outlives_the_holder_of_its_reservation(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster(routers=4, domains=("a", "b"))
+    top_up(cluster, "shop-a", 5_000)
+    wait_until(
+        lambda: cluster.log_of("r3").count("router_seen") >= 4, what="all being seen"
+    )
+    caller = Caller("shop-a")
+    assert caller.chat(cluster.processes["r1"].url, "find the holder").whole
+    holder = holder_in(cluster, "shop-a")
+    runner = {"r1": "r3", "r3": "r1"}[holder]
+    prompt = "a long answer tokens=1600"
+    thread, answers = in_background(
+        lambda: caller.chat(cluster.processes[runner].url, prompt, max_tokens=1_700)
+    )
+    wait_running(cluster, 2)
+    cluster.processes[holder].kill()
+    thread.join()
+    asked = [Asked("chat", "shop-a", answers[0], expected_text(prompt, 1_700))]
+    assert answers[0].whole, answers[0]
+    assert_money(cluster, asked)
+
+
+def test_old_setup_and_new_agree(start_cluster: StartCluster) -> None:
+    cluster = start_cluster()
+    top_up(cluster, "shop-a", 1_000)
+    router = cluster.processes["r1"].url
+    old = cluster.stand_in(
+        "old", "old_setup", "--router", router, "--key", OLD_SETUP_KEY
+    )
+    run = {"workspace": "shop-a", "tokens": 100}
+    for number in range(12):
+        post(old.url + "/run", {**run, "request_id": f"q{number}"})
+    booking = {"workspace": "shop-a", "key": "refund-9"}
+    assert post(old.url + "/book", booking)["ran"]
+    again = Caller("shop-a").service(router, "refunds", method="POST", key="refund-9")
+    assert not again.whole
+    wait_until(
+        lambda: audit.read_budgets(cluster)["shop-a"].total_billed == 900,
+        what="nine bills of 100 tokens, as a reservation takes 200 of the 1000",
+    )
+    journal = old.url + "/journal"
+    assert reconcile(cluster, journal) == (0, [])
+    post(old.url + "/standin/bypass", {})
+    post(old.url + "/run", {**run, "request_id": "unasked"})
+    post(old.url + "/book", booking)
+    code, found = reconcile(cluster, journal)
+    assert (code, sorted(found)) == (1, ["missing_bill", "ran_twice"])
+
+
+def reconcile(cluster: Cluster, journal: str) -> tuple[int, list[str]]:
+    """Run the command line's comparison; return its exit code and the kinds found."""
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "hawthornstage.cli",
+            "--routers",
+            ",".join(cluster.operator().routers),
+            "--key",
+            OPERATOR_KEY,
+            "reconcile",
+            journal,
+            "--json",
+        ],
+        capture_output=True,
+        check=False,
+    )
+    kinds = [each["kind"] for each in json.loads(done.stdout)]
+    return done.returncode, kinds
+
+
+def test_request_that_crashes_servers_costs_two_at_most(
+    start_cluster: StartCluster,
+) -> None:
+    cluster = start_cluster(engines=5)
+    top_up(cluster, "shop-a", 500_000)
+    caller = Caller("shop-a")
+    routers = [cluster.processes[name].url for name in cluster.plans]
+    innocent = "an innocent question tokens=100"
+    bystanders = [
+        in_background(lambda url=url: caller.chat(url, innocent, max_tokens=200))
+        for url in routers * 4
+    ]
+    wait_until(
+        lambda: sum(len(counts(p)["runs"]) for p in engines_of(cluster)) >= 8,
+        what="the innocent requests running",
+    )
+    last = [caller.chat(url, f"please {CRASH_MARK}") for url in routers * 3][-1]
+    assert last.kind == "crashes_servers"
+    assert len(engines_of(cluster)) >= 3
+    for thread, _ in bystanders:
+        thread.join()
+    for url in routers:
+        again = caller.chat(url, innocent, max_tokens=200, timeout=30.0)
+        assert again.text == expected_text(innocent, 200), again
+
+
+def engines_of(cluster: Cluster) -> list[Process]:
+    """Return the engines that still run."""
+    return [
+        process
+        for name, process in cluster.processes.items()
+        if name.startswith("engine") and process.popen.poll() is None
+    ]
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 from collections.abc import Sequence
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -30,11 +31,23 @@
 LOOK_S = 0.05
 
 
-def free_port() -> int:
-    """Return a port that nobody uses now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_ports(host: str, count: int) -> list[int]:
+    """Return ports of an address that nobody uses now; the system chooses them."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+def own_host() -> str:
+    """Return a loopback address that no other process of this machine uses.
+
+    Ports chosen ahead on the usual address could be taken by outgoing connections
+    before the routers bind them.
+    """
+    number = os.getpid()
+    return f"127.{64 + number % 128}.{number // 128 % 256}.{1 + number // 32768 % 254}"
 
 
 def key_of(workspace: str) -> str:
@@ -68,11 +81,12 @@
     name: str
     popen: subprocess.Popen
     port: int
+    host: str = "127.0.0.1"
 
     @property
     def url(self) -> str:
         """Base address."""
-        return f"http://127.0.0.1:{self.port}"
+        return f"http://{self.host}:{self.port}"
 
     def kill(self) -> None:
         """End the process without warning."""
@@ -116,6 +130,7 @@
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     processes: dict[str, Process] = field(default_factory=dict)
     plans: dict[str, RouterPlan] = field(default_factory=dict)
+    host: str = field(default_factory=own_host)
     directory: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
     key_value: Process | None = None
     hosts: Process | None = None
@@ -149,10 +164,11 @@
 
     def plan_routers(self, count: int, domains: Sequence[str]) -> None:
         """Choose names, failure domains and ports of routers."""
+        ports = free_ports(self.host, 2 * count)
         for number in range(1, count + 1):
             name = f"r{number}"
             domain = domains[(number - 1) % len(domains)]
-            self.plans[name] = RouterPlan(name, domain, free_port(), free_port())
+            self.plans[name] = RouterPlan(name, domain, ports.pop(), ports.pop())
 
     def start_routers(self) -> None:
         """Start every planned router and wait until each answers."""
@@ -176,7 +192,7 @@
             stderr=log,
         )
         log.close()
-        process = Process(name, popen, self.plans[name].port)
+        process = Process(name, popen, self.plans[name].port, self.host)
         self.processes[name] = process
         return process
 
@@ -197,12 +213,13 @@
         assert self.hosts is not None
         document: dict[str, dict[str, Any]] = {
             "node": {"name": plan.name, "failure_domain": plan.failure_domain},
-            "listen": {"port": plan.port},
+            "listen": {"host": self.host, "port": plan.port},
             "peers": {
+                "host": self.host,
                 "port": plan.peer_port,
                 "secrets": ["peer-secret"],
                 "routers": {
-                    each.name: f"ws://127.0.0.1:{each.peer_port}"
+                    each.name: f"ws://{self.host}:{each.peer_port}"
                     for each in self.plans.values()
                 },
             },
@@ -222,7 +239,7 @@
 
     def operator(self) -> OperatorClient:
         """Return an operator's client for all planned routers."""
-        urls = tuple(f"http://127.0.0.1:{plan.port}" for plan in self.plans.values())
+        urls = tuple(f"http://{self.host}:{plan.port}" for plan in self.plans.values())
         return OperatorClient(urls, OPERATOR_KEY)
 
     def fault(self, **faults: Any) -> None:
--- /dev/null
+++ b/tools/placement_bench.py
@@ -0,0 +1,251 @@
+"""Compares ways to choose servers on one seeded load, in virtual time.
+
+Routers choose for themselves, knowing only what they sent. Servers have different
+speeds, run a number of calls at a time and queue the rest, urgent calls first.
+`python -m tools.placement_bench compare` prints the time to the first token and
+what was refused.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import fire
+
+from hawthornstage.decisions import placement
+from hawthornstage.messages.tables import Pool, PoolKind, Priority, Server
+
+# Time to the first token and between tokens on a server of speed 1, in seconds.
+FIRST_S, TOKEN_S = 0.08, 0.02
+# Calls that a server runs at a time.
+SLOTS = 8
+# The users' servers: bought over several years, they differ widely in speed.
+SPEEDS = {
+    "nordspyd": (1.0, 1.0, 0.6, 0.4, 0.25),
+    "tywi": (1.0, 1.0, 1.0, 0.7, 0.7, 0.5, 0.4, 0.3, 0.2),
+}
+
+
+@dataclass
+class Call:
+    """One call on its way."""
+
+    number: int
+    router: int
+    arrived: float
+    tokens: int
+    priority: Priority
+    prefix: str
+
+
+@dataclass
+class SimulatedServer:
+    """A server's running and waiting calls."""
+
+    server: Server
+    running: int = 0
+    waiting: list[tuple[int, int, Call]] = field(default_factory=list)
+
+
+Chooser = Callable[["PlacementBench", Call], "str | None"]
+
+
+class PlacementBench:
+    """One run of one way to choose.
+
+    Args:
+        speeds: Speed of each server.
+        routers: Number of routers.
+        load: Part of the servers' capacity that is asked for.
+        calls: Number of calls.
+        seed: Fixes everything random.
+        choose: Returns a server's name for a call, or None to refuse it.
+    """
+
+    def __init__(
+        self,
+        speeds: tuple[float, ...],
+        routers: int,
+        load: float,
+        calls: int,
+        seed: int,
+        choose: Chooser,
+    ) -> None:
+        self.draw = random.Random(seed)
+        self.arrivals = random.Random(seed + 1)
+        servers = tuple(
+            Server(f"s{n}", "http://-", speed=speed) for n, speed in enumerate(speeds)
+        )
+        self.pool = Pool("engines", PoolKind.ENGINE, servers, slots=SLOTS)
+        self.servers = {server.name: SimulatedServer(server) for server in servers}
+        self.routers = routers
+        mean_call = FIRST_S + 60 * TOKEN_S
+        self.rate = load * SLOTS * sum(speeds) / mean_call
+        self.calls = calls
+        self.choose = choose
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.placements = [placement.Placement() for _ in range(routers)]
+        self.outstanding = [Counter[str]() for _ in range(routers)]
+        self.next_server = [self.draw.randrange(len(servers)) for _ in range(routers)]
+        self.first: dict[Priority, list[float]] = {p: [] for p in Priority}
+        self.refused = 0
+
+    def run(self) -> PlacementBench:
+        """Run to the end."""
+        self.at(0.0, lambda: self.arrive(0))
+        while self.events:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        return self
+
+    def at(self, delay: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        entry = (self.now + delay, next(self.numbers), action)
+        heapq.heappush(self.events, entry)
+
+    def arrive(self, number: int) -> None:
+        """Let a call arrive at some router."""
+        draw = self.arrivals
+        if number + 1 < self.calls:
+            self.at(draw.expovariate(self.rate), lambda: self.arrive(number + 1))
+        low = draw.random() < 0.4
+        call = Call(
+            number,
+            draw.randrange(self.routers),
+            self.now,
+            draw.randint(10, 110),
+            Priority.LOW if low else Priority.HIGH,
+            f"p{draw.randrange(200)}",
+        )
+        name = self.choose(self, call)
+        if name is None:
+            self.refused += 1
+            return
+        self.outstanding[call.router][name] += 1
+        server = self.servers[name]
+        urgency = 1 if low else 0
+        heapq.heappush(server.waiting, (urgency, number, call))
+        self.begin(server)
+
+    def begin(self, server: SimulatedServer) -> None:
+        """Start waiting calls on free slots."""
+        while server.running < SLOTS and server.waiting:
+            _, _, call = heapq.heappop(server.waiting)
+            server.running += 1
+            first = FIRST_S / server.server.speed
+            self.first[call.priority].append(self.now + first - call.arrived)
+            length = first + call.tokens * TOKEN_S / server.server.speed
+            self.at(length, lambda call=call: self.end(server, call))
+
+    def end(self, server: SimulatedServer, call: Call) -> None:
+        """Finish a call."""
+        server.running -= 1
+        name = server.server.name
+        self.outstanding[call.router][name] -= 1
+        finished = placement.Finished(name, None, False)
+        before = self.placements[call.router]
+        self.placements[call.router] = placement.finish(before, finished, self.now)
+        self.begin(server)
+
+
+def choose_random(bench: PlacementBench, call: Call) -> str:
+    """Choose any server."""
+    return bench.draw.choice(bench.pool.servers).name
+
+
+def choose_round_robin(bench: PlacementBench, call: Call) -> str:
+    """Choose the next server in turn."""
+    place = bench.next_server[call.router]
+    bench.next_server[call.router] = (place + 1) % len(bench.pool.servers)
+    return bench.pool.servers[place].name
+
+
+def choose_least(bench: PlacementBench, call: Call) -> str:
+    """Choose the server with the fewest calls of this router."""
+    mine = bench.outstanding[call.router]
+    return min(
+        bench.pool.servers, key=lambda s: (mine[s.name], bench.draw.random())
+    ).name
+
+
+def choose_two(bench: PlacementBench, call: Call) -> str:
+    """Choose the one of two drawn servers with fewer calls of this router."""
+    mine = bench.outstanding[call.router]
+    drawn = bench.draw.sample(bench.pool.servers, 2)
+    return min(drawn, key=lambda server: mine[server.name]).name
+
+
+def choose_product(bench: PlacementBench, call: Call) -> str | None:
+    """Choose as the product does."""
+    place = placement.Place(
+        bench.pool,
+        call.priority,
+        call.prefix,
+        frozenset(),
+        bench.routers,
+        bench.draw.random(),
+    )
+    before = bench.placements[call.router]
+    after, outcome = placement.place(before, place, bench.now)
+    bench.placements[call.router] = after
+    return outcome.server.name if isinstance(outcome, placement.Placed) else None
+
+
+WAYS: dict[str, Chooser] = {
+    "random": choose_random,
+    "round robin": choose_round_robin,
+    "least outstanding": choose_least,
+    "two choices": choose_two,
+    "product": choose_product,
+}
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Return a percentile in milliseconds."""
+    ordered = sorted(values)
+    return 1000 * ordered[int(part * (len(ordered) - 1))] if ordered else 0.0
+
+
+class PlacementCommands:
+    """Compares ways to choose servers."""
+
+    def compare(
+        self,
+        user: str = "nordspyd",
+        routers: int = 8,
+        load: float = 0.8,
+        calls: int = 20_000,
+        seed: int = 1,
+    ) -> None:
+        """Run every way on the same load.
+
+        Args:
+            user: Whose servers: `nordspyd` or `tywi`.
+            routers: Number of routers.
+            load: Part of the servers' capacity that is asked for.
+            calls: Number of calls.
+            seed: Fixes everything random.
+        """
+        print(f"{user}, {routers} routers, load {load}, seed {seed}: first token (ms)")
+        print("way                 p50     p95     p99   urgent p95   refused")
+        for name, choose in WAYS.items():
+            bench = PlacementBench(SPEEDS[user], routers, load, calls, seed, choose)
+            bench.run()
+            every = [each for times in bench.first.values() for each in times]
+            urgent = percentile(bench.first[Priority.HIGH], 0.95)
+            p50, p95, p99 = (percentile(every, part) for part in (0.5, 0.95, 0.99))
+            print(
+                f"{name:<18} {p50:>6.0f}  {p95:>6.0f}  {p99:>6.0f}  {urgent:>11.0f}"
+                f"  {bench.refused:>8}"
+            )
+
+
+if __name__ == "__main__":
+    fire.Fire(PlacementCommands)
