Put both witnesses in other failure domains; bound the tables' history

Ruled out: quarantine with an operator's release only, as tokens would be lost to accounting each time; keeping revisions by number alone. Change: witnesses are far first, a near one is a setting; the history keeps at most 6,000 rows. After: 25 edits of 600 servers stay under 1 MB with 9 revisions.

--- a/src/hawthornstage/actors/budgets.py
+++ b/src/hawthornstage/actors/budgets.py
@@ -84,11 +84,13 @@
     Args:
         policy: Sizes and times.
         witnesses: Witnesses of each grant.
+        near_witness: Whether one of them is in the own failure domain.
         shards: Number of ledger documents.
     """
 
     policy: GrantPolicy
     witnesses: int
+    near_witness: bool
     shards: int
 
 
@@ -256,7 +258,11 @@
         """Choose witnesses anew and look for runners that are lost."""
         now = self.clock.monotonic()
         chosen = choose_witnesses(
-            members, self.witnesses, now, count=self.options.witnesses
+            members,
+            self.witnesses,
+            now,
+            count=self.options.witnesses,
+            near=self.options.near_witness,
         )
         if chosen != self.witnesses:
             self.witnesses = chosen
--- a/src/hawthornstage/border/settings.py
+++ b/src/hawthornstage/border/settings.py
@@ -109,6 +109,9 @@
         max_share: Largest share of what is left that is held ahead.
         idle_s: A grant without demand for so long is returned.
         witnesses: Witnesses of each grant.
+        near_witness: Whether one of them is in the router's own failure domain: then
+            bills stay final while the domain is cut off and the key-value service
+            is away, but grants are quarantined if the domain is lost for good.
         shards: Number of ledger documents; the same on every router.
         flush_interval_s: Shortest time between two writes of a document.
     """
@@ -120,6 +123,7 @@
     max_share: float = Field(default=0.2, gt=0, le=1)
     idle_s: float = Field(default=30.0, gt=0)
     witnesses: int = Field(default=2, ge=0, le=4)
+    near_witness: bool = False
     shards: int = Field(default=16, ge=1, le=4096)
     flush_interval_s: float = Field(default=0.2, ge=0)
 
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -198,7 +198,9 @@
             max_share=chosen.max_share,
             idle_s=chosen.idle_s,
         )
-        return HoldingOptions(policy, chosen.witnesses, chosen.shards)
+        return HoldingOptions(
+            policy, chosen.witnesses, chosen.near_witness, chosen.shards
+        )
 
     def documents(
         self, kind: DocumentKind, *, interval: float, share: float
--- a/src/hawthornstage/decisions/membership.py
+++ b/src/hawthornstage/decisions/membership.py
@@ -176,13 +176,24 @@
 
 
 def choose_witnesses(
-    members: Members, previous: tuple[Witness, ...], now: float, *, count: int
+    members: Members,
+    previous: tuple[Witness, ...],
+    now: float,
+    *,
+    count: int,
+    near: bool,
 ) -> tuple[Witness, ...]:
     """Choose routers to witness grants: other failure domains first.
 
-    Previous witnesses that are still fit are kept, so that grants last. One place
-    goes to a router of the own failure domain, which stays reachable when the
-    domain is cut off.
+    Previous witnesses that are still fit are kept, so that grants last.
+
+    Args:
+        members: The view of this router.
+        previous: Witnesses of its last grants.
+        now: Monotonic time, in seconds.
+        count: How many are wanted.
+        near: Whether one place goes to a router of the own failure domain, which
+            stays reachable when the domain is cut off, but is lost with it.
     """
     fit = {
         each.node: each
@@ -199,8 +210,9 @@
     order = rank(members.me.node, fit)
     home = members.me.failure_domain
     far = [node for node in order if fit[node].failure_domain != home]
-    near = [node for node in order if fit[node].failure_domain == home]
-    picked = [*far[: count - 1], *near[:1], *far[count - 1 :], *near[1:]]
+    own = [node for node in order if fit[node].failure_domain == home]
+    first = count - 1 if near else count
+    picked = [*far[:first], *own, *far[first:]]
     chosen = [Witness(node, fit[node].incarnation) for node in picked]
     return tuple(chosen[:count])
 
--- a/src/hawthornstage/decisions/tables.py
+++ b/src/hawthornstage/decisions/tables.py
@@ -8,6 +8,9 @@
 
 # Revisions that the document keeps for `history` and for rolling back.
 KEPT_REVISIONS = 20
+# Rows (routes and servers) of all kept revisions together: at about 130 bytes each
+# the document stays under 1 MB.
+KEPT_ROWS = 6_000
 
 
 @dataclass(frozen=True)
@@ -60,10 +63,25 @@
     if edit.seen != document.current.revision:
         return document, EditRaced(document.current)
     accepted = replace(edit.tables, revision=edit.seen + 1)
-    history = (document.current, *document.history)[:KEPT_REVISIONS]
+    history = _bounded((document.current, *document.history), _rows(accepted))
     return TablesDocument(accepted, history), EditAccepted(accepted)
 
 
+def _bounded(history: tuple[Tables, ...], rows: int) -> tuple[Tables, ...]:
+    """Keep the newest revisions that fit beside a number of rows."""
+    kept: list[Tables] = []
+    for tables in history[:KEPT_REVISIONS]:
+        rows += _rows(tables)
+        if rows > KEPT_ROWS:
+            break
+        kept.append(tables)
+    return tuple(kept)
+
+
+def _rows(tables: Tables) -> int:
+    return len(tables.routes) + sum(len(pool.servers) for pool in tables.pools)
+
+
 def adopt(current: Tables, offered: Tables) -> Tables:
     """Return the tables to use: never a lower revision than before."""
     return offered if offered.revision > current.revision else current
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -9,14 +9,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from hawthornstage.border.documents import TABLES_CODEC
 from hawthornstage.border.frames import Frame, FrameError, decode_frame, encode_frame
 from hawthornstage.border.sse import read_events
-from hawthornstage.decisions import claims, crashes, retries, tables
+from hawthornstage.decisions import claims, crashes, membership, retries, tables
 from hawthornstage.filters.relay import relay_events
 from hawthornstage.messages.events import Stamp
 from hawthornstage.messages.members import Heartbeat, Rumour
 from hawthornstage.messages.request import Progress
-from hawthornstage.messages.tables import EMPTY_TABLES
+from hawthornstage.messages.tables import EMPTY_TABLES, Pool, PoolKind, Server
 
 settings.register_profile("same", derandomize=True, deadline=None, max_examples=200)
 settings.load_profile("same")
@@ -216,3 +217,35 @@
             assert running in (None, let_in)
             running = let_in
         assert running is not None or not waiting
+
+
+def test_tables_of_the_planned_size_stay_under_a_megabyte() -> None:
+    servers = tuple(
+        Server(f"engine-of-a-long-name-{n}", f"http://10.11.12.13:{n}", "north-2", 0.75)
+        for n in range(600)
+    )
+    pool = Pool("engines", PoolKind.ENGINE, servers, model="a-model")
+    document = tables.TablesDocument()
+    for revision in range(25):
+        edited = replace(EMPTY_TABLES, pools=(pool,), edit_id=f"e{revision}")
+        document, result = tables.apply(document, tables.Edit(edited, revision))
+        assert isinstance(result, tables.EditAccepted)
+    assert len(TABLES_CODEC.encode(document)) < 1_000_000
+    assert len(document.history) >= 3
+
+
+@given(st.booleans(), st.integers(0, 3), st.integers(0, 3))
+def test_witnesses_are_far_first_and_never_the_router_itself(
+    near: bool, own: int, far: int
+) -> None:
+    me = membership.Member("me", "i", "home", 0.0)
+    others = [membership.Member(f"o{n}", "i", "home", 0.0) for n in range(own)]
+    others += [membership.Member(f"f{n}", "i", "away", 0.0) for n in range(far)]
+    members = membership.hear(membership.Members(me), *others)
+    chosen = membership.choose_witnesses(members, (), 0.0, count=2, near=near)
+    names = [each.node for each in chosen]
+    assert len(set(names)) == len(names) == min(2, own + far)
+    wanted_far = 1 if near and own else 2
+    assert sum(name.startswith("f") for name in names) >= min(wanted_far, far)
+    again = membership.choose_witnesses(members, chosen, 1.0, count=2, near=near)
+    assert again == chosen
