--- a/tools/load.py
+++ b/tools/load.py
@@ -140,6 +140,30 @@
     return ticks / 100.0
 
 
+def streamed(
+    caller: Caller,
+    url: str,
+    router: Process,
+    rate: float,
+    seconds: float,
+    tokens: int,
+    seed: int,
+) -> tuple[Recorder, float]:
+    """Send streamed calls to an address.
+
+    Returns:
+        What was recorded, and the processor time that the router used, in seconds.
+    """
+    before = cpu_seconds(router)
+    recorder = open_loop(
+        lambda n: caller.chat(url, f"call {n} tokens={tokens}", max_tokens=tokens),
+        rate=rate,
+        seconds=seconds,
+        seed=seed,
+    )
+    return recorder, cpu_seconds(router) - before
+
+
 class LoadCommands:
     """Measures routers on this machine."""
 
@@ -168,16 +192,9 @@
             for count in counts:
                 rate = count / (tokens / 25.0)
                 for where, url in (("engine", engine.url), ("router", router.url)):
-                    before = cpu_seconds(router)
-                    recorder = open_loop(
-                        lambda n, url=url: caller.chat(
-                            url, f"call {n} tokens={tokens}", max_tokens=tokens
-                        ),
-                        rate=rate,
-                        seconds=seconds,
-                        seed=seed,
+                    recorder, used = streamed(
+                        caller, url, router, rate, seconds, tokens, seed
                     )
-                    used = cpu_seconds(router) - before
                     self.line(count, where, recorder, used)
 
     def line(self, count: int, where: str, recorder: Recorder, used: float) -> None:
@@ -208,16 +225,10 @@
             engine, _ = start(cluster, 3)
             router = cluster.processes["r1"]
             for where, url in (("engine", engine.url), ("router", router.url)):
-                before = cpu_seconds(router)
-                recorder = open_loop(
-                    lambda n, url=url: caller.chat(
-                        url, f"call {n} tokens={tokens}", max_tokens=tokens
-                    ),
-                    rate=rate,
-                    seconds=seconds,
-                    seed=seed,
+                recorder, used = streamed(
+                    caller, url, router, rate, seconds, tokens, seed
                 )
-                self.line(int(rate), where, recorder, cpu_seconds(router) - before)
+                self.line(int(rate), where, recorder, used)
 
     def requests(
         self, callers: int = 16, seconds: float = 10.0, routers: int = 1
