--- a/src/hawthornstage/actors/breaks_task.py
+++ b/src/hawthornstage/actors/breaks_task.py
@@ -12,6 +12,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.breaks import Breaks
 from hawthornstage.messages.fleet import CallBroke, RoutersKnown
+from hawthornstage.messages.money import Acknowledged
 from hawthornstage.observe.events import EventLog
 
 # Routers that are told of each break.
@@ -60,7 +61,7 @@
                     self.peers.tell(Send(node, message))
             case Ask(message=CallBroke() as broke, reply_to=reply_to):
                 self.note(broke, now)
-                reply_to.put(True)
+                reply_to.put(Acknowledged())
             case CallAnswered(fingerprint):
                 self.breaks.clear(fingerprint)
             case RoutersKnown(urls):
--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -119,6 +119,7 @@
             version=state.version,
             before=current.version if current else 0,
             source=source,
+            budgets={each.name: each.budget for each in state.workspaces},
         )
         for subscriber in self.subscribers:
             subscriber.tell(DesiredStateInUse(state, document))
--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -1,23 +1,34 @@
-"""The task that draws tokens from the workspaces' budgets in the platform's store."""
+"""The task that stores this router's records and draws tokens from the budgets."""
 
 from __future__ import annotations
 
-import secrets
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.border.draws_document import (
-    DrawsDocument,
-    decode_draws,
-    encode_draws,
+    decode_drawn,
+    decode_record,
+    encode_drawn,
+    encode_record,
+)
+from hawthornstage.clock import Clock
+from hawthornstage.decisions.draws import LEASE_S, covered, left_over, with_draw
+from hawthornstage.messages.draws import (
+    CloseAccounts,
+    Record,
+    RecordDropped,
+    RecordStored,
+    RecordUnknown,
+    StoreRecord,
 )
-from hawthornstage.decisions.draws import covered
-from hawthornstage.messages.draws import Draw, DrawFailed, DrawMade
 from hawthornstage.messages.store import (
     Committed,
     Conflict,
     Item,
+    LeaseGranted,
+    LeaseLost,
     Put,
     StoreRefused,
     StoreSilent,
@@ -25,149 +36,229 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
 
-# Where the ledger of draws lies in the store.
-DRAWS_KEY = "hawthornstage/draws"
+# Where the ledger of draws lies, and the routers' records, each under its router.
+DRAWN_KEY = "hawthornstage/drawn"
+RECORDS_PREFIX = "hawthornstage/records/"
 # Tries of one draw against the changes of other routers.
 MAX_TRIES = 8
 
 
 @dataclass(frozen=True)
-class UnknownDraw:
-    """A write without an answer: it may have taken effect, or may still do so.
+class Write:
+    """One change of the store, which can be made again to the letter.
 
     Args:
-        mark: Shows in the ledger if it has.
-        granted: What it draws.
+        expected: Revisions by key.
+        puts: Values to write.
+        record: The record in it.
+        granted: What it draws, by workspace.
+        drawn: The ledger after it.
     """
 
-    mark: str
+    expected: dict[str, int]
+    puts: tuple[Put, ...]
+    record: Record
     granted: dict[str, int]
-
-
-@dataclass
-class KnownLedger:
-    """The ledger as this router last saw it.
-
-    Args:
-        revision: Its revision in the store; 0 for none, None if not known.
-        document: What it says.
-    """
-
-    revision: int | None = None
-    document: DrawsDocument = field(default_factory=DrawsDocument)
+    drawn: dict[str, int]
 
 
 class Ledger(Task):
     """Owns the connection over which this router draws.
 
-    A write that was not answered is settled by the next write: both expect the same
-    revision, so only one of them can take effect, and the ledger's marks tell which.
+    A write without an answer is made again to the letter until it is certain whether
+    it took effect: it can do so only once, and the record's mark tells.
 
     Args:
         node: This router's name.
         store: A client that nobody else uses.
+        clock: The runtime's clock.
         events: Takes events.
     """
 
-    def __init__(self, node: str, store: StoreClient, events: EventLog) -> None:
+    def __init__(
+        self, node: str, store: StoreClient, clock: Clock, events: EventLog
+    ) -> None:
         super().__init__()
-        self.node = node
+        self.record_key = RECORDS_PREFIX + node
         self.store = store
         self.events = events
-        self.known = KnownLedger()
-        self.unknown: UnknownDraw | None = None
+        self.born = clock.wall()
+        self.lease: int | None = None
+        self.read = False
+        self.revisions = {DRAWN_KEY: 0, self.record_key: 0}
+        self.drawn: dict[str, int] = {}
+        self.predecessor: Record | None = None
+        self.mark: str | None = None
+        self.mark_seen: str | None = None
+        self.unknown: Write | None = None
 
     def handle(self, message: Any) -> None:
         match message:
-            case Ask(message=Draw() as draw, reply_to=reply_to):
-                reply_to.put(self.draw(draw))
+            case Ask(message=StoreRecord() as wanted, reply_to=reply_to):
+                reply_to.put(self.store_record(wanted))
+            case Ask(message=CloseAccounts(free), reply_to=reply_to):
+                reply_to.put(self.close_accounts(free))
 
-    def draw(self, draw: Draw) -> DrawMade | DrawFailed:
-        """Raise the counts in the ledger; what an earlier write drew comes along."""
-        recovered: dict[str, int] = {}
+    def store_record(
+        self, wanted: StoreRecord
+    ) -> RecordStored | RecordDropped | RecordUnknown:
+        """Store a record with a draw, or find out about an earlier one."""
+        if self.unknown is not None:
+            return self.commit(self.unknown) or self.dropped("another write came first")
+        if not self.read:
+            failure = self.read_all()
+            if failure is not None:
+                return self.dropped(failure)
         for _ in range(MAX_TRIES):
-            if self.known.revision is None and not self.read():
-                break
-            add(recovered, self.settle_unknown())
-            document = self.known.document
-            granted = covered(document.drawn, draw.amounts, draw.budgets)
-            if not any(granted.values()):
-                return DrawMade(recovered, document.drawn)
-            match self.write(granted):
-                case Committed():
-                    add(recovered, granted)
-                    self.events.emit(
-                        "tokens_drawn", tokens=sum(granted.values()), granted=granted
-                    )
-                    return DrawMade(recovered, self.known.document.drawn)
-                case Conflict():
-                    continue
+            failure = self.renew_lease()
+            if failure is not None:
+                return self.dropped(failure)
+            outcome = self.commit(self.plan(wanted))
+            if outcome is not None:
+                return outcome
+        return self.dropped("the ledger changed too often")
+
+    def renew_lease(self) -> str | None:
+        """Renew the record's lease, or get a new one; return why that failed."""
+        if self.lease is not None:
+            match self.store.renew_lease(self.lease):
+                case LeaseGranted():
+                    return None
+                case LeaseLost():
+                    self.events.emit("record_lease_lost", lease=self.lease)
+                    self.lease = None
                 case StoreRefused(reason) | StoreSilent(reason):
-                    self.events.emit("draw_failed", reason=reason[:120])
-                    return self.partial(recovered, reason)
-        return self.partial(recovered, "the ledger changed too often or was not read")
-
-    def partial(self, recovered: dict[str, int], reason: str) -> DrawMade | DrawFailed:
-        """Return what an earlier draw brought, if anything."""
-        if recovered:
-            return DrawMade(recovered, self.known.document.drawn)
-        return DrawFailed(reason)
-
-    def read(self) -> bool:
-        """Read the ledger; False if the store did not answer."""
-        match self.store.get(DRAWS_KEY):
-            case Item() as item:
-                self.take(item)
-            case None:
-                self.known = KnownLedger(0)
+                    return reason
+        match self.store.grant_lease(LEASE_S):
+            case LeaseGranted(lease, _):
+                self.lease = lease
+                return None
             case StoreRefused(reason) | StoreSilent(reason):
-                self.events.emit("ledger_unread", reason=reason[:120])
-                return False
-        return True
+                return reason
+
+    def dropped(self, reason: str) -> RecordDropped:
+        """Say that a record is not stored."""
+        return RecordDropped(reason, self.drawn)
+
+    def read_all(self) -> str | None:
+        """Read the ledger and a predecessor's record; return why that failed."""
+        for key in (DRAWN_KEY, self.record_key):
+            match self.store.get(key):
+                case Item() as item:
+                    self.take(item)
+                case None:
+                    self.revisions[key] = 0
+                case StoreRefused(reason) | StoreSilent(reason):
+                    return reason
+        self.read = True
+        return None
+
+    def take_all(self, keys: Iterable[str], items: tuple[Item, ...]) -> None:
+        """Take in keys as the store has them; those without an item are gone."""
+        self.mark_seen = None
+        for key in keys:
+            self.revisions[key] = 0
+        for item in items:
+            self.take(item)
 
     def take(self, item: Item) -> None:
-        """Take in the ledger as the store has it."""
-        self.known = KnownLedger(item.revision, decode_draws(item.value))
-
-    def settle_unknown(self) -> dict[str, int]:
-        """Return what an unanswered write drew, once that is certain.
-
-        Until the ledger's revision has moved, the write may still take effect; the
-        next write then decides.
-        """
-        unknown = self.unknown
-        if unknown is None:
-            return {}
-        if self.known.document.marks.get(self.node) != unknown.mark:
-            return {}
-        self.unknown = None
-        self.events.emit("draw_recovered", granted=unknown.granted)
-        return unknown.granted
-
-    def write(self, granted: dict[str, int]) -> Any:
-        """Write the ledger with a draw in it."""
-        mark = secrets.token_hex(6)
-        document = self.known.document.with_draw(self.node, mark, granted)
-        put = Put(DRAWS_KEY, encode_draws(document))
-        revision = self.known.revision
-        assert revision is not None
-        outcome = self.store.transact({DRAWS_KEY: revision}, puts=(put,))
-        match outcome:
-            case Committed(made):
-                self.known = KnownLedger(made, document)
-                self.unknown = None
+        """Take in an item as the store has it."""
+        self.revisions[item.key] = item.revision
+        if item.key == DRAWN_KEY:
+            self.drawn = decode_drawn(item.value)
+            return
+        record = decode_record(item.value)
+        if self.mark is None:
+            self.predecessor = record
+        self.mark_seen = record.mark
+
+    def plan(self, wanted: StoreRecord) -> Write:
+        """Return the write for a record, its draw, and a predecessor's left-over."""
+        drawn = dict(self.drawn)
+        if self.predecessor is not None:
+            left = left_over(self.predecessor, self.born)
+            for workspace, tokens in left.items():
+                drawn[workspace] = max(0, drawn.get(workspace, 0) - tokens)
+        granted = covered(drawn, wanted.amounts, wanted.budgets)
+        for workspace, tokens in granted.items():
+            drawn[workspace] = drawn.get(workspace, 0) + tokens
+        record = with_draw(wanted.record, granted)
+        assert self.lease is not None
+        puts = [Put(self.record_key, encode_record(record), self.lease)]
+        expected = {self.record_key: self.revisions[self.record_key]}
+        if drawn != self.drawn:
+            puts.append(Put(DRAWN_KEY, encode_drawn(drawn)))
+            expected[DRAWN_KEY] = self.revisions[DRAWN_KEY]
+        return Write(expected, tuple(puts), record, granted, drawn)
+
+    def commit(
+        self, write: Write
+    ) -> RecordStored | RecordDropped | RecordUnknown | None:
+        """Make a write; None if it lost against another router's."""
+        match self.store.transact(write.expected, puts=write.puts):
+            case Committed(revision):
+                return self.stored(write, revision)
+            case LeaseLost():
+                self.unknown = self.lease = None
+                return None
             case Conflict(items):
-                self.known = KnownLedger(None)
-                for item in items:
-                    self.take(item)
-            case StoreSilent():
-                # The older unanswered write of the same revision may win as well;
-                # what it drew is then given up.
-                self.unknown = UnknownDraw(mark, granted)
-        return outcome
+                self.unknown = None
+                self.take_all(write.expected, items)
+                if self.mark_seen == write.record.mark:
+                    return self.stored(write, self.revisions[self.record_key])
+                return None
+            case StoreSilent(reason):
+                self.unknown = write
+                return RecordUnknown(reason)
+            case failure if self.unknown is not None:
+                return RecordUnknown(failure.reason)
+            case failure:
+                return self.dropped(failure.reason)
+
+    def stored(self, write: Write, revision: int) -> RecordStored:
+        """Note that a write took effect."""
+        self.unknown = None
+        if self.predecessor is not None:
+            self.note_closing(self.predecessor)
+        self.mark = write.record.mark
+        self.revisions[self.record_key] = revision
+        if DRAWN_KEY in write.expected and revision > self.revisions[DRAWN_KEY]:
+            self.revisions[DRAWN_KEY] = revision
+            self.drawn = write.drawn
+        if write.granted:
+            self.events.emit("tokens_drawn", granted=write.granted)
+        return RecordStored(write.record, write.granted, self.drawn)
 
+    def note_closing(self, predecessor: Record) -> None:
+        """Log what came back from a predecessor on this host."""
+        self.predecessor = None
+        self.events.emit(
+            "predecessor_closed",
+            age_s=round(self.born - predecessor.wall, 3),
+            granted=sum(predecessor.granted.values()),
+            returned=sum(left_over(predecessor, self.born).values()),
+        )
 
-def add(amounts: dict[str, int], more: dict[str, int]) -> None:
-    """Add amounts by workspace."""
-    for workspace, tokens in more.items():
-        amounts[workspace] = amounts.get(workspace, 0) + tokens
+    def close_accounts(self, free: dict[str, int]) -> bool:
+        """Give back what is free and remove the record; False if that failed."""
+        if self.unknown is not None:
+            self.commit(self.unknown)
+        if self.unknown is not None or self.mark is None:
+            return False
+        for _ in range(MAX_TRIES):
+            drawn = dict(self.drawn)
+            for workspace, tokens in free.items():
+                drawn[workspace] = max(0, drawn.get(workspace, 0) - tokens)
+            put = Put(DRAWN_KEY, encode_drawn(drawn))
+            expected = dict(self.revisions)
+            removes = (self.record_key,)
+            match self.store.transact(expected, puts=(put,), removes=removes):
+                case Committed():
+                    self.events.emit("tokens_returned", free=free)
+                    return True
+                case Conflict(items):
+                    self.take_all(expected, items)
+                case StoreRefused(reason) | StoreSilent(reason):
+                    self.events.emit("return_failed", reason=reason[:120])
+                    return False
+        return False
--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import secrets
+from dataclasses import dataclass, replace
 from typing import Any
 
 import pykka
@@ -14,21 +15,27 @@
     Purse,
     account_of,
     give,
+    make_record,
     plan_draws,
-    receive,
     return_free,
+    room,
     set_aside,
+    take_drawn,
+    take_gift,
+    take_totals,
     use,
 )
 from hawthornstage.latest import Latest
 from hawthornstage.mailbox import Forward, ReplyTo
 from hawthornstage.messages.draws import (
     Aside,
-    Draw,
-    DrawFailed,
-    DrawMade,
+    CloseAccounts,
+    RecordDropped,
+    RecordStored,
+    RecordUnknown,
     SetAside,
     Short,
+    StoreRecord,
     TokensGiven,
     TokensWanted,
     Used,
@@ -39,10 +46,14 @@
 
 # Longest time that a call waits for tokens, in seconds.
 WAIT_S = 0.15
-# Pause after a failed draw, in seconds.
-REDRAW_PAUSE_S = 0.5
-# Pause between two requests for another router's tokens, in seconds.
-ASK_PAUSE_S = 0.1
+# Age at which a record is renewed, in seconds.
+RECORD_S = 0.6
+# Pause after a failed write, in seconds.
+FAILURE_PAUSE_S = 0.4
+# Pause between two requests for other routers' tokens, in seconds.
+ASK_PAUSE_S = 0.05
+# Routers that are asked at once.
+ASKED = 3
 
 
 @dataclass(frozen=True)
@@ -68,7 +79,7 @@
     """Owns the tokens that this router holds.
 
     Args:
-        ledger: Draws from the budgets.
+        ledger: Stores records and draws from the budgets.
         peers: Reaches the other routers.
         routers: Number of routers that draw.
         clock: The runtime's clock.
@@ -95,34 +106,29 @@
         self.others: tuple[str, ...] = ()
         self.turn = 0
         self.waiting: list[Waiting] = []
-        self.drawing = False
-        self.draw_after = float("-inf")
+        self.writing = False
+        self.closed = False
+        self.write_after = float("-inf")
         self.ask_after = float("-inf")
         self.store_lost = False
 
     def handle(self, message: Any) -> None:
+        now = self.clock.monotonic()
         match message:
             case Ask(message=SetAside() as request, reply_to=reply_to):
-                self.set_aside(request, reply_to)
+                self.set_aside(request, reply_to, now)
             case Used(workspace, reserved, used):
-                now = self.clock.monotonic()
                 self.purse = use(self.purse, workspace, reserved, used, now)
-                self.serve_waiting()
             case CheckPurse():
-                self.serve_waiting()
-                self.draw()
-            case DrawMade(granted, drawn):
-                self.drawing = False
-                self.store_lost = False
-                self.purse = receive(self.purse, granted, drawn)
-                self.serve_waiting()
-            case DrawFailed(reason):
-                self.note_failure(reason)
+                self.serve_waiting(now)
+                self.write(now)
+            case RecordStored() | RecordDropped() | RecordUnknown():
+                self.take_outcome(message, now)
             case TokensGiven(workspace, tokens):
-                self.purse = receive(self.purse, {workspace: tokens}, {})
-                self.serve_waiting()
+                self.purse = take_gift(self.purse, workspace, tokens)
+                self.serve_waiting(now)
             case Ask(message=TokensWanted(workspace, tokens), reply_to=reply_to):
-                self.purse, given = give(self.purse, workspace, tokens)
+                self.purse, given = give(self.purse, workspace, tokens, now)
                 reply_to.put(TokensGiven(workspace, given))
             case Unreachable():
                 pass
@@ -132,96 +138,122 @@
                     for each in state.workspaces
                     if each.budget is not None
                 }
-                self.draw()
+                self.write(now)
             case RoutersKnown(urls):
                 self.others = tuple(sorted(urls))
             case Ask(message=ReturnAll(), reply_to=reply_to):
-                self.return_all(reply_to)
+                self.closed = True
+                self.purse, free = return_free(self.purse)
+                self.ledger.tell(Ask(CloseAccounts(free), reply_to))
 
-    def set_aside(self, request: SetAside, reply_to: ReplyTo) -> None:
-        """Set tokens aside, at once or after a draw."""
+    def set_aside(self, request: SetAside, reply_to: ReplyTo, now: float) -> None:
+        """Set tokens aside, at once or when there is room for them."""
         if request.workspace not in self.budgets:
             reply_to.put(Aside(0))
             return
-        self.purse, done = set_aside(self.purse, request.workspace, request.tokens)
+        self.purse, done = set_aside(self.purse, request.workspace, request.tokens, now)
         if done:
             reply_to.put(Aside(request.tokens))
-            self.draw()
             return
-        until = self.clock.monotonic() + WAIT_S
-        self.waiting.append(Waiting(request, reply_to, until))
-        self.draw()
-        if self.store_lost:
-            self.ask_other(request)
+        self.waiting.append(Waiting(request, reply_to, now + WAIT_S))
+        self.write(now)
+        self.ask_others(request, now)
 
-    def serve_waiting(self) -> None:
+    def serve_waiting(self, now: float) -> None:
         """Serve those that wait, and refuse those that have waited long enough."""
-        now = self.clock.monotonic()
         waiting, self.waiting = self.waiting, []
         for each in waiting:
             request = each.request
-            self.purse, done = set_aside(self.purse, request.workspace, request.tokens)
+            self.purse, done = set_aside(
+                self.purse, request.workspace, request.tokens, now
+            )
             if done:
                 each.reply_to.put(Aside(request.tokens))
-            elif now >= each.until or self.spent(request):
-                each.reply_to.put(self.short(request))
+            elif now >= each.until:
+                each.reply_to.put(self.short(request, now))
             else:
                 self.waiting.append(each)
+                self.ask_others(request, now)
 
-    def spent(self, request: SetAside) -> bool:
-        """Whether the ledger has nothing left for a call."""
-        left = self.budgets[request.workspace] - self.drawn(request.workspace)
-        return not self.store_lost and left < request.tokens and not self.drawing
-
-    def drawn(self, workspace: str) -> int:
-        """Return the tokens drawn by all routers, as far as it is known."""
-        return account_of(self.purse, workspace).drawn
-
-    def short(self, request: SetAside) -> Short:
+    def short(self, request: SetAside, now: float) -> Short:
         """Return why the tokens are not to be had."""
         account = account_of(self.purse, request.workspace)
         left = self.budgets[request.workspace] - account.drawn
         detail = (
             f"{request.tokens} wanted, {account.free} free, {account.open} set aside,"
+            f" room for {room(self.purse, request.workspace, now):.0f},"
             f" {left} left in the ledger, store lost: {self.store_lost}"
         )
         return Short(False, detail)
 
-    def draw(self) -> None:
-        """Draw what is missing, unless a draw is on its way."""
-        now = self.clock.monotonic()
-        if self.drawing or now < self.draw_after:
+    def write(self, now: float) -> None:
+        """Store a record and draw, if it is time to and no write is on its way."""
+        if self.writing or self.closed or not self.budgets or now < self.write_after:
             return
-        members = self.routers.value
-        amounts = plan_draws(self.purse, self.budgets, members, now)
-        if not amounts:
+        routers = self.routers.value
+        wanted = self.wanted()
+        amounts = plan_draws(self.purse, self.budgets, routers, wanted=wanted, now=now)
+        stored = self.purse.stored
+        fresh = stored is not None and now - stored.at < RECORD_S
+        if fresh and not amounts and not self.waiting and not self.purse.sent:
             return
-        self.drawing = True
+        record = self.purse.sent or make_record(
+            self.purse,
+            self.budgets,
+            routers,
+            wanted=wanted,
+            mark=secrets.token_hex(8),
+            now=now,
+            wall=self.clock.wall(),
+        )
+        self.writing = True
+        self.purse = replace(self.purse, sent=record)
         reply_to = Forward(self.actor_ref.tell)
-        self.ledger.tell(Ask(Draw(amounts, dict(self.budgets)), reply_to))
+        request = StoreRecord(record, amounts, dict(self.budgets))
+        self.ledger.tell(Ask(request, reply_to))
+
+    def wanted(self) -> dict[str, int]:
+        """Return what calls wait for, by workspace."""
+        amounts: dict[str, int] = {}
+        for each in self.waiting:
+            name = each.request.workspace
+            amounts[name] = amounts.get(name, 0) + each.request.tokens
+        return amounts
+
+    def take_outcome(
+        self, outcome: RecordStored | RecordDropped | RecordUnknown, now: float
+    ) -> None:
+        """Take in how a write ended."""
+        self.writing = False
+        match outcome:
+            case RecordStored(record, granted, drawn):
+                self.store_lost = False
+                self.purse = replace(self.purse, stored=record, sent=None)
+                self.purse = take_totals(take_drawn(self.purse, granted), drawn)
+            case RecordDropped(reason, drawn):
+                self.purse = take_totals(replace(self.purse, sent=None), drawn)
+                self.note_failure(reason, now)
+            case RecordUnknown(reason):
+                self.note_failure(reason, now)
+        self.serve_waiting(now)
 
-    def note_failure(self, reason: str) -> None:
-        """Wait before the next draw, and ask other routers meanwhile."""
-        self.drawing = False
-        self.draw_after = self.clock.monotonic() + REDRAW_PAUSE_S
+    def note_failure(self, reason: str, now: float) -> None:
+        """Wait before the next write, and ask other routers meanwhile."""
+        self.write_after = now + FAILURE_PAUSE_S
         if not self.store_lost:
             self.store_lost = True
             self.events.emit("draws_stopped", reason=reason[:120])
-        for each in self.waiting:
-            self.ask_other(each.request)
 
-    def ask_other(self, request: SetAside) -> None:
-        """Ask the next router for some of its tokens."""
-        now = self.clock.monotonic()
-        if not self.others or now < self.ask_after:
+    def ask_others(self, request: SetAside, now: float) -> None:
+        """Ask other routers for some of their tokens, if there is no other way."""
+        account = account_of(self.purse, request.workspace)
+        left = self.budgets[request.workspace] - account.drawn
+        drawable = not self.store_lost and left + account.free >= request.tokens
+        if not self.others or now < self.ask_after or drawable:
             return
         self.ask_after = now + ASK_PAUSE_S
-        self.turn += 1
-        node = self.others[self.turn % len(self.others)]
-        wanted = TokensWanted(request.workspace, request.tokens * 3)
-        self.peers.tell(Send(node, wanted, Forward(self.actor_ref.tell)))
-
-    def return_all(self, reply_to: ReplyTo) -> None:
-        """Give back what is free."""
-        self.purse, amounts = return_free(self.purse)
-        self.ledger.tell(Ask(Draw(amounts, dict(self.budgets)), reply_to))
+        wanted = TokensWanted(request.workspace, request.tokens)
+        for _ in range(min(ASKED, len(self.others))):
+            self.turn += 1
+            node = self.others[self.turn % len(self.others)]
+            self.peers.tell(Send(node, wanted, Forward(self.actor_ref.tell)))
--- a/src/hawthornstage/border/draws_document.py
+++ b/src/hawthornstage/border/draws_document.py
@@ -1,58 +1,52 @@
-"""The ledger of draws as it lies in the store: CBOR, validated when read."""
+"""The ledger of draws and the routers' records, as they lie in the store: CBOR."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from typing import Any
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-# Routers whose last mark is kept; the oldest go first.
-MAX_MARKS = 512
+from hawthornstage.messages.draws import Record
 
+DRAWN_ADAPTER = TypeAdapter(dict[str, int])
+RECORD_ADAPTER = TypeAdapter(Record)
 
-class DrawsFault(Exception):
-    """The bytes are not a ledger of draws."""
 
+class DrawsFault(Exception):
+    """The bytes are not what should lie there."""
 
-@dataclass(frozen=True)
-class DrawsDocument:
-    """Tokens drawn by all routers.
 
-    Args:
-        drawn: Tokens drawn since the beginning, by workspace.
-        marks: Mark of each router's last write, the oldest first.
-    """
+def encode_drawn(drawn: dict[str, int]) -> bytes:
+    """Encode the ledger: tokens drawn by all routers, by workspace."""
+    return cbor2.dumps(drawn)
 
-    drawn: dict[str, int] = field(default_factory=dict)
-    marks: dict[str, str] = field(default_factory=dict)
 
-    def with_draw(self, node: str, mark: str, granted: dict[str, int]) -> DrawsDocument:
-        """Return the ledger after a router's draw."""
-        drawn = dict(self.drawn)
-        for workspace, tokens in granted.items():
-            drawn[workspace] = max(0, drawn.get(workspace, 0) + tokens)
-        marks = {name: each for name, each in self.marks.items() if name != node}
-        marks[node] = mark
-        excess = max(0, len(marks) - MAX_MARKS)
-        return DrawsDocument(drawn, dict(list(marks.items())[excess:]))
+def decode_drawn(data: bytes) -> dict[str, int]:
+    """Decode the ledger.
 
-
-ADAPTER = TypeAdapter(DrawsDocument)
+    Raises:
+        DrawsFault: The bytes are not one.
+    """
+    return _decode(DRAWN_ADAPTER, data)
 
 
-def encode_draws(document: DrawsDocument) -> bytes:
-    """Encode a ledger."""
-    return cbor2.dumps({"drawn": document.drawn, "marks": document.marks})
+def encode_record(record: Record) -> bytes:
+    """Encode a router's record."""
+    return cbor2.dumps(RECORD_ADAPTER.dump_python(record, mode="python"))
 
 
-def decode_draws(data: bytes) -> DrawsDocument:
-    """Decode a ledger.
+def decode_record(data: bytes) -> Record:
+    """Decode a router's record.
 
     Raises:
         DrawsFault: The bytes are not one.
     """
+    return _decode(RECORD_ADAPTER, data)
+
+
+def _decode(adapter: TypeAdapter[Any], data: bytes) -> Any:
     try:
-        return ADAPTER.validate_python(cbor2.loads(data))
+        return adapter.validate_python(cbor2.loads(data))
     except (cbor2.CBORError, ValidationError, ValueError) as error:
         raise DrawsFault(str(error)) from error
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -82,7 +82,7 @@
 
 def _pack(body: dict[str, Any]) -> dict[str, Any]:
     """Write rumours as rows: they are most of what idle routers send."""
-    if "rumours" not in body:
+    if not isinstance(body, dict) or "rumours" not in body:
         return body
     rows = [[rumour[name] for name in RUMOUR_COLUMNS] for rumour in body["rumours"]]
     return {**body, "rumours": rows}
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -127,9 +127,12 @@
         self.peers = Peers.start(
             identity, self.switchboard, self.link_maker(identity), self.timers
         )
-        ledger = Ledger.start(node, self.store(), self.events)
+        ledger = Ledger.start(node, self.store(), self.clock, self.events)
         self.purse = PurseTask.start(
-            ledger=ledger, peers=self.peers, routers=self.routers, **shared
+            ledger=ledger,
+            peers=self.peers,
+            routers=self.routers,
+            **shared,
         )
         self.breaks = BreaksTask.start(self.peers, **shared)
         self.states = DesiredStates.start(
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -1,10 +1,19 @@
-"""How many tokens a router holds of each budget, and when it draws more.
+"""How many tokens a router holds of each budget, and how much of it may be spent.
 
 The ledger in the store counts, for each workspace, the tokens that routers have
-drawn from its budget. A router draws before it promises: the count is raised by
-compare-and-swap and never exceeds the budget. What a router holds when its process
-dies stays counted as drawn, and is lost to the workspace. So holding more bridges
-longer outages of the store, and strands more at a crash.
+drawn. A router draws before it promises: the count is raised by compare-and-swap
+and never exceeds the budget.
+
+A router holds enough for a long outage of the store. So that this is not lost when
+its process dies, it stores a record of what it may have spent: a bound that grows
+with the time since the record. It keeps to the bound until `WIDEN_S` after the last
+record, and then spends all that it holds. A record that may or may not be stored
+binds as one that is.
+
+The next process on the same host gives back what lies above the bound, if it knows
+that its predecessor, which is dead, cannot have lived until `WIDEN_S`. Two clocks
+must say so: the record's lease, which the store ends by then unless the store itself
+stood still, and the host's time of day, unless it was set back.
 """
 
 from __future__ import annotations
@@ -12,18 +21,39 @@
 import math
 from dataclasses import dataclass, field, replace
 
+from hawthornstage.messages.draws import Bound, Record
+
 # Demand that a router holds ahead, in seconds.
-HORIZON_S = 12.0
+HORIZON_S = 13.0
 # It draws again when it holds less than this part of that.
-LOW_WATER = 0.7
+LOW_WATER = 0.75
 # Part of a budget that a router holds before it knows its demand.
 FIRST_PART = 0.02
 # Part of a fair share of what is left in the ledger that one draw may take.
 LEFT_PART = 0.5
 # Time over which demand is averaged, in seconds.
 DEMAND_TAU_S = 5.0
-# Part of what a router holds that it gives to another one at a time.
+# Weight of a call in the average size of calls.
+SIZE_WEIGHT = 0.1
+# Size of a call before any was seen, in tokens.
+FIRST_SIZE = 5_000.0
+# Part of what is free that a router gives to another one at a time.
 GIFT_PART = 0.4
+# Time after the last record at which a router may spend all that it holds, in
+# seconds.
+WIDEN_S = 3.8
+# Lease of a record, in seconds.
+LEASE_S = 3.5
+# Added to a predecessor's life as the time of day tells it, in seconds.
+WALL_MARGIN_S = 0.5
+# Demand that a record allows at once, in seconds, and in calls of average size.
+BOUND_AHEAD_S = 0.6
+BOUND_CALLS = 0.7
+# Growth of the bound, as a multiple of the demand.
+BOUND_GROWTH = 1.25
+# A router that uses its even share of a budget would use it up in this time, in
+# seconds; the bound grows at least as if it did.
+EVEN_SHARE_S = 150.0
 
 
 @dataclass(frozen=True)
@@ -31,32 +61,53 @@
     """One workspace's tokens at this router.
 
     Args:
-        free: Drawn tokens that no call has.
+        granted: Tokens that it was given, by the ledger or by other routers.
+        drawn_here: Those of them that come from the ledger.
+        spent: Tokens that calls have used, or that went to other routers.
         open: Tokens that are set aside for calls.
-        largest: Largest amount that a call has asked for lately.
         rate: Tokens used a second, averaged.
         rated_at: Monotonic time of the average.
+        size: Average size of a call, in tokens.
         drawn: Tokens drawn by all routers, as far as it is known.
     """
 
-    free: int = 0
+    granted: int = 0
+    drawn_here: int = 0
+    spent: int = 0
     open: int = 0
-    largest: int = 0
     rate: float = 0.0
     rated_at: float = 0.0
+    size: float = FIRST_SIZE
     drawn: int = 0
 
+    @property
+    def free(self) -> int:
+        """Tokens that no call has."""
+        return self.granted - self.spent - self.open
+
+    def rate_at(self, now: float) -> float:
+        """Return the demand as it has faded until now, in tokens a second."""
+        return self.rate * math.exp(-max(0.0, now - self.rated_at) / DEMAND_TAU_S)
+
 
 @dataclass(frozen=True)
 class Purse:
-    """All accounts of a router, by workspace."""
+    """All that a router holds.
+
+    Args:
+        accounts: By workspace.
+        stored: The last record that is known to be stored.
+        sent: A record that may be stored, or may still be.
+    """
 
     accounts: dict[str, Account] = field(default_factory=dict)
+    stored: Record | None = None
+    sent: Record | None = None
 
 
 def account_of(purse: Purse, workspace: str) -> Account:
     """Return a workspace's account."""
-    return purse.accounts.get(workspace, Account())
+    return purse.accounts.get(workspace) or Account()
 
 
 def put(purse: Purse, workspace: str, account: Account) -> Purse:
@@ -64,92 +115,191 @@
     return replace(purse, accounts={**purse.accounts, workspace: account})
 
 
-def set_aside(purse: Purse, workspace: str, tokens: int) -> tuple[Purse, bool]:
-    """Set tokens aside for a call; False if not enough are free."""
+def limit(purse: Purse, workspace: str, now: float) -> float:
+    """Return the most that may be spent or set aside of a budget until now."""
+    records = [each for each in (purse.stored, purse.sent) if each is not None]
+    return min((bound_at(each, workspace, now) for each in records), default=0.0)
+
+
+def bound_at(record: Record, workspace: str, now: float) -> float:
+    """Return what a record allows at a time of its own clock."""
+    age = now - record.at
+    if age >= WIDEN_S:
+        return math.inf
+    bound = record.bounds.get(workspace)
+    return 0.0 if bound is None else bound.base + bound.slope * age
+
+
+def room(purse: Purse, workspace: str, now: float) -> float:
+    """Return the tokens that may be set aside now."""
+    account = account_of(purse, workspace)
+    allowed = limit(purse, workspace, now) - account.spent - account.open
+    return min(account.free, allowed)
+
+
+def set_aside(
+    purse: Purse, workspace: str, tokens: int, now: float
+) -> tuple[Purse, bool]:
+    """Set tokens aside for a call; False if there is no room for them."""
+    if room(purse, workspace, now) < tokens:
+        return purse, False
     account = account_of(purse, workspace)
-    account = replace(account, largest=max(account.largest, tokens))
-    if account.free < tokens:
-        return put(purse, workspace, account), False
-    account = replace(account, free=account.free - tokens, open=account.open + tokens)
+    size = account.size + SIZE_WEIGHT * (tokens - account.size)
+    account = replace(account, open=account.open + tokens, size=size)
     return put(purse, workspace, account), True
 
 
 def use(purse: Purse, workspace: str, reserved: int, used: int, now: float) -> Purse:
     """Note that a call has ended, and what it used."""
     account = account_of(purse, workspace)
-    spare = max(0, reserved - used)
-    account = replace(account, free=account.free + spare, open=account.open - reserved)
-    return put(purse, workspace, rated(account, used, now))
-
-
-def rated(account: Account, used: int, now: float) -> Account:
-    """Add a use to the averaged demand."""
-    decay = math.exp(-max(0.0, now - account.rated_at) / DEMAND_TAU_S)
-    return replace(
-        account, rate=account.rate * decay + used / DEMAND_TAU_S, rated_at=now
+    account = replace(
+        account,
+        spent=account.spent + used,
+        open=account.open - reserved,
+        rate=account.rate_at(now) + used / DEMAND_TAU_S,
+        rated_at=now,
     )
+    return put(purse, workspace, account)
 
 
-def receive(purse: Purse, granted: dict[str, int], drawn: dict[str, int]) -> Purse:
-    """Take in what a draw brought."""
-    for workspace in granted.keys() | drawn.keys():
+def take_drawn(purse: Purse, granted: dict[str, int]) -> Purse:
+    """Take in what was drawn from the ledger."""
+    for workspace, tokens in granted.items():
         account = account_of(purse, workspace)
         account = replace(
             account,
-            free=account.free + max(0, granted.get(workspace, 0)),
-            drawn=max(account.drawn, drawn.get(workspace, 0)),
+            granted=account.granted + tokens,
+            drawn_here=account.drawn_here + tokens,
         )
         purse = put(purse, workspace, account)
     return purse
 
 
-def target(account: Account, budget: int, members: int) -> int:
-    """Return how many free tokens a router should hold."""
-    demand = account.rate * HORIZON_S + 2 * account.largest
-    return int(max(demand, budget * min(FIRST_PART, 0.5 / members)))
+def take_totals(purse: Purse, drawn: dict[str, int]) -> Purse:
+    """Take in what all routers have drawn."""
+    for workspace, tokens in drawn.items():
+        account = replace(account_of(purse, workspace), drawn=tokens)
+        purse = put(purse, workspace, account)
+    return purse
+
+
+def take_gift(purse: Purse, workspace: str, tokens: int) -> Purse:
+    """Take in what another router has given."""
+    account = account_of(purse, workspace)
+    return put(purse, workspace, replace(account, granted=account.granted + tokens))
+
+
+def give(purse: Purse, workspace: str, tokens: int, now: float) -> tuple[Purse, int]:
+    """Give tokens to another router; here they count as spent."""
+    account = account_of(purse, workspace)
+    spare = min(room(purse, workspace, now), account.free * GIFT_PART)
+    given = max(0, min(tokens, int(spare)))
+    account = replace(account, spent=account.spent + given)
+    return put(purse, workspace, account), given
 
 
 def plan_draws(
-    purse: Purse, budgets: dict[str, int], members: int, now: float
+    purse: Purse,
+    budgets: dict[str, int],
+    routers: int,
+    *,
+    wanted: dict[str, int],
+    now: float,
 ) -> dict[str, int]:
     """Return what to draw now, by workspace.
 
     Args:
         purse: What is held.
         budgets: Each workspace's whole budget in tokens.
-        members: Routers that draw on the same budgets.
+        routers: Routers that draw on the same budgets.
+        wanted: What calls wait for, by workspace.
         now: Monotonic time in seconds.
     """
     amounts: dict[str, int] = {}
     for workspace, budget in budgets.items():
-        account = rated(account_of(purse, workspace), 0, now)
-        wanted = target(account, budget, members)
-        if account.free >= wanted * LOW_WATER:
-            continue
+        account = account_of(purse, workspace)
+        demand = account.rate_at(now) * HORIZON_S + 2 * account.size
+        target = int(max(demand, budget * min(FIRST_PART, 0.5 / routers)))
+        needed = wanted.get(workspace, 0) - account.free
         left = max(0, budget - account.drawn)
-        fair = int(left * LEFT_PART / members) + account.largest
-        amount = min(wanted - account.free, fair, left)
-        if amount > 0:
-            amounts[workspace] = amount
+        if not left or (account.free >= target * LOW_WATER and needed <= 0):
+            continue
+        fair = int(left * LEFT_PART / routers + 2 * account.size)
+        amounts[workspace] = min(max(min(target - account.free, fair), needed), left)
     return amounts
 
 
-def return_free(purse: Purse) -> tuple[Purse, dict[str, int]]:
-    """Take out all that is free; return it as the amounts of a draw."""
-    amounts: dict[str, int] = {}
-    for workspace, account in purse.accounts.items():
-        if account.free > 0:
-            amounts[workspace] = -account.free
-            purse = put(purse, workspace, replace(account, free=0))
-    return purse, amounts
+def make_record(
+    purse: Purse,
+    budgets: dict[str, int],
+    routers: int,
+    *,
+    wanted: dict[str, int],
+    mark: str,
+    now: float,
+    wall: float,
+) -> Record:
+    """Return a record of what is held and may be spent from now on.
+
+    Args:
+        purse: What is held.
+        budgets: Each workspace's whole budget in tokens.
+        routers: Routers that draw on the same budgets.
+        wanted: What calls wait for, by workspace.
+        mark: Unique to this record.
+        now: Monotonic time in seconds.
+        wall: The host's time of day in seconds.
+    """
+    bounds: dict[str, Bound] = {}
+    for workspace, budget in budgets.items():
+        account = account_of(purse, workspace)
+        even = budget / routers / EVEN_SHARE_S
+        rate = max(account.rate_at(now), even)
+        ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS
+        taken = account.spent + account.open + wanted.get(workspace, 0)
+        base = taken + int(ahead)
+        bounds[workspace] = Bound(base, rate * BOUND_GROWTH)
+    granted = {name: each.drawn_here for name, each in purse.accounts.items()}
+    return Record(mark, now, wall, granted, bounds)
 
 
-def give(purse: Purse, workspace: str, tokens: int) -> tuple[Purse, int]:
-    """Give tokens to another router; they leave this purse for good."""
-    account = account_of(purse, workspace)
-    given = min(tokens, int(account.free * GIFT_PART))
-    account = replace(account, free=account.free - given)
-    return put(purse, workspace, account), given
+def with_draw(record: Record, granted: dict[str, int]) -> Record:
+    """Return a record with a draw in it."""
+    totals = dict(record.granted)
+    for workspace, tokens in granted.items():
+        totals[workspace] = totals.get(workspace, 0) + tokens
+    return replace(record, granted=totals)
+
+
+def left_over(record: Record, wall: float) -> dict[str, int]:
+    """Return what a dead predecessor on this host cannot have spent.
+
+    Args:
+        record: Its last record, whose lease had not ended.
+        wall: Time of day at which the predecessor was dead for certain, in seconds.
+    """
+    life = wall - record.wall
+    if life < 0:
+        return {}
+    last = record.at + life + WALL_MARGIN_S
+    left: dict[str, int] = {}
+    for workspace, granted in record.granted.items():
+        spent = min(float(granted), bound_at(record, workspace, last))
+        if granted > spent:
+            left[workspace] = int(granted - spent)
+    return left
+
+
+def return_free(purse: Purse) -> tuple[Purse, dict[str, int]]:
+    """Take out all that is free and was drawn here, to give it back."""
+    free: dict[str, int] = {}
+    for workspace, account in purse.accounts.items():
+        tokens = min(account.free, account.drawn_here)
+        if tokens > 0:
+            free[workspace] = tokens
+            spent = replace(account, spent=account.spent + tokens)
+            purse = put(purse, workspace, spent)
+    return purse, free
 
 
 def covered(
@@ -158,7 +308,7 @@
     """Cut the amounts of a draw to what the budgets still cover."""
     granted: dict[str, int] = {}
     for workspace, amount in amounts.items():
-        before = drawn.get(workspace, 0)
-        left = max(0, budgets.get(workspace, 0) - before)
-        granted[workspace] = min(amount, left) if amount > 0 else max(amount, -before)
+        left = budgets.get(workspace, 0) - drawn.get(workspace, 0)
+        if left > 0:
+            granted[workspace] = min(amount, left)
     return granted
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -54,34 +54,94 @@
 
 
 @dataclass(frozen=True)
-class Draw:
-    """Asks for a draw from the ledger; negative amounts are given back.
+class Bound:
+    """The most that a router may have spent of a budget some time after a record.
 
     Args:
-        amounts: Tokens by workspace.
+        base: Tokens at the time of the record.
+        slope: Tokens for each second since then.
+    """
+
+    base: int
+    slope: float
+
+
+@dataclass(frozen=True)
+class Record:
+    """What a router has told the store of its tokens.
+
+    Args:
+        mark: Unique to this record.
+        at: Monotonic time just before the record was sent, in seconds.
+        wall: The host's time of day at the same moment, in seconds.
+        granted: Tokens drawn by this process, by workspace.
+        bounds: What it may have spent of them, by workspace.
+    """
+
+    mark: str
+    at: float
+    wall: float
+    granted: dict[str, int] = field(default_factory=dict)
+    bounds: dict[str, Bound] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class StoreRecord:
+    """Asks for a record to be stored, together with a draw.
+
+    Args:
+        record: The record, without the draw.
+        amounts: Tokens to draw, by workspace.
         budgets: Each workspace's whole budget in tokens, as far as it is known.
     """
 
+    record: Record
     amounts: dict[str, int]
     budgets: dict[str, int]
 
 
 @dataclass(frozen=True)
-class DrawMade:
-    """What a draw brought.
+class CloseAccounts:
+    """Asks for what is free to be given back, and for the record's removal.
+
+    Args:
+        free: Tokens to give back, by workspace.
+    """
+
+    free: dict[str, int]
+
+
+@dataclass(frozen=True)
+class RecordStored:
+    """A record is stored, and the draw has been made.
 
     Args:
-        granted: Tokens that this router holds now, by workspace.
+        record: The record with the draw in it.
+        granted: What was drawn with it, by workspace.
         drawn: Tokens drawn by all routers since the beginning, by workspace.
     """
 
+    record: Record
     granted: dict[str, int]
     drawn: dict[str, int]
 
 
 @dataclass(frozen=True)
-class DrawFailed:
-    """The store did not answer; nothing is held that was not held before."""
+class RecordDropped:
+    """A record is certainly not stored and will not be.
+
+    Args:
+        reason: Why.
+        drawn: Tokens drawn by all routers, as far as it is known.
+    """
+
+    reason: str
+    drawn: dict[str, int]
+
+
+@dataclass(frozen=True)
+class RecordUnknown:
+    """A record may be stored, or may still be; the next request settles it."""
 
     reason: str
 
