--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -8,9 +8,9 @@
 
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.border.draws_document import (
-    decode_drawn,
+    decode_count,
     decode_record,
-    encode_drawn,
+    encode_count,
     encode_record,
 )
 from hawthornstage.clock import Clock
@@ -29,6 +29,7 @@
     Item,
     LeaseGranted,
     LeaseLost,
+    Listing,
     Put,
     StoreRefused,
     StoreSilent,
@@ -36,9 +37,13 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
 
-# Where the ledger of draws lies, and the routers' records, each under its router.
-DRAWN_KEY = "hawthornstage/drawn"
+# Where the ledger lies, a count for each workspace, and the routers' records.
+COUNTS_PREFIX = "hawthornstage/drawn/"
 RECORDS_PREFIX = "hawthornstage/records/"
+# Age at which the ledger is read again, in seconds.
+REFRESH_S = 1.5
+# Age at which the record's lease is renewed, in seconds.
+RENEW_S = 0.9
 # Tries of one draw against the changes of other routers.
 MAX_TRIES = 8
 
@@ -52,14 +57,14 @@
         puts: Values to write.
         record: The record in it.
         granted: What it draws, by workspace.
-        drawn: The ledger after it.
+        counts: Counts of the ledger that it changes, by workspace.
     """
 
     expected: dict[str, int]
     puts: tuple[Put, ...]
     record: Record
     granted: dict[str, int]
-    drawn: dict[str, int]
+    counts: dict[str, int]
 
 
 class Ledger(Task):
@@ -81,11 +86,14 @@
         super().__init__()
         self.record_key = RECORDS_PREFIX + node
         self.store = store
+        self.clock = clock
         self.events = events
+        self.refreshed = float("-inf")
+        self.renewed = float("-inf")
         self.born = clock.wall()
         self.lease: int | None = None
         self.read = False
-        self.revisions = {DRAWN_KEY: 0, self.record_key: 0}
+        self.revisions: dict[str, int] = {}
         self.drawn: dict[str, int] = {}
         self.predecessor: Record | None = None
         self.mark: str | None = None
@@ -110,7 +118,7 @@
             if failure is not None:
                 return self.dropped(failure)
         for _ in range(MAX_TRIES):
-            failure = self.renew_lease()
+            failure = self.refresh() or self.renew_lease()
             if failure is not None:
                 return self.dropped(failure)
             outcome = self.commit(self.plan(wanted))
@@ -118,8 +126,26 @@
                 return outcome
         return self.dropped("the ledger changed too often")
 
+    def refresh(self) -> str | None:
+        """Read the ledger again if it is old; return why that failed."""
+        now = self.clock.monotonic()
+        if now - self.refreshed < REFRESH_S:
+            return None
+        match self.store.list(COUNTS_PREFIX):
+            case Listing(items, _):
+                for item in items:
+                    self.take(item)
+                self.refreshed = now
+                return None
+            case StoreRefused(reason) | StoreSilent(reason):
+                return reason
+
     def renew_lease(self) -> str | None:
         """Renew the record's lease, or get a new one; return why that failed."""
+        now = self.clock.monotonic()
+        if self.lease is not None and now - self.renewed < RENEW_S:
+            return None
+        self.renewed = now
         if self.lease is not None:
             match self.store.renew_lease(self.lease):
                 case LeaseGranted():
@@ -142,16 +168,14 @@
 
     def read_all(self) -> str | None:
         """Read the ledger and a predecessor's record; return why that failed."""
-        for key in (DRAWN_KEY, self.record_key):
-            match self.store.get(key):
-                case Item() as item:
-                    self.take(item)
-                case None:
-                    self.revisions[key] = 0
-                case StoreRefused(reason) | StoreSilent(reason):
-                    return reason
-        self.read = True
-        return None
+        match self.store.get(self.record_key):
+            case Item() as item:
+                self.take(item)
+            case StoreRefused(reason) | StoreSilent(reason):
+                return reason
+        failure = self.refresh()
+        self.read = failure is None
+        return failure
 
     def take_all(self, keys: Iterable[str], items: tuple[Item, ...]) -> None:
         """Take in keys as the store has them; those without an item are gone."""
@@ -164,8 +188,9 @@
     def take(self, item: Item) -> None:
         """Take in an item as the store has it."""
         self.revisions[item.key] = item.revision
-        if item.key == DRAWN_KEY:
-            self.drawn = decode_drawn(item.value)
+        if item.key != self.record_key:
+            workspace = item.key.removeprefix(COUNTS_PREFIX)
+            self.drawn[workspace] = decode_count(item.value)
             return
         record = decode_record(item.value)
         if self.mark is None:
@@ -181,15 +206,21 @@
                 drawn[workspace] = max(0, drawn.get(workspace, 0) - tokens)
         granted = covered(drawn, wanted.amounts, wanted.budgets)
         for workspace, tokens in granted.items():
-            drawn[workspace] = drawn.get(workspace, 0) + tokens
+            drawn[workspace] = max(0, drawn.get(workspace, 0) + tokens)
         record = with_draw(wanted.record, granted)
         assert self.lease is not None
         puts = [Put(self.record_key, encode_record(record), self.lease)]
-        expected = {self.record_key: self.revisions[self.record_key]}
-        if drawn != self.drawn:
-            puts.append(Put(DRAWN_KEY, encode_drawn(drawn)))
-            expected[DRAWN_KEY] = self.revisions[DRAWN_KEY]
-        return Write(expected, tuple(puts), record, granted, drawn)
+        changed = {k: n for k, n in drawn.items() if n != self.drawn.get(k, 0)}
+        puts += self.count_puts(changed)
+        expected = {put.key: self.revisions.get(put.key, 0) for put in puts}
+        return Write(expected, tuple(puts), record, granted, changed)
+
+    def count_puts(self, counts: dict[str, int]) -> list[Put]:
+        """Return what writes counts of the ledger."""
+        return [
+            Put(COUNTS_PREFIX + workspace, encode_count(tokens))
+            for workspace, tokens in counts.items()
+        ]
 
     def commit(
         self, write: Write
@@ -205,7 +236,7 @@
                 self.unknown = None
                 self.take_all(write.expected, items)
                 if self.mark_seen == write.record.mark:
-                    return self.stored(write, self.revisions[self.record_key])
+                    return self.stored(write, None)
                 return None
             case StoreSilent(reason):
                 self.unknown = write
@@ -215,16 +246,15 @@
             case failure:
                 return self.dropped(failure.reason)
 
-    def stored(self, write: Write, revision: int) -> RecordStored:
-        """Note that a write took effect."""
+    def stored(self, write: Write, revision: int | None) -> RecordStored:
+        """Note that a write took effect, at a revision or some time ago."""
         self.unknown = None
         if self.predecessor is not None:
             self.note_closing(self.predecessor)
         self.mark = write.record.mark
-        self.revisions[self.record_key] = revision
-        if DRAWN_KEY in write.expected and revision > self.revisions[DRAWN_KEY]:
-            self.revisions[DRAWN_KEY] = revision
-            self.drawn = write.drawn
+        if revision is not None:
+            self.revisions |= dict.fromkeys(write.expected, revision)
+            self.drawn |= write.counts
         if write.granted:
             self.events.emit("tokens_drawn", granted=write.granted)
         return RecordStored(write.record, write.granted, self.drawn)
@@ -249,10 +279,11 @@
             drawn = dict(self.drawn)
             for workspace, tokens in free.items():
                 drawn[workspace] = max(0, drawn.get(workspace, 0) - tokens)
-            put = Put(DRAWN_KEY, encode_drawn(drawn))
-            expected = dict(self.revisions)
+            puts = tuple(self.count_puts({name: drawn[name] for name in free}))
+            keys = (self.record_key, *(put.key for put in puts))
+            expected = {key: self.revisions.get(key, 0) for key in keys}
             removes = (self.record_key,)
-            match self.store.transact(expected, puts=(put,), removes=removes):
+            match self.store.transact(expected, puts=puts, removes=removes):
                 case Committed():
                     self.events.emit("tokens_returned", free=free)
                     return True
--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -17,11 +17,12 @@
     give,
     make_record,
     plan_draws,
+    put_back,
     return_free,
     room,
     set_aside,
     take_drawn,
-    take_gift,
+    take_out,
     take_totals,
     use,
 )
@@ -45,13 +46,15 @@
 from hawthornstage.observe.events import EventLog
 
 # Longest time that a call waits for tokens, in seconds.
-WAIT_S = 0.15
+WAIT_S = 0.07
 # Age at which a record is renewed, in seconds.
 RECORD_S = 0.6
 # Pause after a failed write, in seconds.
 FAILURE_PAUSE_S = 0.4
 # Pause between two requests for other routers' tokens, in seconds.
 ASK_PAUSE_S = 0.05
+# A write that takes longer than this counts as one that the store may not answer.
+SLOW_S = 0.05
 # Routers that are asked at once.
 ASKED = 3
 
@@ -107,6 +110,8 @@
         self.turn = 0
         self.waiting: list[Waiting] = []
         self.writing = False
+        self.write_at = float("-inf")
+        self.returning: dict[str, int] = {}
         self.closed = False
         self.write_after = float("-inf")
         self.ask_after = float("-inf")
@@ -125,7 +130,7 @@
             case RecordStored() | RecordDropped() | RecordUnknown():
                 self.take_outcome(message, now)
             case TokensGiven(workspace, tokens):
-                self.purse = take_gift(self.purse, workspace, tokens)
+                self.purse = take_drawn(self.purse, {workspace: tokens})
                 self.serve_waiting(now)
             case Ask(message=TokensWanted(workspace, tokens), reply_to=reply_to):
                 self.purse, given = give(self.purse, workspace, tokens, now)
@@ -184,7 +189,7 @@
             f" room for {room(self.purse, request.workspace, now):.0f},"
             f" {left} left in the ledger, store lost: {self.store_lost}"
         )
-        return Short(False, detail)
+        return Short(detail)
 
     def write(self, now: float) -> None:
         """Store a record and draw, if it is time to and no write is on its way."""
@@ -192,11 +197,19 @@
             return
         routers = self.routers.value
         wanted = self.wanted()
-        amounts = plan_draws(self.purse, self.budgets, routers, wanted=wanted, now=now)
+        amounts: dict[str, int] = {}
+        if self.purse.sent is None:
+            amounts = plan_draws(
+                self.purse, self.budgets, routers, wanted=wanted, now=now
+            )
         stored = self.purse.stored
         fresh = stored is not None and now - stored.at < RECORD_S
-        if fresh and not amounts and not self.waiting and not self.purse.sent:
+        needless = not amounts and not self.purse.sent and not self.bound_binds()
+        if fresh and needless:
             return
+        if self.purse.sent is None:
+            self.returning = amounts
+            self.purse = take_out(self.purse, amounts)
         record = self.purse.sent or make_record(
             self.purse,
             self.budgets,
@@ -207,11 +220,19 @@
             wall=self.clock.wall(),
         )
         self.writing = True
+        self.write_at = now
         self.purse = replace(self.purse, sent=record)
         reply_to = Forward(self.actor_ref.tell)
         request = StoreRecord(record, amounts, dict(self.budgets))
         self.ledger.tell(Ask(request, reply_to))
 
+    def bound_binds(self) -> bool:
+        """Whether a call waits only because the last record does not allow it."""
+        return any(
+            account_of(self.purse, each.request.workspace).free >= each.request.tokens
+            for each in self.waiting
+        )
+
     def wanted(self) -> dict[str, int]:
         """Return what calls wait for, by workspace."""
         amounts: dict[str, int] = {}
@@ -229,8 +250,10 @@
             case RecordStored(record, granted, drawn):
                 self.store_lost = False
                 self.purse = replace(self.purse, stored=record, sent=None)
-                self.purse = take_totals(take_drawn(self.purse, granted), drawn)
+                gained = {name: each for name, each in granted.items() if each > 0}
+                self.purse = take_totals(take_drawn(self.purse, gained), drawn)
             case RecordDropped(reason, drawn):
+                self.purse = put_back(self.purse, self.returning)
                 self.purse = take_totals(replace(self.purse, sent=None), drawn)
                 self.note_failure(reason, now)
             case RecordUnknown(reason):
@@ -248,7 +271,9 @@
         """Ask other routers for some of their tokens, if there is no other way."""
         account = account_of(self.purse, request.workspace)
         left = self.budgets[request.workspace] - account.drawn
-        drawable = not self.store_lost and left + account.free >= request.tokens
+        slow = self.writing and now - self.write_at > SLOW_S
+        away = self.store_lost or slow
+        drawable = not away and left + account.free >= request.tokens
         if not self.others or now < self.ask_after or drawable:
             return
         self.ask_after = now + ASK_PAUSE_S
--- a/src/hawthornstage/border/draws_document.py
+++ b/src/hawthornstage/border/draws_document.py
@@ -1,4 +1,4 @@
-"""The ledger of draws and the routers' records, as they lie in the store: CBOR."""
+"""The ledger's counts and the routers' records, as they lie in the store: CBOR."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from hawthornstage.messages.draws import Record
 
-DRAWN_ADAPTER = TypeAdapter(dict[str, int])
+COUNT_ADAPTER = TypeAdapter(int)
 RECORD_ADAPTER = TypeAdapter(Record)
 
 
@@ -17,18 +17,18 @@
     """The bytes are not what should lie there."""
 
 
-def encode_drawn(drawn: dict[str, int]) -> bytes:
-    """Encode the ledger: tokens drawn by all routers, by workspace."""
-    return cbor2.dumps(drawn)
+def encode_count(tokens: int) -> bytes:
+    """Encode a workspace's count: tokens drawn by all routers."""
+    return cbor2.dumps(tokens)
 
 
-def decode_drawn(data: bytes) -> dict[str, int]:
-    """Decode the ledger.
+def decode_count(data: bytes) -> int:
+    """Decode a workspace's count.
 
     Raises:
         DrawsFault: The bytes are not one.
     """
-    return _decode(DRAWN_ADAPTER, data)
+    return _decode(COUNT_ADAPTER, data)
 
 
 def encode_record(record: Record) -> bytes:
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -37,6 +37,12 @@
 SIZE_WEIGHT = 0.1
 # Size of a call before any was seen, in tokens.
 FIRST_SIZE = 5_000.0
+# The ledger is scarce when less than this part of a budget is left in it.
+SCARCE_PART = 0.2
+# Demand that a router holds when nothing is left, in seconds.
+SCARCE_HORIZON_S = 1.0
+# A router gives back what exceeds its target by this part and an average call.
+SURPLUS_PART = 0.3
 # Part of what is free that a router gives to another one at a time.
 GIFT_PART = 0.4
 # Time after the last record at which a router may spend all that it holds, in
@@ -50,7 +56,7 @@
 BOUND_AHEAD_S = 0.6
 BOUND_CALLS = 0.7
 # Growth of the bound, as a multiple of the demand.
-BOUND_GROWTH = 1.25
+BOUND_GROWTH = 1.0
 # A router that uses its even share of a budget would use it up in this time, in
 # seconds; the bound grows at least as if it did.
 EVEN_SHARE_S = 150.0
@@ -62,7 +68,6 @@
 
     Args:
         granted: Tokens that it was given, by the ledger or by other routers.
-        drawn_here: Those of them that come from the ledger.
         spent: Tokens that calls have used, or that went to other routers.
         open: Tokens that are set aside for calls.
         rate: Tokens used a second, averaged.
@@ -72,7 +77,6 @@
     """
 
     granted: int = 0
-    drawn_here: int = 0
     spent: int = 0
     open: int = 0
     rate: float = 0.0
@@ -163,14 +167,10 @@
 
 
 def take_drawn(purse: Purse, granted: dict[str, int]) -> Purse:
-    """Take in what was drawn from the ledger."""
+    """Take in what was drawn from the ledger, or was given by another router."""
     for workspace, tokens in granted.items():
         account = account_of(purse, workspace)
-        account = replace(
-            account,
-            granted=account.granted + tokens,
-            drawn_here=account.drawn_here + tokens,
-        )
+        account = replace(account, granted=account.granted + tokens)
         purse = put(purse, workspace, account)
     return purse
 
@@ -183,12 +183,6 @@
     return purse
 
 
-def take_gift(purse: Purse, workspace: str, tokens: int) -> Purse:
-    """Take in what another router has given."""
-    account = account_of(purse, workspace)
-    return put(purse, workspace, replace(account, granted=account.granted + tokens))
-
-
 def give(purse: Purse, workspace: str, tokens: int, now: float) -> tuple[Purse, int]:
     """Give tokens to another router; here they count as spent."""
     account = account_of(purse, workspace)
@@ -206,7 +200,7 @@
     wanted: dict[str, int],
     now: float,
 ) -> dict[str, int]:
-    """Return what to draw now, by workspace.
+    """Return what to draw now, by workspace; negative amounts go back.
 
     Args:
         purse: What is held.
@@ -218,17 +212,50 @@
     amounts: dict[str, int] = {}
     for workspace, budget in budgets.items():
         account = account_of(purse, workspace)
-        demand = account.rate_at(now) * HORIZON_S + 2 * account.size
-        target = int(max(demand, budget * min(FIRST_PART, 0.5 / routers)))
-        needed = wanted.get(workspace, 0) - account.free
+        aim = target(account, budget, routers, now)
         left = max(0, budget - account.drawn)
-        if not left or (account.free >= target * LOW_WATER and needed <= 0):
-            continue
-        fair = int(left * LEFT_PART / routers + 2 * account.size)
-        amounts[workspace] = min(max(min(target - account.free, fair), needed), left)
+        needed = wanted.get(workspace, 0) - account.free
+        surplus = account.free - aim
+        if needed > 0 or account.free < aim * LOW_WATER:
+            fair = int(left * LEFT_PART / routers + account.size)
+            amount = min(max(min(aim - account.free, fair), needed), left)
+        elif surplus > aim * SURPLUS_PART + account.size:
+            amount = -surplus
+        else:
+            amount = 0
+        if amount:
+            amounts[workspace] = amount
     return amounts
 
 
+def target(account: Account, budget: int, routers: int, now: float) -> int:
+    """Return how many free tokens a router should hold.
+
+    The less there is left in the ledger, the less a router holds: tokens that lie
+    unused at one router are missing at the others.
+    """
+    left = max(0, budget - account.drawn)
+    plenty = min(1.0, left / (budget * SCARCE_PART)) if budget else 0.0
+    rate = account.rate_at(now)
+    ahead = rate * HORIZON_S + 2 * account.size
+    first = budget * min(FIRST_PART, 0.5 / routers)
+    return int(max(ahead * plenty, first * plenty, rate * SCARCE_HORIZON_S))
+
+
+def take_out(purse: Purse, amounts: dict[str, int]) -> Purse:
+    """Take out what is to go back to the ledger: the negative amounts."""
+    for workspace, amount in amounts.items():
+        if amount < 0:
+            purse = take_drawn(purse, {workspace: amount})
+    return purse
+
+
+def put_back(purse: Purse, amounts: dict[str, int]) -> Purse:
+    """Undo `take_out`, because the ledger did not take it."""
+    returned = {name: -amount for name, amount in amounts.items() if amount < 0}
+    return take_drawn(purse, returned)
+
+
 def make_record(
     purse: Purse,
     budgets: dict[str, int],
@@ -259,15 +286,15 @@
         taken = account.spent + account.open + wanted.get(workspace, 0)
         base = taken + int(ahead)
         bounds[workspace] = Bound(base, rate * BOUND_GROWTH)
-    granted = {name: each.drawn_here for name, each in purse.accounts.items()}
+    granted = {name: each.granted for name, each in purse.accounts.items()}
     return Record(mark, now, wall, granted, bounds)
 
 
 def with_draw(record: Record, granted: dict[str, int]) -> Record:
-    """Return a record with a draw in it."""
+    """Return a record with a draw in it; what goes back is out of it already."""
     totals = dict(record.granted)
     for workspace, tokens in granted.items():
-        totals[workspace] = totals.get(workspace, 0) + tokens
+        totals[workspace] = totals.get(workspace, 0) + max(0, tokens)
     return replace(record, granted=totals)
 
 
@@ -291,15 +318,9 @@
 
 
 def return_free(purse: Purse) -> tuple[Purse, dict[str, int]]:
-    """Take out all that is free and was drawn here, to give it back."""
-    free: dict[str, int] = {}
-    for workspace, account in purse.accounts.items():
-        tokens = min(account.free, account.drawn_here)
-        if tokens > 0:
-            free[workspace] = tokens
-            spent = replace(account, spent=account.spent + tokens)
-            purse = put(purse, workspace, spent)
-    return purse, free
+    """Take out all that is free, to give it back."""
+    free = {name: each.free for name, each in purse.accounts.items() if each.free > 0}
+    return take_out(purse, {name: -tokens for name, tokens in free.items()}), free
 
 
 def covered(
@@ -309,6 +330,8 @@
     granted: dict[str, int] = {}
     for workspace, amount in amounts.items():
         left = budgets.get(workspace, 0) - drawn.get(workspace, 0)
-        if left > 0:
+        if amount < 0:
+            granted[workspace] = amount
+        elif left > 0:
             granted[workspace] = min(amount, left)
     return granted
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -37,6 +37,8 @@
     CRASHES_SERVERS = "crashes_servers"
     BILL_UNRECORDED = "bill_unrecorded"
     NO_DESIRED_STATE = "no_desired_state"
+    TOKENS_UNAVAILABLE = "tokens_unavailable"
+    SERVERS_BUSY = "servers_busy"
     CALL_BLOCKED = "call_blocked"
     OUT_OF_TIME = "out_of_time"
     SLOW_REQUEST = "slow_request"
@@ -56,7 +58,7 @@
 
     status: int
     ran: Ran
-    retry_after: int | None
+    retry_after: float | None
     message: str
 
 
@@ -122,7 +124,13 @@
         503, Ran.YES, 2, "The answer could not be billed and is withheld."
     ),
     ErrorKind.NO_DESIRED_STATE: Answer(
-        503, Ran.NO, 1, "The router does not know the desired state yet."
+        503, Ran.NO, 0.2, "The router does not know the desired state yet."
+    ),
+    ErrorKind.TOKENS_UNAVAILABLE: Answer(
+        503, Ran.NO, 0.05, "This router holds too few tokens of the budget now."
+    ),
+    ErrorKind.SERVERS_BUSY: Answer(
+        503, Ran.NO, 0.1, "No backend server takes the request now."
     ),
     ErrorKind.CALL_BLOCKED: Answer(
         503, Ran.NO, None, "Servers broke off under this call; it is not sent again."
--- a/src/hawthornstage/filters/forward.py
+++ b/src/hawthornstage/filters/forward.py
@@ -105,13 +105,9 @@
         match reply:
             case Aside(tokens):
                 return replace(exchange, reserved=tokens)
-            case Short(exhausted, detail):
-                kind = (
-                    ErrorKind.BUDGET_EXHAUSTED
-                    if exhausted
-                    else ErrorKind.BUDGET_UNAVAILABLE
-                )
-                return Failure(kind, f"workspace {name!r}: {detail}")
+            case Short(detail):
+                detail = f"workspace {name!r}: {detail}"
+                return Failure(ErrorKind.TOKENS_UNAVAILABLE, detail)
             case _:
                 return Failure(ErrorKind.OVERLOADED, "the purse did not reply in time")
 
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -136,7 +136,7 @@
         if delivery.head_sent:
             delivery.outcome = f"cut: {reason}"
             return None
-        kind = ErrorKind.SERVER_FAILED if delivery.ran else ErrorKind.NO_SERVER
+        kind = ErrorKind.SERVER_FAILED if delivery.ran else ErrorKind.SERVERS_BUSY
         return Failure(kind, reason)
 
     def out_of_time(self, delivery: Delivery) -> Failure | None:
@@ -144,7 +144,7 @@
         if delivery.head_sent:
             delivery.outcome = "cut: out of time"
             return None
-        kind = ErrorKind.OUT_OF_TIME if delivery.ran else ErrorKind.NO_SERVER
+        kind = ErrorKind.OUT_OF_TIME if delivery.ran else ErrorKind.SERVERS_BUSY
         return Failure(kind, "the call's time is up")
 
     def choose(
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -30,11 +30,9 @@
     """The tokens are not to be had now.
 
     Args:
-        exhausted: Whether the budget itself does not cover the call.
         detail: What is known, for the log.
     """
 
-    exhausted: bool
     detail: str
 
 
