--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -31,8 +31,8 @@
 )
 from hawthornstage.platform.store import StoreClient
 
-# Longest wait of one watch, in seconds; a connection that fell silent shows by then.
-WATCH_WAIT_S = 2.0
+# Longest wait of one watch, in seconds.
+WATCH_WAIT_S = 10.0
 # Pause after a failed call to the store, in seconds.
 RETRY_PAUSE_S = 0.25
 
--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -41,7 +41,7 @@
 COUNTS_PREFIX = "hawthornstage/drawn/"
 RECORDS_PREFIX = "hawthornstage/records/"
 # Age at which the ledger is read again, in seconds.
-REFRESH_S = 1.5
+REFRESH_S = 2.5
 # Age at which the record's lease is renewed, in seconds.
 RENEW_S = 0.9
 # Tries of one draw against the changes of other routers.
@@ -145,10 +145,10 @@
         now = self.clock.monotonic()
         if self.lease is not None and now - self.renewed < RENEW_S:
             return None
-        self.renewed = now
         if self.lease is not None:
             match self.store.renew_lease(self.lease):
                 case LeaseGranted():
+                    self.renewed = now
                     return None
                 case LeaseLost():
                     self.events.emit("record_lease_lost", lease=self.lease)
@@ -158,6 +158,7 @@
         match self.store.grant_lease(LEASE_S):
             case LeaseGranted(lease, _):
                 self.lease = lease
+                self.renewed = now
                 return None
             case StoreRefused(reason) | StoreSilent(reason):
                 return reason
--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -48,7 +48,7 @@
 # Longest time that a call waits for tokens, in seconds.
 WAIT_S = 0.07
 # Age at which a record is renewed, in seconds.
-RECORD_S = 0.6
+RECORD_S = 0.9
 # Pause after a failed write, in seconds.
 FAILURE_PAUSE_S = 0.4
 # Pause between two requests for other routers' tokens, in seconds.
--- a/src/hawthornstage/platform/store.py
+++ b/src/hawthornstage/platform/store.py
@@ -35,6 +35,10 @@
 ANSWER_TIMEOUT_S = 1.2
 # A connection without a sign of the store is dead after this time, in milliseconds.
 DEAD_CONNECTION_MS = 1_500
+# A silent connection is probed this often, in seconds, and given up after so many
+# probes without an answer.
+PROBE_PERIOD_S = 1
+LOST_PROBES = 1
 # Statuses by which the store says that it did nothing.
 REFUSALS = frozenset({429, 503})
 
@@ -112,6 +116,11 @@
         options = [
             *HTTPConnection.default_socket_options,
             (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_CONNECTION_MS),
+            # Probes show a connection that fell silent while a watch waits on it.
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_PERIOD_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, LOST_PROBES),
         ]
         self.pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=4, retries=False, socket_options=options
