--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -248,6 +248,8 @@
         self.writing = False
         match outcome:
             case RecordStored(record, granted, drawn):
+                if self.store_lost:
+                    self.events.emit("draws_resumed")
                 self.store_lost = False
                 self.purse = replace(self.purse, stored=record, sent=None)
                 gained = {name: each for name, each in granted.items() if each > 0}
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,109 @@
+"""A stand-in for a backend server on the users' platform.
+
+It answers calls with a digest, streams events where a call brings token counts, and
+refuses calls for another server. `POST /standin/behave` sets `full` (refuses all)
+and `event_s` (pause between events, in seconds).
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+from standins._http import (
+    StartResponse,
+    parser,
+    read_bytes,
+    read_json,
+    send_json,
+    serve,
+)
+
+
+class Backend:
+    """One server.
+
+    Args:
+        name: The id that calls must be meant for.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.full = False
+        self.event_s = 0.0
+        self.runs: Counter[str] = Counter()
+        self.owners: dict[str, str] = {}
+        self.tokens: Counter[str] = Counter()
+        self.lock = threading.Lock()
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Any:
+        """Serve one call."""
+        if environ["PATH_INFO"].startswith("/standin/"):
+            return self.control(environ, start)
+        body = read_bytes(environ)
+        if environ.get("HTTP_X_TARGET_INSTANCE", self.name) != self.name:
+            start("421 Misdirected Request", [("X-Instance-Id", self.name)])
+            return []
+        if self.full:
+            start("503 Service Unavailable", [("X-Not-Executed", "1")])
+            return []
+        return self.run(environ, body, start)
+
+    def run(self, environ: dict[str, Any], body: bytes, start: StartResponse) -> Any:
+        """Run one call."""
+        request_id = environ["HTTP_X_REQUEST_ID"]
+        owner = environ.get("HTTP_X_TENANT", "")
+        headers = [("X-Request-Id", request_id), ("X-Response-Seal", f"s-{request_id}")]
+        with self.lock:
+            self.runs[request_id] += 1
+            self.owners[request_id] = owner
+        counts = environ.get("HTTP_X_TOKEN_COUNTS")
+        if counts is None:
+            answer = b"done:" + body
+            start("200 OK", [*headers, ("Content-Length", str(len(answer)))])
+            return [answer]
+        tokens, most = (int(each) for each in counts.split(","))
+        with self.lock:
+            self.tokens[owner] += tokens
+        start("200 OK", [*headers, ("Content-Type", "text/event-stream")])
+        after = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
+        return self.events(owner, after, most)
+
+    def events(self, owner: str, after: int, count: int) -> Iterator[bytes]:
+        """Generate the events that follow one, a token each."""
+        for number in range(after + 1, count + 1):
+            if self.event_s:
+                time.sleep(self.event_s)
+            with self.lock:
+                self.tokens[owner] += 1
+            yield f"id: {number}\ndata: t{number}\n\n".encode()
+
+    def control(self, environ: dict[str, Any], start: StartResponse) -> Any:
+        """Set behaviour, or tell what has run."""
+        request = read_json(environ)
+        for name, value in request.items():
+            setattr(self, name, value)
+        with self.lock:
+            return send_json(
+                start,
+                {
+                    "runs": dict(self.runs),
+                    "owners": self.owners,
+                    "tokens": dict(self.tokens),
+                },
+            )
+
+
+def main() -> None:
+    """Run the stand-in."""
+    options = parser("Stand-in for a backend server of the platform.")
+    options.add_argument("--name", required=True)
+    chosen = options.parse_args()
+    serve(Backend(chosen.name), chosen.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,256 @@
+"""A fleet of routers on the users' platform, as processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from tools.cluster import ROOT, Process, free_ports, own_host, post, wait_until
+
+# Keys of the workspaces in a test fleet, and routes by what they are for.
+KEY = "key-a"
+HOST = "shop.example"
+STREAM, RESUMABLE, BOOKING, READ = "/letters/", "/notes/", "/refunds/", "/orders/"
+# Longest wait for one answer, in seconds.
+ANSWER_S = 15.0
+
+
+@dataclass(frozen=True)
+class FleetAnswer:
+    """What a caller got.
+
+    Args:
+        status: HTTP status, 0 for a broken connection.
+        body: What came of the body.
+        whole: Whether the answer was complete.
+    """
+
+    status: int
+    body: bytes
+    whole: bool
+
+
+def desired_state(version: int, budget: int, **changes: Any) -> dict[str, Any]:
+    """Return a desired state with a route of each kind."""
+
+    def route(name: str, path: str, kind: str, service: str, **more: Any) -> Any:
+        return {
+            "name": name,
+            "hostname": HOST,
+            "path-prefix": path,
+            "kind": kind,
+            "timeout-ms": 10_000,
+            "target-latency-ms": 500,
+            "service": service,
+            "max-attempts": 2,
+            **more,
+        }
+
+    state = {
+        "version": version,
+        "routes": [
+            route("letters", STREAM, "streaming", "models"),
+            route("notes", RESUMABLE, "streaming", "models", resumable=True),
+            route("refunds", BOOKING, "non_idempotent", "desk"),
+            route("orders", READ, "idempotent", "desk"),
+        ],
+        "services": [
+            {"name": "models", "engine": {"slots": 8, "stride": 1}},
+            {"name": "desk"},
+        ],
+        "tenants": [{"name": "shop-a", "api-keys": [KEY], "prepaid": budget}],
+    }
+    return {**state, **changes}
+
+
+class Fleet:
+    """Starts the store, backend servers and routers, and ends them.
+
+    Args:
+        routers: Number of routers.
+        servers: Number of backend servers of each service.
+        budget: Tokens of the workspace.
+    """
+
+    def __init__(
+        self, *, routers: int = 2, servers: int = 1, budget: int = 1_000_000
+    ) -> None:
+        self.names = [f"edge-{number}" for number in range(1, routers + 1)]
+        self.server_count = servers
+        self.budget = budget
+        self.version = 1
+        self.host = own_host()
+        self.processes: dict[str, Process] = {}
+        self.stack = ExitStack()
+        self.pool = urllib3.PoolManager(retries=False, maxsize=64)
+
+    def __enter__(self) -> Fleet:
+        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        self.folder = Path(folder)
+        self.stand_in("store", "key_value")
+        for service in ("models", "desk"):
+            for number in range(1, self.server_count + 1):
+                self.add_server(service, f"{service}-{number}")
+        self.publish(desired_state(self.version, self.budget))
+        ports = free_ports(self.host, 4 * len(self.names))
+        for name in self.names:
+            self.write_settings(name, [ports.pop() for _ in range(4)])
+            self.start_router(name)
+        for name in self.names:
+            self.wait_ready(name)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for process in self.processes.values():
+            process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+        self.stack.close()
+
+    def stand_in(self, name: str, module: str, *options: str) -> Process:
+        """Start a stand-in and wait until it serves."""
+        command = [sys.executable, "-m", f"standins.{module}", *options]
+        popen = subprocess.Popen(
+            command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+        )
+        assert popen.stdout is not None
+        port = int(popen.stdout.readline().split()[1])
+        self.processes[name] = Process(name, popen, port)
+        return self.processes[name]
+
+    def add_server(self, service: str, name: str, state: str = "ready") -> None:
+        """Start a backend server, if it does not run, and register it."""
+        if name not in self.processes:
+            self.stand_in(name, "backend", "--name", name)
+        entry = {
+            "service": service,
+            "address": f"127.0.0.1:{self.processes[name].port}",
+            "zone": "a",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+        }
+        self.control("store", "put", {f"servers/{name}": entry})
+
+    def publish(self, state: dict[str, Any]) -> None:
+        """Write a desired state as operators do."""
+        self.version = state["version"]
+        self.control("store", "put", {"op/config": state})
+
+    def control(self, name: str, what: str, body: dict[str, Any]) -> Any:
+        """Tell a stand-in how to behave, and return what it has seen."""
+        return post(f"{self.processes[name].url}/standin/{what}", body)
+
+    def write_settings(self, name: str, ports: list[int]) -> None:
+        """Write a router's settings file as the platform does."""
+        callers, ready, peers, _ = sorted(ports)
+        document = {
+            "node-name": name,
+            "ip": self.host,
+            "zone": "a",
+            "listen": {
+                "front": f"{self.host}:{callers}",
+                "ready": f"{self.host}:{ready}",
+            },
+            "port-range": [peers, peers + 1],
+            "bounds": {"grace-s": 8},
+            "platform": {"address": f"127.0.0.1:{self.processes['store'].port}"},
+        }
+        self.settings_of(name).write_text(json.dumps(document))
+
+    def settings_of(self, name: str) -> Path:
+        """Return the path of a router's settings file."""
+        return self.folder / f"{name}.json"
+
+    def log_of(self, name: str) -> str:
+        """Return what a router has logged."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def start_router(self, name: str) -> None:
+        """Start a router."""
+        settings = self.settings_of(name)
+        listen = json.loads(settings.read_text())["listen"]
+        log = self.stack.enter_context((self.folder / f"{name}.log").open("a"))
+        popen = subprocess.Popen(
+            [sys.executable, "src/fleet_router.py"],
+            cwd=ROOT,
+            env={**os.environ, "HAWTHORNSTAGE_SETTINGS": str(settings)},
+            stdout=log,
+            stderr=log,
+        )
+        port = int(listen["front"].rpartition(":")[2])
+        self.processes[name] = Process(name, popen, port, self.host)
+
+    def ready(self, name: str) -> bool:
+        """Whether a router says that it is ready."""
+        listen = json.loads(self.settings_of(name).read_text())["listen"]
+        try:
+            url = f"http://{listen['ready']}/-/readiness"
+            return self.pool.request("GET", url, timeout=2.0).status == 200
+        except HTTPError:
+            return False
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a router is ready and has seen all servers."""
+        wait_until(lambda: self.ready(name), what=f"{name} being ready")
+        seen = self.server_count * 2
+        wait_until(
+            lambda: self.log_of(name).count("event=server_seen") >= seen,
+            what=f"{name} seeing the servers",
+        )
+
+    def call(
+        self,
+        name: str,
+        path: str,
+        request_id: str,
+        *,
+        body: bytes = b"",
+        tokens: tuple[int, int] | None = None,
+        key: str = KEY,
+    ) -> FleetAnswer:
+        """Make a call as a caller does, on a connection of its own."""
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Time-Budget": "8000",
+            "Authorization": f"Bearer {key}",
+            "Connection": "close",
+        }
+        if tokens is not None:
+            headers["X-Token-Counts"] = f"{tokens[0]},{tokens[1]}"
+        url = self.processes[name].url + path
+        data = b""
+        try:
+            response = self.pool.request(
+                "POST",
+                url,
+                body=body,
+                headers=headers,
+                timeout=ANSWER_S,
+                preload_content=False,
+            )
+        except HTTPError:
+            return FleetAnswer(0, b"", False)
+        try:
+            for chunk in response.stream(4096):
+                data += chunk
+        except HTTPError:
+            return FleetAnswer(response.status, data, False)
+        return FleetAnswer(response.status, data, True)
