--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -22,6 +22,7 @@
     room,
     set_aside,
     take_drawn,
+    take_gift,
     take_out,
     take_totals,
     use,
@@ -55,8 +56,10 @@
 ASK_PAUSE_S = 0.05
 # A write that takes longer than this counts as one that the store may not answer.
 SLOW_S = 0.05
-# Routers that are asked at once.
-ASKED = 3
+# Routers that are asked at once, and what they are asked for in all, as a multiple of
+# what is missing.
+ASKED = 4
+ASKED_AMOUNT = 2.0
 
 
 @dataclass(frozen=True)
@@ -130,7 +133,7 @@
             case RecordStored() | RecordDropped() | RecordUnknown():
                 self.take_outcome(message, now)
             case TokensGiven(workspace, tokens):
-                self.purse = take_drawn(self.purse, {workspace: tokens})
+                self.purse = take_gift(self.purse, workspace, tokens)
                 self.serve_waiting(now)
             case Ask(message=TokensWanted(workspace, tokens), reply_to=reply_to):
                 self.purse, given = give(self.purse, workspace, tokens, now)
@@ -279,7 +282,9 @@
         if not self.others or now < self.ask_after or drawable:
             return
         self.ask_after = now + ASK_PAUSE_S
-        wanted = TokensWanted(request.workspace, request.tokens)
+        missing = request.tokens - max(0.0, room(self.purse, request.workspace, now))
+        part = int(missing * ASKED_AMOUNT / ASKED) + 1
+        wanted = TokensWanted(request.workspace, part)
         for _ in range(min(ASKED, len(self.others))):
             self.turn += 1
             node = self.others[self.turn % len(self.others)]
--- a/src/hawthornstage/border/peer_server.py
+++ b/src/hawthornstage/border/peer_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import socket
 import threading
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -69,6 +70,8 @@
         self.events = events
         self.metrics = metrics
         self.clock = clock
+        self.connections: set[ServerConnection] = set()
+        self.lock = threading.Lock()
         self.server: Server = serve(
             self.serve_connection,
             host,
@@ -87,8 +90,15 @@
         ).start()
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and cut the connections: their threads end with them."""
         self.server.shutdown()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.socket.shutdown(socket.SHUT_RDWR)
+            except OSError as error:
+                log.info("peer_connection_gone", reason=str(error))
 
     def check_secret(
         self, connection: ServerConnection, request: Request
@@ -103,6 +113,8 @@
     def serve_connection(self, connection: ServerConnection) -> None:
         """Take frames until the connection ends or a frame is wrong."""
         outbox = Mailbox(self.clock)
+        with self.lock:
+            self.connections.add(connection)
         sender = threading.Thread(
             target=self.send_replies, args=(connection, outbox), daemon=True
         )
@@ -118,6 +130,8 @@
             pass
         finally:
             outbox.put(None)
+            with self.lock:
+                self.connections.discard(connection)
 
     def take(self, data: bytes | str, outbox: Mailbox) -> None:
         """Pass one frame on."""
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -247,6 +247,9 @@
         done = ask(self.purse, ReturnAll(), self.clock, timeout=RETURN_S)
         self.members.tell(Deregister())
         self.events.emit("stopped", whole=whole, returned=done is not None)
+        self.peer_server.stop()
+        self.readiness.stop()
+        self.metrics_http.stop()
 
 
 def serve(server: wsgi.Server, name: str) -> None:
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -68,6 +68,7 @@
 
     Args:
         granted: Tokens that it was given, by the ledger or by other routers.
+        gifted: Those of them that came from other routers.
         spent: Tokens that calls have used, or that went to other routers.
         open: Tokens that are set aside for calls.
         rate: Tokens used a second, averaged.
@@ -77,6 +78,7 @@
     """
 
     granted: int = 0
+    gifted: int = 0
     spent: int = 0
     open: int = 0
     rate: float = 0.0
@@ -120,9 +122,17 @@
 
 
 def limit(purse: Purse, workspace: str, now: float) -> float:
-    """Return the most that may be spent or set aside of a budget until now."""
+    """Return the most that may be spent or set aside of a budget until now.
+
+    What other routers gave since a record is not in it, and so may be spent beyond.
+    """
+    gifted = account_of(purse, workspace).gifted
     records = [each for each in (purse.stored, purse.sent) if each is not None]
-    return min((bound_at(each, workspace, now) for each in records), default=0.0)
+    limits = (
+        bound_at(each, workspace, now) + gifted - each.gifted.get(workspace, 0)
+        for each in records
+    )
+    return min(limits, default=0.0)
 
 
 def bound_at(record: Record, workspace: str, now: float) -> float:
@@ -167,7 +177,7 @@
 
 
 def take_drawn(purse: Purse, granted: dict[str, int]) -> Purse:
-    """Take in what was drawn from the ledger, or was given by another router."""
+    """Take in what was drawn from the ledger."""
     for workspace, tokens in granted.items():
         account = account_of(purse, workspace)
         account = replace(account, granted=account.granted + tokens)
@@ -183,6 +193,15 @@
     return purse
 
 
+def take_gift(purse: Purse, workspace: str, tokens: int) -> Purse:
+    """Take in what another router has given."""
+    account = account_of(purse, workspace)
+    account = replace(
+        account, granted=account.granted + tokens, gifted=account.gifted + tokens
+    )
+    return put(purse, workspace, account)
+
+
 def give(purse: Purse, workspace: str, tokens: int, now: float) -> tuple[Purse, int]:
     """Give tokens to another router; here they count as spent."""
     account = account_of(purse, workspace)
@@ -287,7 +306,8 @@
         base = taken + int(ahead)
         bounds[workspace] = Bound(base, rate * BOUND_GROWTH)
     granted = {name: each.granted for name, each in purse.accounts.items()}
-    return Record(mark, now, wall, granted, bounds)
+    gifted = {name: each.gifted for name, each in purse.accounts.items()}
+    return Record(mark, now, wall, granted, gifted, bounds)
 
 
 def with_draw(record: Record, granted: dict[str, int]) -> Record:
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -72,7 +72,8 @@
         mark: Unique to this record.
         at: Monotonic time just before the record was sent, in seconds.
         wall: The host's time of day at the same moment, in seconds.
-        granted: Tokens drawn by this process, by workspace.
+        granted: Tokens that this process was given, by workspace.
+        gifted: Those of them that came from other routers.
         bounds: What it may have spent of them, by workspace.
     """
 
@@ -80,6 +81,7 @@
     at: float
     wall: float
     granted: dict[str, int] = field(default_factory=dict)
+    gifted: dict[str, int] = field(default_factory=dict)
     bounds: dict[str, Bound] = field(default_factory=dict)
 
 
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -132,8 +132,8 @@
 )
 def test_left_over_depends_on_the_predecessors_life(life: float, left: int) -> None:
     growth = 100.0 / (1.0 + draws.WALL_MARGIN_S)
-    record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {})
-    record = Record("m", 50.0, 1_000.0, record.granted, {WORKSPACE: Bound(200, growth)})
+    bounds = {WORKSPACE: Bound(200, growth)}
+    record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
     assert left_over(record, 1_000.0 + life).get(WORKSPACE, 0) == pytest.approx(left, 1)
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -178,5 +178,6 @@
     assert fleet.call("edge-1", BOOKING, "late").status == 200
     thread.join()
     assert answers == [FleetAnswer(200, events(30), True)]
-    assert fleet.processes["edge-1"].popen.wait(20) == 0
+    # The grace period is 8 s, of which the call has used some.
+    assert fleet.processes["edge-1"].popen.wait(8) == 0
     assert "event=tokens_returned" in fleet.log_of("edge-1")
