--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -53,13 +53,16 @@
 # Added to a predecessor's life as the time of day tells it, in seconds.
 WALL_MARGIN_S = 0.5
 # Demand that a record allows at once, in seconds, and in calls of average size.
-BOUND_AHEAD_S = 0.6
-BOUND_CALLS = 0.7
+BOUND_AHEAD_S = 1.0
+BOUND_CALLS = 1.2
+# The same falls to this part as less than a part of the budget is left in the ledger.
+BOUND_LEAST_PART = 0.2
+BOUND_SCARCE_PART = 0.4
 # Growth of the bound, as a multiple of the demand.
-BOUND_GROWTH = 1.0
+BOUND_GROWTH = 1.2
 # A router that uses its even share of a budget would use it up in this time, in
 # seconds; the bound grows at least as if it did.
-EVEN_SHARE_S = 150.0
+EVEN_SHARE_S = 300.0
 
 
 @dataclass(frozen=True)
@@ -253,12 +256,17 @@
     The less there is left in the ledger, the less a router holds: tokens that lie
     unused at one router are missing at the others.
     """
-    left = max(0, budget - account.drawn)
-    plenty = min(1.0, left / (budget * SCARCE_PART)) if budget else 0.0
     rate = account.rate_at(now)
     ahead = rate * HORIZON_S + 2 * account.size
     first = budget * min(FIRST_PART, 0.5 / routers)
-    return int(max(ahead * plenty, first * plenty, rate * SCARCE_HORIZON_S))
+    part = plenty(account, budget, SCARCE_PART)
+    return int(max(ahead * part, first * part, rate * SCARCE_HORIZON_S))
+
+
+def plenty(account: Account, budget: int, scarce_part: float) -> float:
+    """Return 1 while the ledger holds more than a part of a budget, falling to 0."""
+    left = max(0, budget - account.drawn)
+    return min(1.0, left / (budget * scarce_part)) if budget else 0.0
 
 
 def take_out(purse: Purse, amounts: dict[str, int]) -> Purse:
@@ -302,6 +310,8 @@
         even = budget / routers / EVEN_SHARE_S
         rate = max(account.rate_at(now), even)
         ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS
+        # What a crash strands hurts more the less there is left.
+        ahead *= max(BOUND_LEAST_PART, plenty(account, budget, BOUND_SCARCE_PART))
         taken = account.spent + account.open + wanted.get(workspace, 0)
         base = taken + int(ahead)
         bounds[workspace] = Bound(base, rate * BOUND_GROWTH)
