--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -216,9 +216,11 @@
         route = exchange.route.name if exchange else ""
         answer = failure.kind.value if failure else delivery.outcome.partition(":")[0]
         self.pipe.metrics.requests.labels(route, answer).inc()
+        self.pipe.metrics.call_seconds.labels(route, answer).observe(took)
         self.pipe.events.emit(
             "call_ended",
             request_id=call.id,
+            routine=answer == "answered",
             route=route,
             version=exchange.desired.version if exchange else 0,
             workspace=exchange.workspace.name
@@ -230,6 +232,7 @@
             status=answer_for(failure).status if failure else delivery.status,
             ms=int(took * 1000),
             events=delivery.events,
+            reserved=exchange.reserved if exchange else 0,
             tokens=used,
         )
 
--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -45,6 +45,7 @@
 from hawthornstage.messages.fleet import DesiredStateInUse, RoutersKnown
 from hawthornstage.messages.members import Unreachable
 from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
 
 # Longest time that a call waits for tokens, in seconds.
 WAIT_S = 0.07
@@ -90,6 +91,7 @@
         routers: Number of routers that draw.
         clock: The runtime's clock.
         events: Takes events.
+        metrics: Takes what is held.
     """
 
     def __init__(
@@ -100,8 +102,10 @@
         routers: Latest[int],
         clock: Clock,
         events: EventLog,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
+        self.metrics = metrics
         self.ledger = ledger
         self.peers = peers
         self.routers = routers
@@ -263,8 +267,19 @@
                 self.note_failure(reason, now)
             case RecordUnknown(reason):
                 self.note_failure(reason, now)
+        self.show()
         self.serve_waiting(now)
 
+    def show(self) -> None:
+        """Show in the metrics what is held."""
+        for name, budget in self.budgets.items():
+            account = account_of(self.purse, name)
+            self.metrics.free_tokens.labels(name).set(account.free)
+            self.metrics.undrawn_tokens.labels(name).set(budget - account.drawn)
+        if self.purse.stored is not None:
+            age = self.clock.monotonic() - self.purse.stored.at
+            self.metrics.record_age.set(age)
+
     def note_failure(self, reason: str, now: float) -> None:
         """Wait before the next write, and ask other routers meanwhile."""
         self.write_after = now + FAILURE_PAUSE_S
--- /dev/null
+++ b/src/hawthornstage/actors/settings_watch.py
@@ -0,0 +1,79 @@
+"""The task that reads the settings file again when it changes."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+from hawthornstage.border.settings import SettingsFault
+from hawthornstage.latest import Latest
+from hawthornstage.messages.node import HostSettings
+from hawthornstage.observe.events import EventLog
+
+# Period of looking at the file, for changes that no signal announces, in seconds.
+LOOK_S = 1.0
+
+
+class SettingsWatch(threading.Thread):
+    """Owns the settings in use.
+
+    Args:
+        path: The settings file.
+        load: Reads and checks the file.
+        settings: Where the settings are published.
+        changed: Set by SIGHUP.
+        events: Takes events.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        load: Callable[[Path], HostSettings],
+        settings: Latest[HostSettings],
+        changed: threading.Event,
+        events: EventLog,
+    ) -> None:
+        super().__init__(name="settings-watch", daemon=True)
+        self.path = path
+        self.load = load
+        self.settings = settings
+        self.changed = changed
+        self.events = events
+        self.text = self.read()
+
+    def read(self) -> bytes | None:
+        """Return the file's bytes, or None if it cannot be read now."""
+        try:
+            return self.path.read_bytes()
+        except OSError as error:
+            self.events.emit("settings_unread", reason=str(error))
+            return None
+
+    def run(self) -> None:
+        """Look at the file after each signal and from time to time."""
+        while True:
+            self.changed.wait(LOOK_S)
+            signalled = self.changed.is_set()
+            self.changed.clear()
+            self.look(signalled=signalled)
+
+    def look(self, *, signalled: bool) -> None:
+        """Take in the file if it has changed; a wrong one changes nothing."""
+        text = self.read()
+        if text is None or (text == self.text and not signalled):
+            return
+        self.text = text
+        try:
+            settings = self.load(self.path)
+        except SettingsFault as fault:
+            self.events.emit("settings_refused", faults="; ".join(fault.faults))
+            return
+        before = self.settings.value
+        self.settings.publish(settings)
+        self.events.emit(
+            "settings_reloaded",
+            signalled=signalled,
+            changed=settings != before,
+            needs_restart=settings.addresses != before.addresses,
+        )
--- a/src/hawthornstage/cli.py
+++ b/src/hawthornstage/cli.py
@@ -25,6 +25,7 @@
 from hawthornstage.border.tables_file import parse_tables
 from hawthornstage.daemon import EXIT_USAGE, run_router
 from hawthornstage.observe import timeline as timeline_module
+from hawthornstage.observe.log_reader import read_logs
 from hawthornstage.operator_client import OperatorClient, OperatorError
 from hawthornstage.reconcile import ClaimRecord, Journal, LedgerBill, compare
 
@@ -55,6 +56,15 @@
         fail(str(error), EXIT_REFUSED if error.status else EXIT_UNREACHABLE)
 
 
+def logged_events(logs: str, request: str) -> list[dict[str, Any]]:
+    """Return the events of a request, or all, that captured logs hold."""
+    try:
+        events = read_logs(str(logs).split(","))
+    except OSError as error:
+        fail(f"a log cannot be read: {error}", EXIT_USAGE)
+    return [event for event in events if not request or event["request_id"] == request]
+
+
 def show(document: Any, as_json: bool, text: str) -> None:
     """Print a document for programs, or text for people."""
     print(json_codec.dumps(document, indent=2) if as_json else text)
@@ -317,29 +327,42 @@
             raise SystemExit(EXIT_UNREACHABLE)
 
     def timeline(
-        self, request: str = "", last: float = 60.0, json: bool = False
+        self,
+        request: str = "",
+        last: float = 60.0,
+        logs: str = "",
+        json: bool = False,
     ) -> None:
         """Show the events of all routers in one order.
 
         Args:
             request: Only this request's events, by its X-Request-Id.
-            last: Only events of the last so many seconds.
+            last: Only events of the last so many seconds; without effect on logs.
+            logs: Read these captured logs instead of asking routers: paths joined by
+                commas; `-` is standard input.
             json: Print JSON.
         """
-        events = self.events(request, 0 if request else last)
+        if logs:
+            events = logged_events(logs, str(request))
+        else:
+            events = self.events(request, 0 if request else last)
         lines = "\n".join(timeline_module.line(event) for event in events)
         show(events, json, lines or "no events")
 
-    def explain(self, request: str, json: bool = False) -> None:
+    def explain(self, request: str, logs: str = "", json: bool = False) -> None:
         """Say what happened to a request, and why; exit code 1 if it is not known.
 
         Args:
             request: The request's X-Request-Id.
+            logs: Read these captured logs instead of asking routers: paths joined by
+                commas; `-` is standard input.
             json: Print JSON.
         """
-        events = self.events(str(request), 0)
+        request = str(request)
+        events = logged_events(logs, request) if logs else self.events(request, 0)
         if not events:
-            fail(f"no router remembers request {request}", EXIT_REFUSED)
+            place = "in the logs" if logs else "at any router"
+            fail(f"request {request} is not known {place}", EXIT_REFUSED)
         found = timeline_module.explain(events)
         rows = [f"{name:<10} {value}" for name, value in found.items()]
         show(found, json, "\n".join(rows))
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -5,6 +5,7 @@
 import secrets
 import threading
 from collections.abc import Callable, Iterable
+from pathlib import Path
 from typing import Any
 
 import pykka
@@ -25,12 +26,13 @@
 from hawthornstage.actors.purse import CheckPurse, PurseTask, ReturnAll
 from hawthornstage.actors.server_registry import ServerRegistry
 from hawthornstage.actors.serving_task import ServingTask
+from hawthornstage.actors.settings_watch import SettingsWatch
 from hawthornstage.actors.task import Switchboard
 from hawthornstage.actors.timers import Timers
 from hawthornstage.border.front import StartResponse, send
 from hawthornstage.border.peer_server import PeerServer
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.retry_share import RetryShare
+from hawthornstage.decisions.retry_share import RetryShare, RetryTerms
 from hawthornstage.decisions.serving import Serving
 from hawthornstage.filters.forward import BlockCrashing, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
@@ -42,6 +44,7 @@
 from hawthornstage.messages.store import Committed, Conflict, Item, Put
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
+from hawthornstage.platform.settings import load_host_settings
 from hawthornstage.platform.store import StoreClient
 
 # Periods of the tasks' own work, in seconds.
@@ -67,11 +70,19 @@
 
     Args:
         settings: The checked settings.
+        metrics_port: Where metrics are served, on the host's own address.
         clock: The runtime's clock.
     """
 
-    def __init__(self, settings: HostSettings, *, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        *,
+        metrics_port: int,
+        clock: Clock | None = None,
+    ) -> None:
         self.settings = settings
+        self.live_settings = Latest(settings)
         self.clock = clock or Clock()
         self.events = EventLog(settings.node, self.clock)
         self.metrics = Metrics()
@@ -81,7 +92,8 @@
         self.timers = Timers(self.clock)
         self.switchboard = Switchboard()
         self.readiness = self.make_http(settings.readiness, self.ready)
-        self.metrics_http = self.make_http(settings.metrics, self.show_metrics)
+        metrics = SocketAddress(settings.callers.host, metrics_port)
+        self.metrics_http = self.make_http(metrics, self.show_metrics)
 
     def start(self) -> None:
         """Start serving; waits until the store has told the shared secret."""
@@ -101,7 +113,7 @@
         )
         self.peer_server.start()
         self.watch_store()
-        self.events.emit("router_started", node_started=self.settings.node)
+        self.events.emit("router_started", metrics_port=self.metrics_http.bind_addr[1])
 
     def shared_secret(self) -> str:
         """Return the routers' shared secret; the first router makes it."""
@@ -132,6 +144,7 @@
             ledger=ledger,
             peers=self.peers,
             routers=self.routers,
+            metrics=self.metrics,
             **shared,
         )
         self.breaks = BreaksTask.start(self.peers, **shared)
@@ -144,11 +157,7 @@
         )
         self.serving = ServingTask.start(
             Serving(self.settings.failure_domain),
-            RetryShare(
-                self.settings.retry_ratio,
-                self.settings.retry_slack,
-                self.settings.retry_window_s,
-            ),
+            RetryShare(self.retry_terms),
             self.routers,
             **shared,
         )
@@ -172,6 +181,13 @@
         self.callers = Callers(self.settings.callers, self.make_pipe(), self.stopping)
         self.callers.start()
 
+    def retry_terms(self) -> RetryTerms:
+        """Return the terms of the fleet's retries as they are set now."""
+        settings = self.live_settings.value
+        return RetryTerms(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+
     def watch_store(self) -> None:
         """Start the watches, each with a connection of its own."""
         DesiredStateWatch(self.store(), self.states, self.clock, self.events).start()
@@ -179,7 +195,17 @@
 
     def store(self) -> StoreClient:
         """Return a client of the store for one task."""
-        return StoreClient(self.settings.store)
+
+        def count(kind: str, outcome: str) -> None:
+            self.metrics.store_calls.labels(kind, outcome).inc()
+
+        return StoreClient(lambda: self.live_settings.value.store, count=count)
+
+    def watch_settings(self, path: Path, changed: threading.Event) -> None:
+        """Read the settings again whenever the file changes or `changed` is set."""
+        SettingsWatch(
+            path, load_host_settings, self.live_settings, changed, self.events
+        ).start()
 
     def link_maker(
         self, identity: PeerIdentity
@@ -200,7 +226,9 @@
             identify=Identify(self.desired),
             filters=(BlockCrashing(self.breaks, self.clock), reserve),
             reserve=reserve,
-            forwarder=Forwarder(self.serving, self.breaks, self.clock, self.events),
+            forwarder=Forwarder(
+                self.serving, self.breaks, self.clock, self.events, self.metrics
+            ),
             desired=self.desired,
             clock=self.clock,
             events=self.events,
@@ -236,7 +264,8 @@
 
     def shut_down(self) -> None:
         """Take nothing new, finish what is at work, give tokens back."""
-        deadline = self.clock.monotonic() + self.settings.grace_s - GRACE_MARGIN_S
+        grace_s = self.live_settings.value.grace_s
+        deadline = self.clock.monotonic() + grace_s - GRACE_MARGIN_S
         self.events.emit("stopping", at_work=self.callers.at_work)
         self.stopping.begin()
         pause(self.clock, NOTICE_S)
--- a/src/hawthornstage/daemon.py
+++ b/src/hawthornstage/daemon.py
@@ -41,18 +41,22 @@
     return 0
 
 
-def run_fleet_router() -> int:
+def run_fleet_router(*, metrics_port: int) -> int:
     """Run a router on the users' platform until it is told to stop.
 
+    Args:
+        metrics_port: Where metrics are served; 0 lets the system choose.
+
     Returns:
         The exit code.
     """
-    configure_logs("info", sys.stdout)
-    try:
-        settings = load_host_settings(Path(os.environ[SETTINGS_VARIABLE]))
-    except KeyError:
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
         print(f"settings: {SETTINGS_VARIABLE} is not set", file=sys.stderr)
         return EXIT_USAGE
+    configure_logs("info", sys.stdout)
+    try:
+        settings = load_host_settings(Path(path))
     except SettingsFault as fault:
         for line in fault.faults:
             print(f"settings: {line}", file=sys.stderr)
@@ -60,8 +64,10 @@
     told = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: told.set())
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    router = FleetRouter(settings)
+    changed = threading.Event()
+    signal.signal(signal.SIGHUP, lambda *_: changed.set())
+    router = FleetRouter(settings, metrics_port=metrics_port)
+    router.watch_settings(Path(path), changed)
     router.start()
     told.wait()
     router.shut_down()
--- a/src/hawthornstage/decisions/retry_share.py
+++ b/src/hawthornstage/decisions/retry_share.py
@@ -3,28 +3,41 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 
-@dataclass
-class RetryShare:
-    """Counts requests and retries for each service.
+@dataclass(frozen=True)
+class RetryTerms:
+    """How many retries a fleet may make.
 
     Args:
-        ratio: Retries that the fleet may make for each request.
-        slack: Retries that the fleet may make beyond that.
+        ratio: Retries for each request.
+        slack: Retries beyond that.
         window_s: Time over which both are counted, in seconds.
     """
 
     ratio: float
     slack: float
     window_s: float
+
+
+@dataclass
+class RetryShare:
+    """Counts requests and retries for each service.
+
+    Args:
+        terms: Returns the terms as they are now.
+    """
+
+    terms: Callable[[], RetryTerms]
     requests: dict[str, deque[float]] = field(default_factory=dict)
     retries: dict[str, deque[float]] = field(default_factory=dict)
 
     def count_request(self, service: str, now: float) -> None:
         """Count a caller's request."""
-        recent(self.requests, service, now - self.window_s).append(now)
+        since = now - self.terms().window_s
+        recent(self.requests, service, since).append(now)
 
     def take(self, service: str, routers: int, now: float) -> bool:
         """Ask for one retry.
@@ -37,10 +50,11 @@
         Returns:
             False if this router's share is used up.
         """
-        since = now - self.window_s
+        terms = self.terms()
+        since = now - terms.window_s
         made = recent(self.retries, service, since)
         asked = recent(self.requests, service, since)
-        if len(made) + 1 > self.ratio * len(asked) + self.slack / max(1, routers):
+        if len(made) + 1 > terms.ratio * len(asked) + terms.slack / max(1, routers):
             return False
         made.append(now)
         return True
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -35,6 +35,7 @@
     WantServer,
 )
 from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
 # Longest wait for a connection to a server, in seconds.
@@ -84,12 +85,14 @@
         breaks: The task that counts servers' breaks.
         clock: The runtime's clock.
         events: Takes events.
+        metrics: Takes counts.
     """
 
     serving: pykka.ActorRef
     breaks: pykka.ActorRef
     clock: Clock
     events: EventLog
+    metrics: Metrics
 
     def deliver(
         self, exchange: ForwardExchange, caller: CallerConnection, delivery: Delivery
@@ -183,7 +186,7 @@
         delivery.attempts += 1
         ran_before, delivery.ran = delivery.ran, True
         try:
-            outcome = self.exchange(exchange, connection, server.id, delivery)
+            outcome = self.exchange(exchange, connection, choice, delivery)
         finally:
             connection.close()
         if isinstance(outcome, Refused):
@@ -194,15 +197,16 @@
         self,
         exchange: ForwardExchange,
         connection: ServerConnection,
-        server: str,
+        choice: ServerChosen,
         delivery: Delivery,
     ) -> AttemptOutcome:
         """Send the request and handle the answer."""
+        sent_at = self.clock.monotonic()
         call = exchange.call
         workspace = exchange.workspace.name if exchange.workspace else None
         headers = request_headers(
             call,
-            server=server,
+            server=choice.server.id,
             workspace=workspace,
             remaining_s=exchange.deadline - self.clock.monotonic(),
             urgency=exchange.priority if call.prompt else None,
@@ -214,6 +218,8 @@
         if not isinstance(head, AnswerHead):
             return head if isinstance(head, ENDS) else Broken("no answer")
         self.serving.tell(FirstByte(call.id))
+        took = self.clock.monotonic() - sent_at
+        self.metrics.estimate_error.observe(took - choice.wait_s)
         return self.relay(exchange, connection, head, delivery)
 
     def relay(
@@ -347,6 +353,8 @@
     ) -> None:
         """Tell the tasks how an attempt ended."""
         call = exchange.call
+        kind = type(outcome).__name__
+        self.metrics.attempts.labels(exchange.service, kind).inc()
         failed = isinstance(outcome, Broken | NotSent)
         full = isinstance(outcome, Refused) and outcome.full
         self.serving.tell(CallEnded(call.id, failed, full))
@@ -361,7 +369,7 @@
                 request_id=call.id,
                 server=choice.server.id,
                 wait_ms=int(choice.wait_s * 1000),
-                outcome=type(outcome).__name__,
+                outcome=kind,
                 reason=getattr(outcome, "reason", ""),
             )
 
--- a/src/hawthornstage/messages/node.py
+++ b/src/hawthornstage/messages/node.py
@@ -23,7 +23,6 @@
         callers: Where callers connect.
         readiness: Where the balancer asks whether the router is ready.
         peers: Where other routers connect.
-        metrics: Where metrics are served.
         store: The key-value store's `IP:PORT`.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
         retry_ratio: Retries of the whole fleet for each request to a service.
@@ -36,9 +35,13 @@
     callers: SocketAddress
     readiness: SocketAddress
     peers: SocketAddress
-    metrics: SocketAddress
     store: str
     grace_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+
+    @property
+    def addresses(self) -> tuple[SocketAddress, ...]:
+        """Where the router listens; only a restart changes that."""
+        return (self.callers, self.readiness, self.peers)
--- a/src/hawthornstage/observe/events.py
+++ b/src/hawthornstage/observe/events.py
@@ -10,6 +10,7 @@
 
 from hawthornstage.clock import Clock
 from hawthornstage.messages.events import Event, Stamp
+from hawthornstage.observe.quota import LineQuota
 
 log = structlog.get_logger()
 
@@ -59,11 +60,32 @@
     def __init__(self, node: str, clock: Clock) -> None:
         self.node = node
         self.clock = HybridClock(node, clock)
+        self.quota = LineQuota(clock)
         self.kept: deque[Event] = deque(maxlen=KEPT_EVENTS)
 
-    def emit(self, name: str, /, *, request_id: str = "", **fields: Any) -> None:
-        """Record an event and write it to the log as one line."""
+    def emit(
+        self,
+        name: str,
+        /,
+        *,
+        request_id: str = "",
+        routine: bool = False,
+        **fields: Any,
+    ) -> None:
+        """Record an event and write it to the log as one line.
+
+        Args:
+            name: What happened.
+            request_id: The request it belongs to, or empty.
+            routine: Whether the line may be left out first under load.
+            fields: Further facts.
+        """
         self.kept.append(Event(self.clock.now(), name, request_id, fields))
+        if not self.quota.take(routine=routine):
+            return
+        left_out = self.quota.take_left_out()
+        if left_out:
+            log.warning("log_lines_left_out", node=self.node, count=left_out)
         named = {"request_id": request_id} if request_id else {}
         log.info(name, node=self.node, **named, **fields)
 
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -32,6 +32,48 @@
             "Tokens in final bills of this router's requests",
             registry=self.registry,
         )
+        self.call_seconds = Histogram(
+            "hawthornstage_call_seconds",
+            "Time of a forwarded call from its arrival to its end",
+            ["route", "outcome"],
+            registry=self.registry,
+            buckets=(0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 15),
+        )
+        self.attempts = Counter(
+            "hawthornstage_attempts_total",
+            "Sends of forwarded calls by service and outcome",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self.estimate_error = Histogram(
+            "hawthornstage_wait_estimate_error_seconds",
+            "First byte of an answer, less the estimate when its server was chosen",
+            registry=self.registry,
+            buckets=(-0.2, -0.05, -0.01, 0.01, 0.05, 0.2, 0.5, 1, 2),
+        )
+        self.store_calls = Counter(
+            "hawthornstage_store_calls_total",
+            "Calls to the platform's store by kind and outcome",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self.free_tokens = Gauge(
+            "hawthornstage_free_tokens",
+            "Drawn tokens that no call has, by workspace",
+            ["workspace"],
+            registry=self.registry,
+        )
+        self.undrawn_tokens = Gauge(
+            "hawthornstage_undrawn_tokens",
+            "Tokens of a budget that no router has drawn, as far as it is known",
+            ["workspace"],
+            registry=self.registry,
+        )
+        self.record_age = Gauge(
+            "hawthornstage_record_age_seconds",
+            "Age of this router's last stored record",
+            registry=self.registry,
+        )
         self.retries = Counter(
             "hawthornstage_retries_total",
             "Tries after the first",
--- a/src/hawthornstage/observe/timeline.py
+++ b/src/hawthornstage/observe/timeline.py
@@ -32,6 +32,21 @@
     return f"{clock:<16} {stamp['node']:<12} {event['name']:<18} {request:<26} {fields}"
 
 
+def ended_call(node: str, fields: dict[str, Any]) -> dict[str, Any]:
+    """Sum up the line that ends a forwarded call."""
+    return {
+        "router": node,
+        "workspace": fields["workspace"] or "-",
+        "route": f"{fields['route'] or '-'} (desired state {fields['version']})",
+        "servers": fields["servers"] or "none was asked",
+        "tokens": f"{fields['tokens']} used of {fields['reserved']} set aside",
+        "events": fields["events"],
+        "took": f"{fields['ms']} ms",
+        "outcome": f"{fields['outcome']}, status {fields['status']}",
+        "reason": fields["detail"] or "-",
+    }
+
+
 def explain(events: list[dict[str, Any]]) -> dict[str, Any]:
     """Sum up what happened to one request."""
     found: dict[str, Any] = {"outcome": "unknown"}
@@ -61,6 +76,11 @@
                 found["bill"] = f"{fields['tokens']} tokens, not final"
             case "answered" | "replayed" | "caller_left":
                 found["outcome"] = event["name"]
+            case "attempt_failed":
+                tried = f"{fields['server']}: {fields['outcome']} {fields['reason']}"
+                found["attempts"] = [*found.get("attempts", []), tried.strip()]
+            case "call_ended":
+                found |= ended_call(event["stamp"]["node"], fields)
             case "refused" | "stream_failed":
                 detail = fields.get("detail") or fields.get("reason") or ""
                 found["outcome"] = f"{event['name']}: {fields['kind']} {detail}".strip()
--- a/src/hawthornstage/platform/key_value.py
+++ b/src/hawthornstage/platform/key_value.py
@@ -52,7 +52,8 @@
     """
 
     def __init__(self, url: str, *, timeout: float = 1.0) -> None:
-        self.store = StoreClient(urlsplit(url).netloc, timeout_s=timeout)
+        address = urlsplit(url).netloc
+        self.store = StoreClient(lambda: address, timeout_s=timeout)
 
     def get(self, key: str) -> Versioned | None:
         """Read a key.
--- a/src/hawthornstage/platform/settings.py
+++ b/src/hawthornstage/platform/settings.py
@@ -55,7 +55,6 @@
             callers=to_address(self.listen.front),
             readiness=to_address(self.listen.ready),
             peers=SocketAddress(self.ip, self.port_range[0]),
-            metrics=SocketAddress(self.ip, self.port_range[0] + 1),
             store=self.platform.address,
             grace_s=self.bounds.grace_s,
             retry_ratio=self.bounds.retry_ratio,
--- a/src/hawthornstage/platform/store.py
+++ b/src/hawthornstage/platform/store.py
@@ -5,7 +5,7 @@
 import base64
 import json
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Annotated, Any
 from urllib.parse import urlencode
 
@@ -108,12 +108,26 @@
     """Calls the store; a task that waits long, such as a watch, owns one by itself.
 
     Args:
-        address: The store's `IP:PORT`.
+        address: Returns the store's `IP:PORT`, which may change.
         timeout_s: Longest wait for an answer, in seconds.
+        count: Told of each call: its kind and the status or failure.
     """
 
-    def __init__(self, address: str, *, timeout_s: float = ANSWER_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        address: Callable[[], str],
+        *,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+        count: Callable[[str, str], None] | None = None,
+    ) -> None:
+        self.address = address
         self.timeout_s = timeout_s
+        self.count = count or (lambda kind, outcome: None)
+        self.connected_to = address()
+        self.pool = self.connect(self.connected_to)
+
+    def connect(self, address: str) -> urllib3.HTTPConnectionPool:
+        """Return connections to an address."""
         host, _, port = address.rpartition(":")
         options = [
             *HTTPConnection.default_socket_options,
@@ -124,8 +138,8 @@
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, LOST_PROBES),
         ]
-        self.pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=4, retries=False, socket_options=options
+        return urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=2, retries=False, socket_options=options
         )
 
     def get(self, key: str) -> Item | None | StoreFailure:
@@ -269,7 +283,28 @@
         body: Any = None,
         wait_s: float = 0.0,
     ) -> tuple[int, bytes] | StoreFailure:
-        """Make one call and return its status and body."""
+        """Make one call, count it, and return its status and body."""
+        if self.address() != self.connected_to:
+            self.connected_to = self.address()
+            self.pool = self.connect(self.connected_to)
+        outcome = self.request(method, path, query, body, wait_s)
+        kind = path.removeprefix("/-/").partition("/")[0]
+        match outcome:
+            case (status, _):
+                self.count(kind, str(status))
+            case failure:
+                self.count(kind, type(failure).__name__)
+        return outcome
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str] | None,
+        body: Any,
+        wait_s: float,
+    ) -> tuple[int, bytes] | StoreFailure:
+        """Make one call over the pool."""
         url = f"{path}?{urlencode(query)}" if query else path
         try:
             response = self.pool.request(
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -29,6 +29,7 @@
     StoreSilent,
 )
 from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
 
 BUDGET = 200_000
 WORKSPACE = "shop"
@@ -228,6 +229,7 @@
             routers=Latest(len(world.names)),
             clock=world.clock,
             events=events,
+            metrics=Metrics(),
         )
         others = {name: "" for name in world.names if name != self.node}
         self.purse.handle(RoutersKnown(others))
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,124 @@
+"""From a request's id to its cause, by logs alone; settings, quotas and metrics."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import threading
+import urllib.request
+from pathlib import Path
+
+import pytest
+
+from hawthornstage.actors.settings_watch import SettingsWatch
+from hawthornstage.clock import ManualClock
+from hawthornstage.latest import Latest
+from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.log_reader import parse_line, parse_lines
+from hawthornstage.observe.quota import MAX_LINES_S, MAX_ROUTINE_LINES_S, LineQuota
+from hawthornstage.platform.settings import load_host_settings
+from tests.test_platform_boundary import SETTINGS
+from tools.cluster import wait_until
+from tools.fleet import BOOKING, READ, STREAM, Fleet
+
+LINE = (
+    "  12.31 edge-1 timestamp=2026-12-04T11:00:00.250000Z level=info"
+    ' event=call_ended node=edge-1 request_id=r1 detail="a \\"quoted\\" text=1" ms=5'
+)
+
+
+def hawthornstage(*arguments: str, stdin: str = "") -> subprocess.CompletedProcess[str]:
+    """Run the command line."""
+    return subprocess.run(
+        [sys.executable, "-m", "hawthornstage.cli", *arguments],
+        input=stdin,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+def test_line_is_read_with_its_quotes() -> None:
+    event = next(parse_lines([LINE, "no event at all", "timestamp=never event=x"]))
+    assert event["name"] == "call_ended"
+    assert event["request_id"] == "r1"
+    assert event["fields"] == {"detail": 'a "quoted" text=1', "ms": "5"}
+    assert parse_line("timestamp=never event=x", 0) is None
+
+
+def test_routine_lines_go_first_and_are_counted() -> None:
+    clock = ManualClock()
+    quota = LineQuota(clock)
+    routine = sum(quota.take(routine=True) for _ in range(1_000))
+    failures = sum(quota.take(routine=False) for _ in range(1_000))
+    assert routine == MAX_ROUTINE_LINES_S
+    assert routine + failures == MAX_LINES_S
+    assert quota.take_left_out() == 2_000 - MAX_LINES_S
+    assert quota.take_left_out() == 0
+    clock.advance(1.0)
+    assert quota.take(routine=True)
+
+
+@pytest.fixture
+def watch(tmp_path: Path) -> SettingsWatch:
+    """Return a watch over a settings file."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    settings = Latest(load_host_settings(path))
+    events = EventLog("a", ManualClock())
+    return SettingsWatch(path, load_host_settings, settings, threading.Event(), events)
+
+
+def test_changed_settings_are_taken_in(watch: SettingsWatch) -> None:
+    changed = {**SETTINGS, "platform": {"address": "10.0.0.10:91"}}
+    watch.path.write_text(json.dumps(changed))
+    watch.look(signalled=False)
+    assert watch.settings.value.store == "10.0.0.10:91"
+
+
+def test_wrong_settings_change_nothing(watch: SettingsWatch) -> None:
+    before = watch.settings.value
+    watch.path.write_text("{")
+    watch.look(signalled=True)
+    watch.path.unlink()
+    watch.look(signalled=True)
+    assert watch.settings.value is before
+
+
+def test_three_failed_calls_are_explained_by_the_logs_alone() -> None:
+    with Fleet(routers=1, budget=2_000) as fleet:
+        fleet.control("desk-1", "behave", {"full": True})
+        fleet.call("edge-1", BOOKING, "busy")
+        fleet.call("edge-1", STREAM, "costly", tokens=(5_000, 100))
+        fleet.call("edge-1", READ, "stolen", key="stolen")
+        log = fleet.log_of("edge-1")
+        wait_until(lambda: "request_id=stolen" in fleet.log_of("edge-1"))
+        log = fleet.log_of("edge-1")
+    busy = hawthornstage("explain", "busy", "--logs=-", stdin=log)
+    assert "servers_busy, status 503" in busy.stdout
+    assert "desk-1: Refused status 503, not run" in busy.stdout
+    costly = json.loads(
+        hawthornstage("explain", "costly", "--logs=-", "--json", stdin=log).stdout
+    )
+    assert costly["outcome"] == "tokens_unavailable, status 503"
+    assert "5100 wanted" in costly["reason"]
+    assert costly["servers"] == "none was asked"
+    stolen = hawthornstage("explain", "stolen", "--logs=-", stdin=log)
+    assert "unauthenticated, status 401" in stolen.stdout
+    unknown = hawthornstage("explain", "nobody", "--logs=-", stdin=log)
+    assert unknown.returncode == 1
+    shown = hawthornstage("timeline", "--logs=-", stdin=log)
+    assert "desired_state_adopted" in shown.stdout
+
+
+def test_metrics_are_served() -> None:
+    with Fleet(routers=1) as fleet:
+        assert fleet.call("edge-1", STREAM, "s1", tokens=(10, 3)).status == 200
+        url = fleet.metrics_url("edge-1")
+        with urllib.request.urlopen(url, timeout=10) as answer:
+            text = answer.read().decode()
+    assert 'hawthornstage_requests_total{answer="answered",route="letters"} 1.0' in text
+    assert "hawthornstage_store_calls_total" in text
+    assert 'hawthornstage_free_tokens{workspace="shop-a"}' in text
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,7 +15,7 @@
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.breaks import FORGET_S, MAX_BREAKS, Breaks
 from hawthornstage.decisions.forwarding import choose_share, identify, newer
-from hawthornstage.decisions.retry_share import RetryShare
+from hawthornstage.decisions.retry_share import RetryShare, RetryTerms
 from hawthornstage.decisions.serving import FIRST_AVOIDANCE_S, Serving
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.latest import Latest
@@ -311,7 +311,8 @@
 def test_retries_of_a_fleet_stay_within_the_share(
     gaps: list[float], routers: int
 ) -> None:
-    shares = [RetryShare(0.2, 56.0, 10.0) for _ in range(routers)]
+    terms = RetryTerms(0.2, 56.0, 10.0)
+    shares = [RetryShare(lambda: terms) for _ in range(routers)]
     now = 0.0
     asked: list[float] = []
     retried: list[float] = []
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -36,6 +36,7 @@
 from hawthornstage.messages.node import SocketAddress
 from hawthornstage.messages.serving import NoServerFit, ServerChosen
 from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.desired_state import decode_desired_state
 from tests.test_forwarding import document, make_call
 
@@ -231,7 +232,7 @@
         assert isinstance(pair.receive(), RawRequest)
         tasks: Any = Tasks([server.start() for server in servers])
         clock = ManualClock(start=10.0)
-        forwarder = Forwarder(tasks, tasks, clock, EventLog("a", clock))
+        forwarder = Forwarder(tasks, tasks, clock, EventLog("a", clock), Metrics())
         delivery = Delivery()
         failure = forwarder.deliver(exchange_for(target), pair.connection, delivery)
         return failure, delivery
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -182,6 +182,11 @@
         """Return what a router has logged."""
         return (self.folder / f"{name}.log").read_text()
 
+    def metrics_url(self, name: str) -> str:
+        """Return the address of a router's metrics, by what it has logged."""
+        port = self.log_of(name).rpartition("metrics_port=")[2].split()[0]
+        return f"http://{self.host}:{port}/metrics"
+
     def start_router(self, name: str) -> None:
         """Start a router."""
         settings = self.settings_of(name)
