--- a/src/fleet_router.py
+++ b/src/fleet_router.py
@@ -4,7 +4,7 @@
 
 import argparse
 
-from hawthornstage.daemon import run_fleet_router
+from hawthornstage.fleet_daemon import run_fleet_router
 
 if __name__ == "__main__":
     options = argparse.ArgumentParser(description=__doc__)
--- a/src/hawthornstage/__init__.py
+++ b/src/hawthornstage/__init__.py
@@ -1,6 +1,23 @@
 """A router fleet for language-model capacity on prepaid token budgets."""
 
-from hawthornstage.border.settings import Settings, load_settings
-from hawthornstage.compose import Router
+from __future__ import annotations
 
-__all__ = ["Router", "Settings", "load_settings"]
+import importlib
+from typing import Any
+
+__all__ = ["FleetRouter", "Router", "Settings", "load_settings"]
+
+# Where each public name lies; it is loaded when it is first used, so that a daemon
+# starts without the parts that it does not need.
+PLACES = {
+    "FleetRouter": "hawthornstage.compose_fleet",
+    "Router": "hawthornstage.compose",
+    "Settings": "hawthornstage.border.settings",
+    "load_settings": "hawthornstage.border.settings",
+}
+
+
+def __getattr__(name: str) -> Any:
+    if name not in PLACES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(PLACES[name]), name)
--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -27,7 +27,8 @@
     ReserveTokens,
     run_filters,
 )
-from hawthornstage.filters.forward_attempt import Forwarder, send_whole
+from hawthornstage.filters.forward_attempt import Forwarder
+from hawthornstage.filters.forward_relay import send_whole
 from hawthornstage.latest import Latest
 from hawthornstage.messages.desired import CallerLimits, DesiredState
 from hawthornstage.messages.forward import Delivery, ForwardCall, ForwardExchange
@@ -201,7 +202,7 @@
             *error_headers(failure, request_id),
         )
         status = answer_for(failure).status
-        send_whole(self.caller, status, headers, document, close)
+        send_whole(self.caller, status, headers, document, close=close)
 
     def report(
         self,
--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import threading
 from dataclasses import dataclass
 from typing import Any
 
 import pykka
 
 from hawthornstage.actors.peers import Send
+from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import newer
@@ -21,7 +21,7 @@
     DesiredStateWanted,
     StateBeat,
 )
-from hawthornstage.messages.store import Changes, HistoryLost, Item, Listing
+from hawthornstage.messages.store import Item, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.desired_state import (
     DESIRED_STATE_KEY,
@@ -31,11 +31,6 @@
 )
 from hawthornstage.platform.store import StoreClient
 
-# Longest wait of one watch, in seconds.
-WATCH_WAIT_S = 10.0
-# Pause after a failed call to the store, in seconds.
-RETRY_PAUSE_S = 0.25
-
 
 @dataclass(frozen=True)
 class DocumentSeen:
@@ -125,7 +120,7 @@
             subscriber.tell(DesiredStateInUse(state, document))
 
 
-class DesiredStateWatch(threading.Thread):
+class DesiredStateWatch(StoreWatch):
     """Owns the watch for the desired state.
 
     Args:
@@ -138,61 +133,15 @@
     def __init__(
         self, store: StoreClient, task: pykka.ActorRef, clock: Clock, events: EventLog
     ) -> None:
-        super().__init__(name="desired-state-watch", daemon=True)
-        self.store = store
+        super().__init__(DESIRED_STATE_PREFIX, store, clock, events)
         self.task = task
-        self.clock = clock
-        self.events = events
-        self.revision: int | None = None
-        self.lost = False
-
-    def run(self) -> None:
-        """Read, then watch from there; read again after each gap."""
-        while True:
-            if not self.step():
-                pause(self.clock, RETRY_PAUSE_S)
-
-    def step(self) -> bool:
-        """Make one call; False if the store did not answer."""
-        if self.revision is None:
-            outcome = self.store.list(DESIRED_STATE_PREFIX)
-        else:
-            outcome = self.store.watch(
-                DESIRED_STATE_PREFIX, self.revision, WATCH_WAIT_S
-            )
-        match outcome:
-            case Listing(items, revision) | Changes(items, revision):
-                self.regained()
-                self.revision = revision
-                for item in items:
-                    if isinstance(item, Item) and item.key == DESIRED_STATE_KEY:
-                        self.task.tell(DocumentSeen(item.value, "store"))
-                return True
-            case HistoryLost():
-                self.events.emit("watch_restarted", prefix=DESIRED_STATE_PREFIX)
-                self.revision = None
-                return True
-            case failure:
-                self.note_loss(failure.reason)
-                return False
-
-    def note_loss(self, reason: str) -> None:
-        """Log the first failure of a series."""
-        if not self.lost:
-            self.lost = True
-            self.events.emit(
-                "store_lost", what=DESIRED_STATE_PREFIX, reason=reason[:120]
-            )
-
-    def regained(self) -> None:
-        """Log the end of a series of failures."""
-        if self.lost:
-            self.lost = False
-            self.events.emit("store_regained", what=DESIRED_STATE_PREFIX)
 
+    def take_listing(self, items: tuple[Item, ...]) -> None:
+        """Pass the desired state on."""
+        self.take_changes(items)
 
-def pause(clock: Clock, seconds: float) -> None:
-    """Wait on the runtime's clock."""
-    condition = threading.Condition()
-    with condition:
-        clock.wait(condition, seconds)
+    def take_changes(self, changes: tuple[Item | Removal, ...]) -> None:
+        """Pass each version of the desired state on."""
+        for change in changes:
+            if isinstance(change, Item) and change.key == DESIRED_STATE_KEY:
+                self.task.tell(DocumentSeen(change.value, "store"))
--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -2,23 +2,13 @@
 
 from __future__ import annotations
 
-import threading
-
 import pykka
 
-from hawthornstage.actors.desired_states import RETRY_PAUSE_S, WATCH_WAIT_S, pause
+from hawthornstage.actors.store_watch import WATCH_WAIT_S, StoreWatch
 from hawthornstage.clock import Clock
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.serving import ServersKnown
-from hawthornstage.messages.store import (
-    Changes,
-    HistoryLost,
-    Item,
-    Listing,
-    Removal,
-    StoreRefused,
-    StoreSilent,
-)
+from hawthornstage.messages.store import Item, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.server_entries import ENTRIES_PREFIX, decode_entry
 from hawthornstage.platform.store import StoreClient
@@ -27,7 +17,7 @@
 RETURN_S = 2.5
 
 
-class ServerRegistry(threading.Thread):
+class ServerRegistry(StoreWatch):
     """Owns the watch for servers' entries and what they say.
 
     Args:
@@ -44,46 +34,17 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        super().__init__(name="server-registry", daemon=True)
-        self.store = store
+        super().__init__(ENTRIES_PREFIX, store, clock, events)
         self.subscriber = subscriber
-        self.clock = clock
-        self.events = events
-        self.revision: int | None = None
         self.servers: dict[str, BackendServer] = {}
         self.lapsed: set[str] = set()
         self.settled_at = float("-inf")
-        self.lost = False
-
-    def run(self) -> None:
-        """Read, then watch from there; read again after each gap."""
-        while True:
-            if not self.step():
-                pause(self.clock, RETRY_PAUSE_S)
 
     def step(self) -> bool:
-        """Make one call; False if the store did not answer."""
-        if self.revision is None:
-            outcome = self.store.list(ENTRIES_PREFIX)
-        else:
-            outcome = self.store.watch(ENTRIES_PREFIX, self.revision, self.patience())
+        """Make one call, and drop what did not come back after an outage."""
+        answered = super().step()
         self.drop_lapsed()
-        match outcome:
-            case Listing(items, revision):
-                self.regained()
-                self.revision = revision
-                self.take_listing(items)
-            case Changes(changes, revision):
-                self.regained()
-                self.revision = revision
-                self.take_changes(changes)
-            case HistoryLost():
-                self.events.emit("watch_restarted", prefix=ENTRIES_PREFIX)
-                self.revision = None
-            case StoreRefused(reason) | StoreSilent(reason):
-                self.note_loss(reason)
-                return False
-        return True
+        return answered
 
     def patience(self) -> float:
         """Return how long to watch before lapsed entries have to be dropped."""
@@ -162,15 +123,6 @@
         """Tell who is registered."""
         self.subscriber.tell(ServersKnown(dict(self.servers)))
 
-    def note_loss(self, reason: str) -> None:
-        """Log the first failure of a series."""
-        if not self.lost:
-            self.lost = True
-            self.events.emit("store_lost", what=ENTRIES_PREFIX, reason=reason[:120])
-
     def regained(self) -> None:
         """Give lapsed entries time to come back after an outage."""
-        if self.lost:
-            self.lost = False
-            self.settled_at = self.clock.monotonic() + RETURN_S
-            self.events.emit("store_regained", what=ENTRIES_PREFIX)
+        self.settled_at = self.clock.monotonic() + RETURN_S
--- a/src/hawthornstage/actors/settings_watch.py
+++ b/src/hawthornstage/actors/settings_watch.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from hawthornstage.border.settings import SettingsFault
+from hawthornstage.faults import SettingsFault
 from hawthornstage.latest import Latest
 from hawthornstage.messages.node import HostSettings
 from hawthornstage.observe.events import EventLog
--- a/src/hawthornstage/border/front.py
+++ b/src/hawthornstage/border/front.py
@@ -5,10 +5,10 @@
 import json
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
-from http.client import responses
 from typing import Any
 
 from hawthornstage.border.answers import error_document, error_headers
+from hawthornstage.border.wsgi import StartResponse, send, status_line
 from hawthornstage.errors import ErrorKind, Failure, answer_for
 from hawthornstage.filters.accept import Accept, Gate
 from hawthornstage.filters.pipe import Filter, run
@@ -16,9 +16,6 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
-
 
 @dataclass(frozen=True)
 class Front:
@@ -188,27 +185,3 @@
     if length and len(body) < int(length):
         return Failure(ErrorKind.BAD_REQUEST, "the body broke off")
     return body
-
-
-def status_line(status: int) -> str:
-    """Return a status code with its usual words."""
-    return f"{status} {responses.get(status, 'Unknown')}"
-
-
-def send(
-    start: StartResponse,
-    status: int,
-    content_type: str,
-    body: bytes,
-    headers: list[tuple[str, str]] | None = None,
-) -> list[bytes]:
-    """Send a whole answer."""
-    start(
-        status_line(status),
-        [
-            ("Content-Type", content_type),
-            ("Content-Length", str(len(body))),
-            *(headers or []),
-        ],
-    )
-    return [body]
--- a/src/hawthornstage/border/json_api.py
+++ b/src/hawthornstage/border/json_api.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hawthornstage.border.front import StartResponse, read_body, send
+from hawthornstage.border.front import read_body
+from hawthornstage.border.wsgi import StartResponse, send
 from hawthornstage.errors import Failure
 from hawthornstage.filters.authenticate import KeyRing
 
--- a/src/hawthornstage/border/old_setup_api.py
+++ b/src/hawthornstage/border/old_setup_api.py
@@ -23,16 +23,16 @@
     Taken,
     TakeReservation,
 )
-from hawthornstage.border.front import StartResponse
 from hawthornstage.border.json_api import (
     NOT_FOUND,
     UNAVAILABLE,
     ApiAnswer,
     serve_json,
 )
-from hawthornstage.border.settings import fault_lines
+from hawthornstage.border.wsgi import StartResponse
 from hawthornstage.clock import Clock
 from hawthornstage.decisions import claims
+from hawthornstage.faults import fault_lines
 from hawthornstage.filters.authenticate import KeyRing
 from hawthornstage.filters.claim import claims_key
 from hawthornstage.filters.reserve import Treasury
--- a/src/hawthornstage/border/operator_api.py
+++ b/src/hawthornstage/border/operator_api.py
@@ -27,20 +27,20 @@
     WantTables,
     with_edit,
 )
-from hawthornstage.border.front import StartResponse
 from hawthornstage.border.json_api import (
     NOT_FOUND,
     UNAVAILABLE,
     ApiAnswer,
     serve_json,
 )
-from hawthornstage.border.settings import SettingsFault, fault_lines
 from hawthornstage.border.tables_file import parse_tables, tables_document
+from hawthornstage.border.wsgi import StartResponse
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.claims import ClaimEntry, ClaimState
 from hawthornstage.decisions.ledger import Budget, Ledger, ToppedUp, TopUp
 from hawthornstage.decisions.membership import live
 from hawthornstage.decisions.tables import Edit, EditAccepted, EditRaced
+from hawthornstage.faults import SettingsFault, fault_lines
 from hawthornstage.filters.authenticate import KeyRing
 from hawthornstage.mailbox import Mailbox
 from hawthornstage.messages.events import Event
--- a/src/hawthornstage/border/settings.py
+++ b/src/hawthornstage/border/settings.py
@@ -9,17 +9,7 @@
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-
-class SettingsFault(Exception):
-    """The settings are not valid.
-
-    Args:
-        faults: One line each: the path and what was expected.
-    """
-
-    def __init__(self, faults: list[str]) -> None:
-        super().__init__("\n".join(faults))
-        self.faults = faults
+from hawthornstage.faults import SettingsFault, fault_lines
 
 
 class Section(BaseModel):
@@ -209,16 +199,3 @@
         return Settings.model_validate(document)
     except ValidationError as error:
         raise SettingsFault(fault_lines(error)) from error
-
-
-def fault_lines(error: ValidationError) -> list[str]:
-    """Return one line for each fault: its path and what was expected."""
-    return [f"{fault_path(each['loc'])}: {each['msg']}" for each in error.errors()]
-
-
-def fault_path(parts: tuple[int | str, ...]) -> str:
-    """Write a path as `keys.callers[0].id`."""
-    path = ""
-    for part in parts:
-        path += f"[{part}]" if isinstance(part, int) else f".{part}"
-    return path.removeprefix(".") or "(top level)"
--- a/src/hawthornstage/border/tables_file.py
+++ b/src/hawthornstage/border/tables_file.py
@@ -7,8 +7,8 @@
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
-from hawthornstage.border.settings import SettingsFault, fault_lines
 from hawthornstage.decisions.routes import find_faults
+from hawthornstage.faults import SettingsFault, fault_lines
 from hawthornstage.messages.tables import (
     Pool,
     PoolKind,
--- a/src/hawthornstage/cli.py
+++ b/src/hawthornstage/cli.py
@@ -21,9 +21,9 @@
 from pydantic import ValidationError
 
 from hawthornstage.border.old_setup_api import REQUEST_PREFIX
-from hawthornstage.border.settings import SettingsFault, fault_lines
 from hawthornstage.border.tables_file import parse_tables
-from hawthornstage.daemon import EXIT_USAGE, run_router
+from hawthornstage.daemon import run_router
+from hawthornstage.faults import EXIT_USAGE, SettingsFault, fault_lines
 from hawthornstage.observe import timeline as timeline_module
 from hawthornstage.observe.log_reader import read_logs
 from hawthornstage.operator_client import OperatorClient, OperatorError
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -31,11 +31,12 @@
 from hawthornstage.actors.witnesses import CheckCopies, Witnesses
 from hawthornstage.border import old_setup_api, operator_api
 from hawthornstage.border.documents import CLAIMS_KIND, LEDGER_KIND, TABLES_KIND
-from hawthornstage.border.front import Front, StartResponse, send
+from hawthornstage.border.front import Front
 from hawthornstage.border.old_setup_api import OldSetupApi
 from hawthornstage.border.operator_api import OperatorApi
 from hawthornstage.border.peer_server import PeerServer
 from hawthornstage.border.settings import KeySettings, Settings, Sharing
+from hawthornstage.border.wsgi import StartResponse, send
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.holder_state import GrantPolicy
 from hawthornstage.decisions.membership import Member, Members, MembershipPolicy
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -15,11 +15,7 @@
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.breaks_task import BreaksTask
 from hawthornstage.actors.callers import Callers, ForwardPipe, Stopping
-from hawthornstage.actors.desired_states import (
-    DesiredStates,
-    DesiredStateWatch,
-    pause,
-)
+from hawthornstage.actors.desired_states import DesiredStates, DesiredStateWatch
 from hawthornstage.actors.fleet_members import Deregister, FleetMembers, Turn
 from hawthornstage.actors.ledger import Ledger
 from hawthornstage.actors.peers import PeerIdentity, PeerLink, Peers
@@ -27,10 +23,11 @@
 from hawthornstage.actors.server_registry import ServerRegistry
 from hawthornstage.actors.serving_task import ServingTask
 from hawthornstage.actors.settings_watch import SettingsWatch
+from hawthornstage.actors.store_watch import pause
 from hawthornstage.actors.task import Switchboard
 from hawthornstage.actors.timers import Timers
-from hawthornstage.border.front import StartResponse, send
 from hawthornstage.border.peer_server import PeerServer
+from hawthornstage.border.wsgi import StartResponse, send
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.retry_share import RetryShare, RetryTerms
 from hawthornstage.decisions.serving import Serving
@@ -176,6 +173,7 @@
         self.switchboard.register(self.states, (StateBeat, DesiredStateWanted))
         self.switchboard.register(self.purse, (TokensWanted,))
         self.switchboard.register(self.breaks, (CallBroke,))
+        self.members.tell(Turn())
         self.timers.every(MEMBERS_TURN_S, self.members, Turn())
         self.timers.every(PURSE_CHECK_S, self.purse, CheckPurse())
         self.callers = Callers(self.settings.callers, self.make_pipe(), self.stopping)
--- a/src/hawthornstage/daemon.py
+++ b/src/hawthornstage/daemon.py
@@ -1,21 +1,16 @@
-"""The router daemons: they read their settings, serve, and drain on SIGTERM."""
+"""The router daemon: reads its settings, serves, and drains on SIGTERM."""
 
 from __future__ import annotations
 
-import os
 import signal
 import sys
 import threading
 from pathlib import Path
 
-from hawthornstage.border.settings import SettingsFault, load_settings
+from hawthornstage.border.settings import load_settings
 from hawthornstage.compose import Router
-from hawthornstage.compose_fleet import FleetRouter
+from hawthornstage.faults import EXIT_USAGE, SettingsFault
 from hawthornstage.observe.logs import configure_logs
-from hawthornstage.platform.settings import SETTINGS_VARIABLE, load_host_settings
-
-# Exit code for wrong settings or wrong use.
-EXIT_USAGE = 2
 
 
 def run_router(settings_path: Path) -> int:
@@ -39,36 +34,3 @@
     told.wait()
     router.shut_down()
     return 0
-
-
-def run_fleet_router(*, metrics_port: int) -> int:
-    """Run a router on the users' platform until it is told to stop.
-
-    Args:
-        metrics_port: Where metrics are served; 0 lets the system choose.
-
-    Returns:
-        The exit code.
-    """
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if path is None:
-        print(f"settings: {SETTINGS_VARIABLE} is not set", file=sys.stderr)
-        return EXIT_USAGE
-    configure_logs("info", sys.stdout)
-    try:
-        settings = load_host_settings(Path(path))
-    except SettingsFault as fault:
-        for line in fault.faults:
-            print(f"settings: {line}", file=sys.stderr)
-        return EXIT_USAGE
-    told = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: told.set())
-    changed = threading.Event()
-    signal.signal(signal.SIGHUP, lambda *_: changed.set())
-    router = FleetRouter(settings, metrics_port=metrics_port)
-    router.watch_settings(Path(path), changed)
-    router.start()
-    told.wait()
-    router.shut_down()
-    return 0
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -1,4 +1,4 @@
-"""Attempt: sends a forwarded call to servers until one answers, and relays it."""
+"""Attempt: sends a forwarded call to servers until one answers."""
 
 from __future__ import annotations
 
@@ -9,10 +9,16 @@
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.breaks_task import CallAnswered
 from hawthornstage.border.http1 import CallerConnection, ServerConnection
-from hawthornstage.border.sse import EventCutter
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.forward import TASK_WAIT_S
+from hawthornstage.filters.forward_relay import (
+    LAST_ANSWER_S,
+    AnswerRelay,
+    AttemptOutcome,
+    Delivered,
+    Refused,
+)
 from hawthornstage.messages.desired import Repeat
 from hawthornstage.messages.fleet import CallBroke
 from hawthornstage.messages.forward import (
@@ -40,40 +46,6 @@
 
 # Longest wait for a connection to a server, in seconds.
 CONNECT_TIMEOUT_S = 0.4
-# Time after the deadline in which a server may say that it ran out of time.
-LAST_ANSWER_S = 0.1
-# Largest answer that is held whole before it is passed on, in bytes.
-MAX_HELD_BYTES = 1024 * 1024
-
-
-@dataclass(frozen=True)
-class Delivered:
-    """The caller has the whole answer."""
-
-    status: int
-
-
-@dataclass(frozen=True)
-class Cut:
-    """The caller has a part of an answer, which must not look complete."""
-
-    reason: str
-
-
-@dataclass(frozen=True)
-class Refused:
-    """The server did not run the call.
-
-    Args:
-        reason: What it said.
-        full: Whether it is full, and so to be avoided for a while.
-    """
-
-    reason: str
-    full: bool
-
-
-AttemptOutcome = Delivered | Cut | Refused | NotSent | Broken | CallerLeft | OutOfTime
 
 
 @dataclass(frozen=True)
@@ -112,9 +84,6 @@
                 case Delivered():
                     delivery.outcome = "answered"
                     return None
-                case Cut(reason):
-                    delivery.outcome = f"cut: {reason}"
-                    return None
                 case CallerLeft():
                     delivery.outcome = "caller_left"
                     return None
@@ -213,140 +182,19 @@
             resume_after=delivery.last_event_id or call.resume_after,
         )
         connection.start(call.method, call.target, headers, call.body)
-        last = exchange.deadline + LAST_ANSWER_S
-        head = connection.next_event(last)
-        if not isinstance(head, AnswerHead):
-            return head if isinstance(head, ENDS) else Broken("no answer")
-        self.serving.tell(FirstByte(call.id))
-        took = self.clock.monotonic() - sent_at
-        self.metrics.estimate_error.observe(took - choice.wait_s)
-        return self.relay(exchange, connection, head, delivery)
-
-    def relay(
-        self,
-        exchange: ForwardExchange,
-        connection: ServerConnection,
-        head: AnswerHead,
-        delivery: Delivery,
-    ) -> AttemptOutcome:
-        """Judge the head of an answer and relay its body."""
-        if head.not_run:
-            return Refused(f"status {head.status}, not run", head.status == 503)
-        if head.request_id != exchange.call.id:
-            return Broken("the answer belongs to another request")
-        if head.success and (not head.sealed or head.encoded):
-            return Broken("the answer is not the server's own")
-        if head.success and exchange.route.stream:
-            return self.relay_stream(exchange, connection, head, delivery)
-        return self.relay_whole(exchange, connection, head, delivery)
-
-    def relay_whole(
-        self,
-        exchange: ForwardExchange,
-        connection: ServerConnection,
-        head: AnswerHead,
-        delivery: Delivery,
-    ) -> AttemptOutcome:
-        """Take in a whole answer, then pass it on."""
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = connection.next_event(exchange.deadline + LAST_ANSWER_S)
-            match event:
-                case AnswerData(data):
-                    size += len(data)
-                    if size > MAX_HELD_BYTES:
-                        return Broken("the answer is too large")
-                    parts.append(data)
-                case AnswerEnd():
-                    break
-                case AnswerHead():
-                    return Broken("two heads")
-                case end:
-                    return end
-        again = exchange.route.repeat is Repeat.IDEMPOTENT
-        failed = head.status >= 500
-        if failed and again and not delivery.head_sent:
-            if self.may_go_on(exchange, delivery):
-                return Broken(f"status {head.status}")
-        elif delivery.head_sent:
-            return Broken(f"status {head.status}")
-        body = b"".join(parts)
-        try:
-            send_whole(connection.caller, head.status, head.headers, body, False)
-        except OSError:
-            return CallerLeft()
-        delivery.head_sent = True
-        delivery.status = head.status
-        return Delivered(head.status)
-
-    def relay_stream(
-        self,
-        exchange: ForwardExchange,
-        connection: ServerConnection,
-        head: AnswerHead,
-        delivery: Delivery,
-    ) -> AttemptOutcome:
-        """Pass whole events on as they come."""
-        cutter = EventCutter()
-        caller = connection.caller
-        try:
-            while True:
-                event = connection.next_event(exchange.deadline)
-                match event:
-                    case AnswerData(data):
-                        self.pass_events(caller, head, cutter.feed(data), delivery)
-                    case AnswerEnd():
-                        self.pass_rest(caller, head, cutter.rest, delivery)
-                        return Delivered(head.status)
-                    case AnswerHead():
-                        return Broken("two heads")
-                    case end:
-                        return end
-        except OSError:
-            return CallerLeft()
-
-    def pass_events(
-        self,
-        caller: CallerConnection,
-        head: AnswerHead,
-        events: list[bytes],
-        delivery: Delivery,
-    ) -> None:
-        """Pass events on and count them."""
-        if not events:
-            return
-        self.send_head_once(caller, head, delivery)
-        delivery.events += len(events)
-        caller.send_data(b"".join(events))
-        for event in reversed(events):
-            last = event_id(event)
-            if last is not None:
-                delivery.last_event_id = last
-                return
-
-    def pass_rest(
-        self,
-        caller: CallerConnection,
-        head: AnswerHead,
-        rest: bytes,
-        delivery: Delivery,
-    ) -> None:
-        """Pass on what follows the last event, and end the answer."""
-        self.send_head_once(caller, head, delivery)
-        if rest:
-            caller.send_data(rest)
-        caller.send_end()
-
-    def send_head_once(
-        self, caller: CallerConnection, head: AnswerHead, delivery: Delivery
-    ) -> None:
-        """Send the first server's head; later servers go on in the same answer."""
-        if delivery.head_sent:
-            return
-        delivery.head_sent = True
-        delivery.status = head.status
-        caller.send_head(head.status, head.headers, close=False)
+        head = connection.next_event(exchange.deadline + LAST_ANSWER_S)
+        match head:
+            case AnswerHead():
+                self.serving.tell(FirstByte(call.id))
+                took = self.clock.monotonic() - sent_at
+                self.metrics.estimate_error.observe(took - choice.wait_s)
+            case AnswerData() | AnswerEnd():
+                return Broken("an answer without a head")
+            case end:
+                return end
+        idempotent = exchange.route.repeat is Repeat.IDEMPOTENT
+        retryable = idempotent and self.may_go_on(exchange, delivery)
+        return AnswerRelay(exchange, connection, delivery, retryable).relay(head)
 
     def note(
         self, exchange: ForwardExchange, choice: ServerChosen, outcome: AttemptOutcome
@@ -372,33 +220,3 @@
                 outcome=kind,
                 reason=getattr(outcome, "reason", ""),
             )
-
-
-ENDS = (Broken, CallerLeft, OutOfTime, NotSent)
-
-
-def event_id(event: bytes) -> str | None:
-    """Return the id that a server-sent event carries."""
-    for line in event.split(b"\n"):
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("ascii", "replace")
-    return None
-
-
-def send_whole(
-    caller: CallerConnection,
-    status: int,
-    headers: tuple[tuple[str, str], ...],
-    body: bytes,
-    close: bool,
-) -> None:
-    """Send a whole answer.
-
-    Raises:
-        OSError: The caller is gone.
-    """
-    length = ("content-length", str(len(body)))
-    caller.send_head(status, (*headers, length), close=close)
-    if body:
-        caller.send_data(body)
-    caller.send_end()
--- a/src/hawthornstage/platform/settings.py
+++ b/src/hawthornstage/platform/settings.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, Field, ValidationError
 
-from hawthornstage.border.settings import SettingsFault, fault_lines
+from hawthornstage.faults import SettingsFault, fault_lines
 from hawthornstage.messages.node import HostSettings, SocketAddress
 
 # Names the file's path in the process's environment.
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -319,6 +319,15 @@
     assert not read_all(pair).endswith(b"0\r\n\r\n")
 
 
+def test_stream_without_a_length_that_ends_within_an_event_is_not_complete(
+    deliver: Deliver, pair: CallerPair
+) -> None:
+    deliver(ScriptedServer([SEALED + b"\r\n" + EVENTS + b"id: 3\nda"]))
+    answer = read_all(pair)
+    assert b"id: 2" in answer and b"id: 3" not in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
 def test_call_that_was_not_run_is_refused_truthfully(
     deliver: Deliver, pair: CallerPair
 ) -> None:
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -9,7 +9,7 @@
 import pytest
 import yaml
 
-from hawthornstage.border.settings import SettingsFault
+from hawthornstage.faults import SettingsFault
 from hawthornstage.platform.settings import load_host_settings
 
 SOURCES = Path(__file__).parent.parent / "src"
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -107,6 +107,18 @@
         return self.popen.wait(timeout)
 
 
+def start_stand_in(name: str, module: str, *options: str) -> Process:
+    """Start a stand-in and wait until it serves."""
+    popen = subprocess.Popen(
+        [sys.executable, "-m", f"standins.{module}", *options],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+    )
+    assert popen.stdout is not None
+    return Process(name, popen, int(popen.stdout.readline().split()[1]))
+
+
 @dataclass
 class RouterPlan:
     """Where one router of a cluster will serve."""
@@ -154,13 +166,7 @@
 
     def stand_in(self, name: str, module: str, *options: str) -> Process:
         """Start a stand-in and wait until it serves."""
-        command = [sys.executable, "-m", f"standins.{module}", *options]
-        popen = subprocess.Popen(
-            command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
-        )
-        assert popen.stdout is not None
-        port = int(popen.stdout.readline().split()[1])
-        self.processes[name] = Process(name, popen, port)
+        self.processes[name] = start_stand_in(name, module, *options)
         return self.processes[name]
 
     def plan_routers(self, count: int, domains: Sequence[str]) -> None:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -16,7 +16,15 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from tools.cluster import ROOT, Process, free_ports, own_host, post, wait_until
+from tools.cluster import (
+    ROOT,
+    Process,
+    free_ports,
+    own_host,
+    post,
+    start_stand_in,
+    wait_until,
+)
 
 # Keys of the workspaces in a test fleet, and routes by what they are for.
 KEY = "key-a"
@@ -123,16 +131,9 @@
             process.popen.wait()
         self.stack.close()
 
-    def stand_in(self, name: str, module: str, *options: str) -> Process:
+    def stand_in(self, name: str, module: str, *options: str) -> None:
         """Start a stand-in and wait until it serves."""
-        command = [sys.executable, "-m", f"standins.{module}", *options]
-        popen = subprocess.Popen(
-            command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
-        )
-        assert popen.stdout is not None
-        port = int(popen.stdout.readline().split()[1])
-        self.processes[name] = Process(name, popen, port)
-        return self.processes[name]
+        self.processes[name] = start_stand_in(name, module, *options)
 
     def add_server(self, service: str, name: str, state: str = "ready") -> None:
         """Start a backend server, if it does not run, and register it."""
