--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -40,6 +40,8 @@
 # Where the ledger lies, a count for each workspace, and the routers' records.
 COUNTS_PREFIX = "hawthornstage/drawn/"
 RECORDS_PREFIX = "hawthornstage/records/"
+# Counts that one write changes at most; the store takes 32 entries, the record too.
+MAX_COUNTS = 30
 # Age at which the ledger is read again, in seconds.
 REFRESH_S = 2.5
 # Age at which the record's lease is renewed, in seconds.
@@ -201,11 +203,14 @@
     def plan(self, wanted: StoreRecord) -> Write:
         """Return the write for a record, its draw, and a predecessor's left-over."""
         drawn = dict(self.drawn)
+        left: dict[str, int] = {}
         if self.predecessor is not None:
-            left = left_over(self.predecessor, self.born)
+            left = largest(left_over(self.predecessor, self.born), MAX_COUNTS)
             for workspace, tokens in left.items():
                 drawn[workspace] = max(0, drawn.get(workspace, 0) - tokens)
-        granted = covered(drawn, wanted.amounts, wanted.budgets)
+        # What the predecessor left needs room in the same write.
+        amounts = largest(wanted.amounts, MAX_COUNTS - len(left))
+        granted = covered(drawn, amounts, wanted.budgets)
         for workspace, tokens in granted.items():
             drawn[workspace] = max(0, drawn.get(workspace, 0) + tokens)
         record = with_draw(wanted.record, granted)
@@ -267,7 +272,9 @@
             "predecessor_closed",
             age_s=round(self.born - predecessor.wall, 3),
             granted=sum(predecessor.granted.values()),
-            returned=sum(left_over(predecessor, self.born).values()),
+            returned=sum(
+                largest(left_over(predecessor, self.born), MAX_COUNTS).values()
+            ),
         )
 
     def close_accounts(self, free: dict[str, int]) -> bool:
@@ -294,3 +301,9 @@
                     self.events.emit("return_failed", reason=reason[:120])
                     return False
         return False
+
+
+def largest(amounts: dict[str, int], count: int) -> dict[str, int]:
+    """Return the largest amounts, those that go back first."""
+    ordered = sorted(amounts.items(), key=lambda item: (item[1] >= 0, -abs(item[1])))
+    return dict(ordered[: max(0, count)])
--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -259,6 +259,8 @@
                     self.events.emit("draws_resumed")
                 self.store_lost = False
                 self.purse = replace(self.purse, stored=record, sent=None)
+                kept = {k: n for k, n in self.returning.items() if k not in granted}
+                self.purse = put_back(self.purse, kept)
                 gained = {name: each for name, each in granted.items() if each > 0}
                 self.purse = take_totals(take_drawn(self.purse, gained), drawn)
             case RecordDropped(reason, drawn):
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -7,9 +7,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from hawthornstage.actors.ledger import MAX_COUNTS
 from hawthornstage.decisions import draws
 from hawthornstage.decisions.draws import left_over
-from hawthornstage.messages.draws import Bound, Record
+from hawthornstage.messages.draws import Bound, Record, StoreRecord
 from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld
 
 NAMES = st.sampled_from(("a", "b", "c"))
@@ -125,6 +126,18 @@
     assert world.hosts["a"].purse.purse.accounts[WORKSPACE].free < 20_000
 
 
+def test_one_write_stays_within_the_stores_entries(world: DrawsWorld) -> None:
+    amounts = {f"shop-{number}": number - 20 for number in range(60)}
+    record = Record("m", 1.0, 1.0)
+    ledger = world.hosts["a"].ledger
+    ledger.drawn = dict.fromkeys(amounts, 100)
+    budgets = dict.fromkeys(amounts, 1_000)
+    write = ledger.plan(StoreRecord(record, amounts, budgets))
+    assert len(write.puts) == MAX_COUNTS + 1
+    assert all(write.granted[f"shop-{number}"] < 0 for number in range(20))
+    assert write.granted["shop-59"] == 39
+
+
 @pytest.mark.parametrize(
     ("life", "left"),
     [(1.0, 700), (draws.WIDEN_S, 0), (-1.0, 0)],
