--- a/src/hawthornstage/border/http1.py
+++ b/src/hawthornstage/border/http1.py
@@ -285,6 +285,8 @@
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
+                if self.closed_by_server:
+                    return Broken("the server closed the connection too early")
                 return Broken(f"not an answer: {error}")
             match event:
                 case h11.NEED_DATA:
