--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -51,8 +51,6 @@
 WAIT_S = 0.07
 # Age at which a record is renewed, in seconds.
 RECORD_S = 0.9
-# Period of writes that no call waits for, in seconds.
-WRITE_PERIOD_S = 0.1
 # Pause after a failed write, in seconds.
 FAILURE_PAUSE_S = 0.4
 # Pause between two requests for other routers' tokens, in seconds.
@@ -135,8 +133,7 @@
                 self.purse = use(self.purse, workspace, reserved, used, now)
             case CheckPurse():
                 self.serve_waiting(now)
-                if self.waiting or now - self.write_at >= WRITE_PERIOD_S:
-                    self.write(now)
+                self.write(now)
             case RecordStored() | RecordDropped() | RecordUnknown():
                 self.take_outcome(message, now)
             case TokensGiven(workspace, tokens):
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -46,7 +46,7 @@
 
 # Periods of the tasks' own work, in seconds.
 MEMBERS_TURN_S = 1.0
-PURSE_CHECK_S = 0.035
+PURSE_CHECK_S = 0.1
 # Routers that share the fleet's retries as long as no others are known.
 UNKNOWN_ROUTERS = 16
 # Where the routers' shared secret lies in the store.
