Let the steady clock confirm how long a predecessor lived

Cause: a successor gave back tokens by the host's time of day alone (the record's lease only says that the life was under 3.8 s). A clock set back within that time made the life too short and the tokens given back too many. Ruled out: the steady clock alone; it starts anew with the host and said nothing after a loss of power. Now the longer life of the two counts.

--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -17,6 +17,7 @@
 from hawthornstage.decisions.draws import LEASE_S, covered, left_over, with_draw
 from hawthornstage.messages.draws import (
     CloseAccounts,
+    Moment,
     Record,
     RecordDropped,
     RecordStored,
@@ -92,7 +93,7 @@
         self.events = events
         self.refreshed = float("-inf")
         self.renewed = float("-inf")
-        self.born = clock.wall()
+        self.born = Moment(clock.monotonic(), clock.wall())
         self.lease: int | None = None
         self.read = False
         self.revisions: dict[str, int] = {}
@@ -270,7 +271,8 @@
         self.predecessor = None
         self.events.emit(
             "predecessor_closed",
-            age_s=round(self.born - predecessor.wall, 3),
+            age_s=round(self.born.wall - predecessor.wall, 3),
+            steady_age_s=round(self.born.steady - predecessor.at, 3),
             granted=sum(predecessor.granted.values()),
             returned=sum(
                 largest(left_over(predecessor, self.born), MAX_COUNTS).values()
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -13,7 +13,8 @@
 The next process on the same host gives back what lies above the bound, if it knows
 that its predecessor, which is dead, cannot have lived until `WIDEN_S`. Two clocks
 must say so: the record's lease, which the store ends by then unless the store itself
-stood still, and the host's time of day, unless it was set back.
+stood still, and the host's time of day, unless it was set back. Where the host was
+not started anew, its steady clock must say so as well.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 import math
 from dataclasses import dataclass, field, replace
 
-from hawthornstage.messages.draws import Bound, Record
+from hawthornstage.messages.draws import Bound, Moment, Record
 
 # Demand that a router holds ahead, in seconds.
 HORIZON_S = 13.0
@@ -328,16 +329,21 @@
     return replace(record, granted=totals)
 
 
-def left_over(record: Record, wall: float) -> dict[str, int]:
+def left_over(record: Record, death: Moment) -> dict[str, int]:
     """Return what a dead predecessor on this host cannot have spent.
 
+    The steady clock starts anew with the host, and then reads less than the record
+    or, at worst, tells a longer life. The time of day may have been set back. So the
+    longer life of the two counts.
+
     Args:
         record: Its last record, whose lease had not ended.
-        wall: Time of day at which the predecessor was dead for certain, in seconds.
+        death: When the predecessor was dead for certain.
     """
-    life = wall - record.wall
+    life = death.wall - record.wall
     if life < 0:
         return {}
+    life = max(life, death.steady - record.at)
     last = record.at + life + WALL_MARGIN_S
     left: dict[str, int] = {}
     for workspace, granted in record.granted.items():
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -64,6 +64,19 @@
     slope: float
 
 
+@dataclass(frozen=True)
+class Moment:
+    """One moment by a host's two clocks.
+
+    Args:
+        steady: Monotonic time in seconds; starts anew with the host.
+        wall: Time of day in seconds; may be set forward or back.
+    """
+
+    steady: float
+    wall: float
+
+
 @dataclass(frozen=True)
 class Record:
     """What a router has told the store of its tokens.
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -10,7 +10,7 @@
 from hawthornstage.actors.ledger import MAX_COUNTS
 from hawthornstage.decisions import draws
 from hawthornstage.decisions.draws import left_over
-from hawthornstage.messages.draws import Bound, Record, StoreRecord
+from hawthornstage.messages.draws import Bound, Moment, Record, StoreRecord
 from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld
 
 NAMES = st.sampled_from(("a", "b", "c"))
@@ -147,7 +147,16 @@
     growth = 100.0 / (1.0 + draws.WALL_MARGIN_S)
     bounds = {WORKSPACE: Bound(200, growth)}
     record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
-    assert left_over(record, 1_000.0 + life).get(WORKSPACE, 0) == pytest.approx(left, 1)
+    death = Moment(0.0, 1_000.0 + life)
+    assert left_over(record, death).get(WORKSPACE, 0) == pytest.approx(left, 1)
+
+
+def test_clock_set_back_does_not_shorten_a_predecessors_life() -> None:
+    bounds = {WORKSPACE: Bound(200, 100.0)}
+    record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
+    true = left_over(record, Moment(53.0, 1_003.0))
+    assert left_over(record, Moment(53.0, 1_000.5)) == true
+    assert left_over(record, Moment(1.0, 1_003.0)) == true
 
 
 class DrawsMachine(RuleBasedStateMachine):
