Draw for each call once a budget is nearly used

Now below 5 in 100 left nothing is held ahead, each call is drawn for, bounds allow nothing more, and a draw that does not suffice for a waiting call is not made. The ledger is read again while calls wait. Also: the steady clock of the commit before is believed only if it went on by less than 60 s; after a loss of power it reads anything, and two of eight routers returned nothing (steady ages of 7,643 and 18,594 s beside 2 s of wall time). Ruled out: that the budgets were used up.

--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -18,6 +18,7 @@
 from hawthornstage.messages.draws import (
     CloseAccounts,
     Moment,
+    NothingLeft,
     Record,
     RecordDropped,
     RecordStored,
@@ -43,8 +44,9 @@
 RECORDS_PREFIX = "hawthornstage/records/"
 # Counts that one write changes at most; the store takes 32 entries, the record too.
 MAX_COUNTS = 30
-# Age at which the ledger is read again, in seconds.
+# Age at which the ledger is read again, in seconds, and while calls wait for tokens.
 REFRESH_S = 2.5
+WAITED_REFRESH_S = 0.3
 # Age at which the record's lease is renewed, in seconds.
 RENEW_S = 0.9
 # Tries of one draw against the changes of other routers.
@@ -112,7 +114,7 @@
 
     def store_record(
         self, wanted: StoreRecord
-    ) -> RecordStored | RecordDropped | RecordUnknown:
+    ) -> RecordStored | RecordDropped | RecordUnknown | NothingLeft:
         """Store a record with a draw, or find out about an earlier one."""
         if self.unknown is not None:
             return self.commit(self.unknown) or self.dropped("another write came first")
@@ -121,18 +123,22 @@
             if failure is not None:
                 return self.dropped(failure)
         for _ in range(MAX_TRIES):
-            failure = self.refresh() or self.renew_lease()
+            age = WAITED_REFRESH_S if wanted.least else REFRESH_S
+            failure = self.refresh(age) or self.renew_lease()
             if failure is not None:
                 return self.dropped(failure)
-            outcome = self.commit(self.plan(wanted))
+            write = self.plan(wanted)
+            if not wanted.due and not write.granted:
+                return NothingLeft(self.drawn)
+            outcome = self.commit(write)
             if outcome is not None:
                 return outcome
         return self.dropped("the ledger changed too often")
 
-    def refresh(self) -> str | None:
-        """Read the ledger again if it is old; return why that failed."""
+    def refresh(self, age: float) -> str | None:
+        """Read the ledger again if it is older than `age`; return why that failed."""
         now = self.clock.monotonic()
-        if now - self.refreshed < REFRESH_S:
+        if now - self.refreshed < age:
             return None
         match self.store.list(COUNTS_PREFIX):
             case Listing(items, _):
@@ -177,7 +183,7 @@
                 self.take(item)
             case StoreRefused(reason) | StoreSilent(reason):
                 return reason
-        failure = self.refresh()
+        failure = self.refresh(REFRESH_S)
         self.read = failure is None
         return failure
 
@@ -211,7 +217,7 @@
                 drawn[workspace] = max(0, drawn.get(workspace, 0) - tokens)
         # What the predecessor left needs room in the same write.
         amounts = largest(wanted.amounts, MAX_COUNTS - len(left))
-        granted = covered(drawn, amounts, wanted.budgets)
+        granted = covered(drawn, wanted, amounts)
         for workspace, tokens in granted.items():
             drawn[workspace] = max(0, drawn.get(workspace, 0) + tokens)
         record = with_draw(wanted.record, granted)
--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -32,6 +32,7 @@
 from hawthornstage.messages.draws import (
     Aside,
     CloseAccounts,
+    NothingLeft,
     RecordDropped,
     RecordStored,
     RecordUnknown,
@@ -134,7 +135,7 @@
             case CheckPurse():
                 self.serve_waiting(now)
                 self.write(now)
-            case RecordStored() | RecordDropped() | RecordUnknown():
+            case RecordStored() | RecordDropped() | RecordUnknown() | NothingLeft():
                 self.take_outcome(message, now)
             case TokensGiven(workspace, tokens):
                 self.purse = take_gift(self.purse, workspace, tokens)
@@ -209,10 +210,9 @@
             amounts = plan_draws(
                 self.purse, self.budgets, routers, wanted=wanted, now=now
             )
-        stored = self.purse.stored
-        fresh = stored is not None and now - stored.at < RECORD_S
-        needless = not amounts and not self.purse.sent and not self.bound_binds()
-        if fresh and needless:
+        due = self.record_due(now)
+        # What goes back waits for the next record.
+        if not due and not any(amount > 0 for amount in amounts.values()):
             return
         if self.purse.sent is None:
             self.returning = amounts
@@ -229,9 +229,20 @@
         self.writing = True
         self.write_at = now
         self.purse = replace(self.purse, sent=record)
-        reply_to = Forward(self.actor_ref.tell)
-        request = StoreRecord(record, amounts, dict(self.budgets))
-        self.ledger.tell(Ask(request, reply_to))
+        request = StoreRecord(
+            record=record,
+            amounts=amounts,
+            budgets=dict(self.budgets),
+            least=self.least_wanted(),
+            due=due,
+        )
+        self.ledger.tell(Ask(request, Forward(self.actor_ref.tell)))
+
+    def record_due(self, now: float) -> bool:
+        """Whether a record is to be stored even if nothing is drawn with it."""
+        stored = self.purse.stored
+        fresh = stored is not None and now - stored.at < RECORD_S
+        return not fresh or self.purse.sent is not None or self.bound_binds()
 
     def bound_binds(self) -> bool:
         """Whether a call waits only because the last record does not allow it."""
@@ -248,8 +259,19 @@
             amounts[name] = amounts.get(name, 0) + each.request.tokens
         return amounts
 
+    def least_wanted(self) -> dict[str, int]:
+        """Return what the smallest waiting call is short of, by workspace."""
+        least: dict[str, int] = {}
+        for each in self.waiting:
+            name = each.request.workspace
+            short = max(1, each.request.tokens - account_of(self.purse, name).free)
+            least[name] = min(short, least.get(name, short))
+        return least
+
     def take_outcome(
-        self, outcome: RecordStored | RecordDropped | RecordUnknown, now: float
+        self,
+        outcome: RecordStored | RecordDropped | RecordUnknown | NothingLeft,
+        now: float,
     ) -> None:
         """Take in how a write ended."""
         self.writing = False
@@ -263,6 +285,9 @@
                 self.purse = put_back(self.purse, kept)
                 gained = {name: each for name, each in granted.items() if each > 0}
                 self.purse = take_totals(take_drawn(self.purse, gained), drawn)
+            case NothingLeft(drawn):
+                self.purse = put_back(self.purse, self.returning)
+                self.purse = take_totals(replace(self.purse, sent=None), drawn)
             case RecordDropped(reason, drawn):
                 self.purse = put_back(self.purse, self.returning)
                 self.purse = take_totals(replace(self.purse, sent=None), drawn)
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -22,7 +22,7 @@
 import math
 from dataclasses import dataclass, field, replace
 
-from hawthornstage.messages.draws import Bound, Moment, Record
+from hawthornstage.messages.draws import Bound, Moment, Record, StoreRecord
 
 # Demand that a router holds ahead, in seconds.
 HORIZON_S = 13.0
@@ -38,10 +38,10 @@
 SIZE_WEIGHT = 0.1
 # Size of a call before any was seen, in tokens.
 FIRST_SIZE = 5_000.0
-# The ledger is scarce when less than this part of a budget is left in it.
+# Routers hold less when less than this part of a budget is left in the ledger.
 SCARCE_PART = 0.2
-# Demand that a router holds when nothing is left, in seconds.
-SCARCE_HORIZON_S = 1.0
+# They hold nothing ahead, and draw for each call, when less than this part is left.
+LAST_PART = 0.05
 # A router gives back what exceeds its target by this part and an average call.
 SURPLUS_PART = 0.3
 # Part of what is free that a router gives to another one at a time.
@@ -53,6 +53,9 @@
 LEASE_S = 3.5
 # Added to a predecessor's life as the time of day tells it, in seconds.
 WALL_MARGIN_S = 0.5
+# A steady clock that went on by more than this since a record has started anew, in
+# seconds.
+SAME_START_S = 60.0
 # Demand that a record allows at once, in seconds, and in calls of average size.
 BOUND_AHEAD_S = 1.0
 BOUND_CALLS = 1.2
@@ -237,12 +240,15 @@
         account = account_of(purse, workspace)
         aim = target(account, budget, routers, now)
         left = max(0, budget - account.drawn)
-        needed = wanted.get(workspace, 0) - account.free
-        surplus = account.free - aim
+        waited = wanted.get(workspace, 0)
+        needed = waited - account.free
+        surplus = account.free - max(aim, waited)
+        kept = aim * SURPLUS_PART + account.size if aim else 0
         if needed > 0 or account.free < aim * LOW_WATER:
             fair = int(left * LEFT_PART / routers + account.size)
-            amount = min(max(min(aim - account.free, fair), needed), left)
-        elif surplus > aim * SURPLUS_PART + account.size:
+            # What is left may be more than is known; the ledger has the last word.
+            amount = max(min(aim - account.free, fair, left), needed)
+        elif surplus > kept:
             amount = -surplus
         else:
             amount = 0
@@ -257,17 +263,17 @@
     The less there is left in the ledger, the less a router holds: tokens that lie
     unused at one router are missing at the others.
     """
-    rate = account.rate_at(now)
-    ahead = rate * HORIZON_S + 2 * account.size
+    ahead = account.rate_at(now) * HORIZON_S + 2 * account.size
     first = budget * min(FIRST_PART, 0.5 / routers)
-    part = plenty(account, budget, SCARCE_PART)
-    return int(max(ahead * part, first * part, rate * SCARCE_HORIZON_S))
+    return int(max(ahead, first) * plenty(account, budget, SCARCE_PART))
 
 
 def plenty(account: Account, budget: int, scarce_part: float) -> float:
     """Return 1 while the ledger holds more than a part of a budget, falling to 0."""
-    left = max(0, budget - account.drawn)
-    return min(1.0, left / (budget * scarce_part)) if budget else 0.0
+    if not budget:
+        return 0.0
+    left = (budget - account.drawn) / budget
+    return min(1.0, max(0.0, (left - LAST_PART) / (scarce_part - LAST_PART)))
 
 
 def take_out(purse: Purse, amounts: dict[str, int]) -> Purse:
@@ -310,12 +316,15 @@
         account = account_of(purse, workspace)
         even = budget / routers / EVEN_SHARE_S
         rate = max(account.rate_at(now), even)
-        ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS
-        # What a crash strands hurts more the less there is left.
-        ahead *= max(BOUND_LEAST_PART, plenty(account, budget, BOUND_SCARCE_PART))
+        if plenty(account, budget, SCARCE_PART) == 0.0:
+            # Each call is drawn for, so that a crash strands nothing.
+            rate = ahead = 0.0
+        else:
+            ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS
+            # What a crash strands hurts more the less there is left.
+            ahead *= max(BOUND_LEAST_PART, plenty(account, budget, BOUND_SCARCE_PART))
         taken = account.spent + account.open + wanted.get(workspace, 0)
-        base = taken + int(ahead)
-        bounds[workspace] = Bound(base, rate * BOUND_GROWTH)
+        bounds[workspace] = Bound(taken + int(ahead), rate * BOUND_GROWTH)
     granted = {name: each.granted for name, each in purse.accounts.items()}
     gifted = {name: each.gifted for name, each in purse.accounts.items()}
     return Record(mark, now, wall, granted, gifted, bounds)
@@ -332,9 +341,9 @@
 def left_over(record: Record, death: Moment) -> dict[str, int]:
     """Return what a dead predecessor on this host cannot have spent.
 
-    The steady clock starts anew with the host, and then reads less than the record
-    or, at worst, tells a longer life. The time of day may have been set back. So the
-    longer life of the two counts.
+    The time of day may have been set back, so the longer life of the two clocks
+    counts. But the steady clock starts anew with the host; a reading far from the
+    record says only that.
 
     Args:
         record: Its last record, whose lease had not ended.
@@ -343,7 +352,9 @@
     life = death.wall - record.wall
     if life < 0:
         return {}
-    life = max(life, death.steady - record.at)
+    steady = death.steady - record.at
+    if steady < SAME_START_S:
+        life = max(life, steady)
     last = record.at + life + WALL_MARGIN_S
     left: dict[str, int] = {}
     for workspace, granted in record.granted.items():
@@ -360,14 +371,24 @@
 
 
 def covered(
-    drawn: dict[str, int], amounts: dict[str, int], budgets: dict[str, int]
+    drawn: dict[str, int], wanted: StoreRecord, amounts: dict[str, int]
 ) -> dict[str, int]:
-    """Cut the amounts of a draw to what the budgets still cover."""
+    """Cut the amounts of a draw to what the budgets still cover.
+
+    A draw that does not suffice for the calls that wait is not made: another router
+    may have use for what is left.
+
+    Args:
+        drawn: Tokens drawn by all routers, by workspace.
+        wanted: The draw, with the budgets and the least that is of use.
+        amounts: Those of its amounts that there is room for.
+    """
     granted: dict[str, int] = {}
     for workspace, amount in amounts.items():
-        left = budgets.get(workspace, 0) - drawn.get(workspace, 0)
+        left = wanted.budgets.get(workspace, 0) - drawn.get(workspace, 0)
+        least = wanted.least.get(workspace, 1)
         if amount < 0:
             granted[workspace] = amount
-        elif left > 0:
+        elif left >= least:
             granted[workspace] = min(amount, left)
     return granted
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -106,11 +106,15 @@
         record: The record, without the draw.
         amounts: Tokens to draw, by workspace.
         budgets: Each workspace's whole budget in tokens, as far as it is known.
+        least: Tokens that the calls that wait are short of, by workspace.
+        due: Whether the record is to be stored even if nothing can be drawn.
     """
 
     record: Record
     amounts: dict[str, int]
     budgets: dict[str, int]
+    least: dict[str, int] = field(default_factory=dict)
+    due: bool = True
 
 
 @dataclass(frozen=True)
@@ -139,6 +143,17 @@
     drawn: dict[str, int]
 
 
+@dataclass(frozen=True)
+class NothingLeft:
+    """Nothing could be drawn, and the record was not due.
+
+    Args:
+        drawn: Tokens drawn by all routers since the beginning, by workspace.
+    """
+
+    drawn: dict[str, int]
+
+
 @dataclass(frozen=True)
 class RecordDropped:
     """A record is certainly not stored and will not be.
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from hawthornstage.actors.ledger import COUNTS_PREFIX, Ledger
-from hawthornstage.actors.purse import CheckPurse, PurseTask
+from hawthornstage.actors.purse import CheckPurse, PurseTask, ReturnAll
 from hawthornstage.actors.task import Ask
 from hawthornstage.border.draws_document import decode_count
 from hawthornstage.clock import ManualClock
@@ -314,6 +314,20 @@
         self.hosts[name].start()
         self.hosts[name].pump()
 
+    def use_up(self, name: str, *, keep: int) -> None:
+        """Use all of the budget but `keep` tokens on one router; the others return."""
+        host = self.hosts[name]
+        for each in self.hosts.values():
+            if each is not host:
+                each.purse.handle(Ask(ReturnAll(), Reply()))
+                each.pump()
+                each.start()
+        while self.spent < self.budget - keep:
+            assert host.ask(min(2_000, self.budget - keep - self.spent))
+            host.end_call(1.0)
+        self.clock.advance(1.0)
+        host.check()
+
     def top_up(self, tokens: int) -> None:
         """Raise the budget everywhere."""
         self.budget += tokens
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -138,6 +138,34 @@
     assert write.granted["shop-59"] == 39
 
 
+def test_nothing_is_held_ahead_of_a_nearly_used_budget(world: DrawsWorld) -> None:
+    world.use_up("a", keep=int(BUDGET * draws.LAST_PART * 0.9))
+    for _ in range(3):
+        for host in world.hosts.values():
+            world.clock.advance(1.0)
+            host.check()
+    frees = [h.purse.purse.accounts[WORKSPACE].free for h in world.hosts.values()]
+    assert frees == [0, 0, 0]
+    # So the rest is there for whichever router needs it, to the last call.
+    assert world.hosts["b"].ask(8_500)
+
+
+def test_draw_that_would_not_suffice_is_not_made(world: DrawsWorld) -> None:
+    world.use_up("a", keep=3_000)
+    assert not world.hosts["b"].ask(5_000)
+    assert world.hosts["c"].ask(2_900)
+
+
+def test_death_strands_nothing_of_a_nearly_used_budget(world: DrawsWorld) -> None:
+    world.use_up("a", keep=int(BUDGET * draws.LAST_PART * 0.9))
+    for host in world.hosts.values():
+        world.clock.advance(1.0)
+        host.check()
+    assert world.hosts["b"].ask(1_000)
+    world.restart("b", 0.5)
+    assert world.store.counts()[WORKSPACE] == world.spent
+
+
 @pytest.mark.parametrize(
     ("life", "left"),
     [(1.0, 700), (draws.WIDEN_S, 0), (-1.0, 0)],
@@ -156,7 +184,14 @@
     record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
     true = left_over(record, Moment(53.0, 1_003.0))
     assert left_over(record, Moment(53.0, 1_000.5)) == true
-    assert left_over(record, Moment(1.0, 1_003.0)) == true
+
+
+def test_clock_that_starts_anew_says_nothing_of_a_predecessors_life() -> None:
+    bounds = {WORKSPACE: Bound(200, 100.0)}
+    record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
+    true = left_over(record, Moment(52.0, 1_002.0))
+    assert left_over(record, Moment(1.0, 1_002.0)) == true
+    assert left_over(record, Moment(7_000.0, 1_002.0)) == true
 
 
 class DrawsMachine(RuleBasedStateMachine):
