Learn what is left of a budget before anything is drawn ahead

Calls that came while a write was on its way were not written for when it ended. After: 18 of 18 pass.

--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -296,6 +296,9 @@
                 self.note_failure(reason, now)
         self.show()
         self.serve_waiting(now)
+        if self.waiting and isinstance(outcome, RecordStored):
+            # Calls that came while the write was on its way need one of their own.
+            self.write(now)
 
     def show(self) -> None:
         """Show in the metrics what is held."""
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -238,7 +238,8 @@
     amounts: dict[str, int] = {}
     for workspace, budget in budgets.items():
         account = account_of(purse, workspace)
-        aim = target(account, budget, routers, now)
+        # The first record tells how much is left; nothing is drawn ahead before.
+        aim = target(account, budget, routers, now) if purse.stored else 0
         left = max(0, budget - account.drawn)
         waited = wanted.get(workspace, 0)
         needed = waited - account.free
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -295,6 +295,7 @@
         self.hosts = {name: Host(name, self) for name in names}
         for host in self.hosts.values():
             host.pump()
+            host.check()
 
     def pass_gift(self, name: str, *, lost: bool) -> None:
         """Deliver what a router asks of the others; answers may get lost."""
