Hold nothing ahead once told to stop; hand tokens over when the store is away

Ruled out: giving back by the successor; the record's lease ends during the outage. Now it returns what no call needs at once, and at the end hands what the record's bound lets it give to another router. Hand-overs are sent once and never repeated. Two new tests use what was not there before.

--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -15,6 +15,7 @@
     Purse,
     account_of,
     give,
+    hand_over,
     make_record,
     plan_draws,
     put_back,
@@ -40,6 +41,7 @@
     Short,
     StoreRecord,
     TokensGiven,
+    TokensHandedOver,
     TokensWanted,
     Used,
 )
@@ -69,9 +71,14 @@
     """It is time to see whether enough is held."""
 
 
+@dataclass(frozen=True)
+class HoldNothing:
+    """The router is about to stop: it holds nothing ahead from now on."""
+
+
 @dataclass(frozen=True)
 class ReturnAll:
-    """The router stops: what is free goes back to the budgets."""
+    """The router stops: what is free goes back, or else to another router."""
 
 
 @dataclass(frozen=True)
@@ -121,6 +128,7 @@
         self.write_at = float("-inf")
         self.returning: dict[str, int] = {}
         self.closed = False
+        self.leaving = False
         self.write_after = float("-inf")
         self.ask_after = float("-inf")
         self.store_lost = False
@@ -155,9 +163,29 @@
             case RoutersKnown(urls):
                 self.others = tuple(sorted(urls))
             case Ask(message=ReturnAll(), reply_to=reply_to):
-                self.closed = True
-                self.purse, free = return_free(self.purse)
-                self.ledger.tell(Ask(CloseAccounts(free), reply_to))
+                self.return_all(reply_to, now)
+            case HoldNothing():
+                self.leaving = True
+                self.write(now)
+            case Ask(message=TokensHandedOver(amounts), reply_to=reply_to):
+                for workspace, tokens in amounts.items():
+                    self.purse = take_gift(self.purse, workspace, tokens)
+                self.events.emit("tokens_taken_over", amounts=amounts)
+                self.serve_waiting(now)
+
+    def return_all(self, reply_to: ReplyTo, now: float) -> None:
+        """Give back what is free; to another router if the store is away."""
+        self.closed = True
+        if not self.store_lost or not self.others:
+            self.purse, free = return_free(self.purse)
+            self.ledger.tell(Ask(CloseAccounts(free), reply_to))
+            return
+        self.purse, amounts = hand_over(self.purse, now)
+        self.turn += 1
+        node = self.others[self.turn % len(self.others)]
+        self.peers.tell(Send(node, TokensHandedOver(amounts)))
+        self.events.emit("tokens_handed_over", to=node, amounts=amounts)
+        reply_to.put(False)
 
     def set_aside(self, request: SetAside, reply_to: ReplyTo, now: float) -> None:
         """Set tokens aside, at once or when there is room for them."""
@@ -207,10 +235,17 @@
         wanted = self.wanted()
         amounts: dict[str, int] = {}
         if self.purse.sent is None:
+            # The first record tells how much is left; nothing is drawn ahead before.
+            ahead = self.purse.stored is not None and not self.leaving
             amounts = plan_draws(
-                self.purse, self.budgets, routers, wanted=wanted, now=now
+                self.purse,
+                self.budgets,
+                routers,
+                wanted=wanted,
+                ahead=ahead,
+                now=now,
             )
-        due = self.record_due(now)
+        due = self.record_due(now) or (self.leaving and bool(amounts))
         # What goes back waits for the next record.
         if not due and not any(amount > 0 for amount in amounts.values()):
             return
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -42,6 +42,7 @@
         crashes.ReleaseSlot,
         draws.TokensWanted,
         draws.TokensGiven,
+        draws.TokensHandedOver,
         fleet.StateBeat,
         fleet.DesiredStateWanted,
         fleet.DesiredStateOffered,
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -19,7 +19,12 @@
 from hawthornstage.actors.fleet_members import Deregister, FleetMembers, Turn
 from hawthornstage.actors.ledger import Ledger
 from hawthornstage.actors.peers import PeerIdentity, PeerLink, Peers
-from hawthornstage.actors.purse import CheckPurse, PurseTask, ReturnAll
+from hawthornstage.actors.purse import (
+    CheckPurse,
+    HoldNothing,
+    PurseTask,
+    ReturnAll,
+)
 from hawthornstage.actors.server_registry import ServerRegistry
 from hawthornstage.actors.serving_task import ServingTask
 from hawthornstage.actors.settings_watch import SettingsWatch
@@ -35,7 +40,7 @@
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.latest import Latest
 from hawthornstage.messages.desired import DesiredState
-from hawthornstage.messages.draws import TokensWanted
+from hawthornstage.messages.draws import TokensHandedOver, TokensWanted
 from hawthornstage.messages.fleet import CallBroke, DesiredStateWanted, StateBeat
 from hawthornstage.messages.node import HostSettings, SocketAddress
 from hawthornstage.messages.store import Committed, Conflict, Item, Put
@@ -171,7 +176,7 @@
             events=self.events,
         )
         self.switchboard.register(self.states, (StateBeat, DesiredStateWanted))
-        self.switchboard.register(self.purse, (TokensWanted,))
+        self.switchboard.register(self.purse, (TokensWanted, TokensHandedOver))
         self.switchboard.register(self.breaks, (CallBroke,))
         self.members.tell(Turn())
         self.timers.every(MEMBERS_TURN_S, self.members, Turn())
@@ -266,6 +271,7 @@
         deadline = self.clock.monotonic() + grace_s - GRACE_MARGIN_S
         self.events.emit("stopping", at_work=self.callers.at_work)
         self.stopping.begin()
+        self.purse.tell(HoldNothing())
         pause(self.clock, NOTICE_S)
         self.callers.close()
         self.stopping.end_idle()
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -218,12 +218,24 @@
     return put(purse, workspace, account), given
 
 
+def hand_over(purse: Purse, now: float) -> tuple[Purse, dict[str, int]]:
+    """Take out all that may be given to another router; here it counts as spent."""
+    amounts: dict[str, int] = {}
+    for workspace, account in purse.accounts.items():
+        spare = int(room(purse, workspace, now))
+        if spare > 0:
+            amounts[workspace] = spare
+            purse = put(purse, workspace, replace(account, spent=account.spent + spare))
+    return purse, amounts
+
+
 def plan_draws(
     purse: Purse,
     budgets: dict[str, int],
     routers: int,
     *,
     wanted: dict[str, int],
+    ahead: bool,
     now: float,
 ) -> dict[str, int]:
     """Return what to draw now, by workspace; negative amounts go back.
@@ -233,13 +245,13 @@
         budgets: Each workspace's whole budget in tokens.
         routers: Routers that draw on the same budgets.
         wanted: What calls wait for, by workspace.
+        ahead: Whether to hold more than that.
         now: Monotonic time in seconds.
     """
     amounts: dict[str, int] = {}
     for workspace, budget in budgets.items():
         account = account_of(purse, workspace)
-        # The first record tells how much is left; nothing is drawn ahead before.
-        aim = target(account, budget, routers, now) if purse.stored else 0
+        aim = target(account, budget, routers, now) if ahead else 0
         left = max(0, budget - account.drawn)
         waited = wanted.get(workspace, 0)
         needed = waited - account.free
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -182,6 +182,13 @@
     tokens: int
 
 
+@dataclass(frozen=True)
+class TokensHandedOver:
+    """Tokens that a router gives up for good as it stops, by workspace."""
+
+    amounts: dict[str, int]
+
+
 @dataclass(frozen=True)
 class TokensGiven:
     """Tokens that the sender has given up for good; 0 if it has none to spare."""
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -16,7 +16,13 @@
     DesiredState,
     WorkspaceTerms,
 )
-from hawthornstage.messages.draws import Aside, SetAside, TokensGiven, Used
+from hawthornstage.messages.draws import (
+    Aside,
+    SetAside,
+    TokensGiven,
+    TokensHandedOver,
+    Used,
+)
 from hawthornstage.messages.fleet import DesiredStateInUse, RoutersKnown
 from hawthornstage.messages.store import (
     Committed,
@@ -297,12 +303,18 @@
             host.pump()
             host.check()
 
+    def free(self, name: str) -> int:
+        """Return what a router holds and no call has."""
+        return self.hosts[name].purse.purse.accounts[WORKSPACE].free
+
     def pass_gift(self, name: str, *, lost: bool) -> None:
         """Deliver what a router asks of the others; answers may get lost."""
         host = self.hosts[name]
         messages, host.peer_inbox.messages = host.peer_inbox.messages, []
         for send in messages:
             reply = Reply()
+            if lost and isinstance(send.message, TokensHandedOver):
+                continue
             self.hosts[send.node].purse.handle(Ask(send.message, reply))
             if isinstance(reply.value, TokensGiven) and not lost:
                 host.purse.handle(reply.value)
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -8,10 +8,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hawthornstage.actors.ledger import MAX_COUNTS
+from hawthornstage.actors.purse import HoldNothing, ReturnAll
+from hawthornstage.actors.task import Ask
 from hawthornstage.decisions import draws
 from hawthornstage.decisions.draws import left_over
 from hawthornstage.messages.draws import Bound, Moment, Record, StoreRecord
-from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld
+from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld, Reply
 
 NAMES = st.sampled_from(("a", "b", "c"))
 MOODS = st.sampled_from(("well", "well", "refuses", "deaf", "mute", "late"))
@@ -113,6 +115,33 @@
     assert granted == world.store.counts()[WORKSPACE]
 
 
+def test_stopping_router_holds_nothing_ahead(world: DrawsWorld) -> None:
+    host = world.hosts["a"]
+    assert host.ask(4_000)
+    assert host.purse.purse.accounts[WORKSPACE].free > 0
+    host.purse.handle(HoldNothing())
+    host.pump()
+    assert host.purse.purse.accounts[WORKSPACE].free == 0
+    assert host.ask(1_000)
+
+
+def test_stopping_router_hands_over_what_the_store_does_not_take(
+    world: DrawsWorld,
+) -> None:
+    world.store.mood = "deaf"
+    world.clock.advance(draws.WIDEN_S)
+    host = world.hosts["a"]
+    host.check()
+    world.clock.advance(draws.WIDEN_S)
+    free = host.purse.purse.accounts[WORKSPACE].free
+    held = {name: world.free(name) for name in ("b", "c")}
+    host.purse.handle(Ask(ReturnAll(), Reply()))
+    world.pass_gift("a", lost=False)
+    assert free > 0
+    assert sum(world.free(name) - held[name] for name in held) == free
+    assert not host.ask(100)
+
+
 def test_lost_gift_is_lost_and_not_spent_twice(world: DrawsWorld) -> None:
     world.store.mood = "deaf"
     for host in world.hosts.values():
@@ -236,6 +265,16 @@
             host.start()
             host.pump()
 
+    @rule(name=NAMES, lost=st.booleans(), down_s=st.floats(0.3, 3.0))
+    def stop(self, name: str, lost: bool, down_s: float) -> None:
+        host = self.world.hosts[name]
+        host.purse.handle(HoldNothing())
+        host.pump()
+        host.purse.handle(Ask(ReturnAll(), Reply()))
+        host.pump()
+        self.world.pass_gift(name, lost=lost)
+        self.world.restart(name, down_s)
+
     @rule(name=NAMES, lost=st.booleans())
     def gift(self, name: str, lost: bool) -> None:
         self.world.pass_gift(name, lost=lost)
