Let the growth of a record's bound fall as a budget gets scarce

Cause: most of what a mass death strands is the growth that the bound allows: the life that a successor must assume ends with its own start, 1.5 to 2.2 s after the record, while the calls ended about 0.5 s after it. Only the part allowed at once fell as a budget got scarce, below 40 in 100. Now the growth falls too, from 60 in 100 on, and the time of day is given 0.2 s of margin instead of 0.5. Ruled out: a shorter lease (the successor starts up to 1.9 s later).

--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -52,16 +52,17 @@
 # Lease of a record, in seconds.
 LEASE_S = 3.5
 # Added to a predecessor's life as the time of day tells it, in seconds.
-WALL_MARGIN_S = 0.5
+WALL_MARGIN_S = 0.2
 # A steady clock that went on by more than this since a record has started anew, in
 # seconds.
 SAME_START_S = 60.0
 # Demand that a record allows at once, in seconds, and in calls of average size.
 BOUND_AHEAD_S = 1.0
 BOUND_CALLS = 1.2
-# The same falls to this part as less than a part of the budget is left in the ledger.
+# These and the growth fall to the first part as less than the second part of the
+# budget is left in the ledger.
 BOUND_LEAST_PART = 0.2
-BOUND_SCARCE_PART = 0.4
+BOUND_SCARCE_PART = 0.6
 # Growth of the bound, as a multiple of the demand.
 BOUND_GROWTH = 1.2
 # A router that uses its even share of a budget would use it up in this time, in
@@ -333,9 +334,10 @@
             # Each call is drawn for, so that a crash strands nothing.
             rate = ahead = 0.0
         else:
-            ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS
             # What a crash strands hurts more the less there is left.
-            ahead *= max(BOUND_LEAST_PART, plenty(account, budget, BOUND_SCARCE_PART))
+            part = max(BOUND_LEAST_PART, plenty(account, budget, BOUND_SCARCE_PART))
+            rate *= part
+            ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS * part
         taken = account.spent + account.open + wanted.get(workspace, 0)
         bounds[workspace] = Bound(taken + int(ahead), rate * BOUND_GROWTH)
     granted = {name: each.granted for name, each in purse.accounts.items()}
