Hold less ahead of budgets that get scarce

Cause: a death right after a long outage strands all that is held, as no record outlives the outage; 13 s of demand were held down to 20 in 100 left.

--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -25,9 +25,9 @@
 from hawthornstage.messages.draws import Bound, Moment, Record, StoreRecord
 
 # Demand that a router holds ahead, in seconds.
-HORIZON_S = 13.0
+HORIZON_S = 11.0
 # It draws again when it holds less than this part of that.
-LOW_WATER = 0.75
+LOW_WATER = 0.85
 # Part of a budget that a router holds before it knows its demand.
 FIRST_PART = 0.02
 # Part of a fair share of what is left in the ledger that one draw may take.
@@ -39,7 +39,7 @@
 # Size of a call before any was seen, in tokens.
 FIRST_SIZE = 5_000.0
 # Routers hold less when less than this part of a budget is left in the ledger.
-SCARCE_PART = 0.2
+SCARCE_PART = 0.4
 # They hold nothing ahead, and draw for each call, when less than this part is left.
 LAST_PART = 0.05
 # A router gives back what exceeds its target by this part and an average call.
