Send nothing more to a server whose address another one has

Cause: a server that crashed during an outage of the store comes back under another id at its old address, and answers 421 to what is meant for its old id. Ruled out: counting such a send as an attempt; nothing but the addressed server could have run the call. Two new tests fail on the code before.

--- a/src/hawthornstage/decisions/serving.py
+++ b/src/hawthornstage/decisions/serving.py
@@ -53,6 +53,7 @@
         late_at: When that was.
         failures: Failed calls in a row.
         avoid_until: Time until which the server is avoided.
+        gone: Whether another server has its address; until it registers anew.
         parts: Prompt parts sent there, and when.
     """
 
@@ -62,6 +63,7 @@
     late_at: float = 0.0
     failures: int = 0
     avoid_until: float = 0.0
+    gone: bool = False
     parts: dict[str, float] = field(default_factory=dict)
 
 
@@ -115,6 +117,7 @@
             for server in self.servers.values()
             if server.service == want.service
             and not server.leaving
+            and not self.loads[server.id].gone
             and server.id not in want.excluded
         ]
         if not fit:
@@ -163,7 +166,9 @@
         staying = (
             server.id
             for server in self.servers.values()
-            if server.service == service and not server.leaving
+            if server.service == service
+            and not server.leaving
+            and not self.loads[server.id].gone
         )
         return rendezvous(part, staying)
 
@@ -205,6 +210,7 @@
             return
         load.calls.pop(ended.call_id, None)
         load.running = max(0, load.running - 1)
+        load.gone = load.gone or ended.gone
         if ended.failed or ended.refused:
             load.failures += 1
             pause = FIRST_AVOIDANCE_S * 2 ** min(load.failures - 1, 6)
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -17,6 +17,7 @@
     AnswerRelay,
     AttemptOutcome,
     Delivered,
+    Misdirected,
     Refused,
 )
 from hawthornstage.messages.desired import Repeat
@@ -89,7 +90,7 @@
                     return None
                 case OutOfTime():
                     return self.out_of_time(delivery)
-                case Refused(reason, _) | NotSent(reason):
+                case Refused(reason, _) | Misdirected(reason) | NotSent(reason):
                     delivery.outcome = reason
                 case Broken(reason):
                     delivery.outcome = reason
@@ -101,7 +102,8 @@
     def may_go_on(self, exchange: ForwardExchange, delivery: Delivery) -> bool:
         """Whether there are attempts and time left for another server."""
         in_time = self.clock.monotonic() < exchange.deadline
-        return in_time and delivery.attempts < exchange.route.max_attempts
+        attempts = delivery.attempts - delivery.misdirected
+        return in_time and attempts < exchange.route.max_attempts
 
     def give_up(self, delivery: Delivery, reason: str) -> Failure | None:
         """Return the failure that is true for what has been done so far."""
@@ -158,8 +160,10 @@
             outcome = self.exchange(exchange, connection, choice, delivery)
         finally:
             connection.close()
-        if isinstance(outcome, Refused):
+        if isinstance(outcome, Refused | Misdirected):
             delivery.ran = ran_before
+        if isinstance(outcome, Misdirected):
+            delivery.misdirected += 1
         return outcome
 
     def exchange(
@@ -205,7 +209,8 @@
         self.metrics.attempts.labels(exchange.service, kind).inc()
         failed = isinstance(outcome, Broken | NotSent)
         full = isinstance(outcome, Refused) and outcome.full
-        self.serving.tell(CallEnded(call.id, failed, full))
+        gone = isinstance(outcome, Misdirected)
+        self.serving.tell(CallEnded(call.id, failed=failed, refused=full, gone=gone))
         match outcome:
             case Broken():
                 self.breaks.tell(CallBroke(exchange.fingerprint, choice.server.id))
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -45,7 +45,16 @@
     full: bool
 
 
-AttemptOutcome = Delivered | Refused | NotSent | Broken | CallerLeft | OutOfTime
+@dataclass(frozen=True)
+class Misdirected:
+    """Another server has the address; the one that was meant is gone."""
+
+    reason: str = "another server has this address"
+
+
+AttemptOutcome = (
+    Delivered | Refused | Misdirected | NotSent | Broken | CallerLeft | OutOfTime
+)
 
 
 @dataclass(frozen=True)
@@ -71,6 +80,8 @@
 
     def relay(self, head: AnswerHead) -> AttemptOutcome:
         """Judge the head of an answer and relay its body."""
+        if head.misdirected:
+            return Misdirected()
         if head.not_run:
             return Refused(f"status {head.status}, not run", head.status == 503)
         if head.request_id != self.exchange.call.id:
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -130,6 +130,7 @@
         request_id: Id of the request that it answers, or empty.
         sealed: Whether it carries the server's digest.
         not_run: Whether the server says that it did not run the request.
+        misdirected: Whether another server than the one that was meant answers.
         encoded: Whether the body is not the server's own bytes.
     """
 
@@ -138,6 +139,7 @@
     request_id: str
     sealed: bool
     not_run: bool
+    misdirected: bool
     encoded: bool
 
     @property
@@ -195,6 +197,7 @@
 
     Args:
         attempts: Servers that the call was sent to.
+        misdirected: Those of them that were not the ones that were meant.
         tried: Their ids.
         ran: Whether a server may have begun to work on it.
         events: Whole events passed to the caller.
@@ -205,6 +208,7 @@
     """
 
     attempts: int = 0
+    misdirected: int = 0
     tried: tuple[BackendServer, ...] = ()
     ran: bool = False
     events: int = 0
--- a/src/hawthornstage/messages/serving.py
+++ b/src/hawthornstage/messages/serving.py
@@ -70,8 +70,10 @@
         call_id: The call.
         failed: Whether the server is to blame.
         refused: Whether the server said that it is full.
+        gone: Whether another server has its address now.
     """
 
     call_id: str
     failed: bool
     refused: bool
+    gone: bool = False
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -166,5 +166,6 @@
         request_id=single.get(REQUEST_ID, ""),
         sealed=SEAL in single,
         not_run=NOT_RUN in single or status == WRONG_SERVER_STATUS,
+        misdirected=status == WRONG_SERVER_STATUS,
         encoded="content-encoding" in single,
     )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -364,6 +364,16 @@
         assert other.server.id != choice.server.id
 
 
+def test_server_whose_address_another_one_has_gets_nothing() -> None:
+    serving = Serving("z")
+    serving.replace_servers({"a": make_server("a")})
+    serving.choose(want(), 1.0)
+    serving.end(CallEnded("r1", failed=False, refused=False, gone=True), 1.0)
+    assert isinstance(serving.choose(want("r2"), 60.0), NoServerFit)
+    serving.replace_servers({"a": make_server("a", started_ms=2)})
+    assert isinstance(serving.choose(want("r3"), 60.0), ServerChosen)
+
+
 def test_new_start_of_a_server_is_a_clean_slate() -> None:
     serving = Serving("z")
     serving.replace_servers({"a": make_server("a")})
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -338,6 +338,18 @@
     assert not delivery.ran
 
 
+def test_call_goes_on_when_another_server_has_the_address(
+    deliver: Deliver, pair: CallerPair
+) -> None:
+    other = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+    failure, delivery = deliver(
+        ScriptedServer([other]), ScriptedServer([sealed(EVENTS)])
+    )
+    assert failure is None
+    assert (delivery.attempts, delivery.misdirected) == (2, 1)
+    assert EVENTS in read_all(pair)
+
+
 def test_call_that_may_have_run_is_never_called_not_run(
     deliver: Deliver, pair: CallerPair
 ) -> None:
