--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -62,8 +62,8 @@
 SLOW_S = 0.05
 # Routers that are asked at once, and what they are asked for in all, as a multiple of
 # what is missing.
-ASKED = 4
-ASKED_AMOUNT = 2.0
+ASKED = 7
+ASKED_AMOUNT = 3.0
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -45,7 +45,7 @@
 # A router gives back what exceeds its target by this part and an average call.
 SURPLUS_PART = 0.3
 # Part of what is free that a router gives to another one at a time.
-GIFT_PART = 0.4
+GIFT_PART = 0.5
 # Time after the last record at which a router may spend all that it holds, in
 # seconds.
 WIDEN_S = 3.8
@@ -67,7 +67,7 @@
 BOUND_GROWTH = 1.2
 # A router that uses its even share of a budget would use it up in this time, in
 # seconds; the bound grows at least as if it did.
-EVEN_SHARE_S = 300.0
+EVEN_SHARE_S = 100.0
 
 
 @dataclass(frozen=True)
