--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -25,11 +25,11 @@
 from hawthornstage.messages.draws import Bound, Moment, Record, StoreRecord
 
 # Demand that a router holds ahead, in seconds.
-HORIZON_S = 11.0
+HORIZON_S = 18.0
 # It draws again when it holds less than this part of that.
 LOW_WATER = 0.85
 # Part of a budget that a router holds before it knows its demand.
-FIRST_PART = 0.02
+FIRST_PART = 0.03
 # Part of a fair share of what is left in the ledger that one draw may take.
 LEFT_PART = 0.5
 # Time over which demand is averaged, in seconds.
@@ -39,7 +39,7 @@
 # Size of a call before any was seen, in tokens.
 FIRST_SIZE = 5_000.0
 # Routers hold less when less than this part of a budget is left in the ledger.
-SCARCE_PART = 0.4
+SCARCE_PART = 0.6
 # They hold nothing ahead, and draw for each call, when less than this part is left.
 LAST_PART = 0.05
 # A router gives back what exceeds its target by this part and an average call.
