Keep connections to servers for calls that may be repeated

Only a call that may run again uses a kept connection: one that breaks after a send promises nothing. A connection is kept only after a whole answer, and is not used if anything has come on it since, if the server answered before it had read the request, or for longer than 0.6 of the time that the server names (4 s at most). A router has no more calls on a server than its share of max-connections, less what it keeps idle. New tests cover what is not kept.

--- a/src/hawthornstage/actors/serving_task.py
+++ b/src/hawthornstage/actors/serving_task.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
+from hawthornstage.actors.kept_connections import KeptConnections
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.retry_share import RetryShare
@@ -13,11 +15,17 @@
     CallEnded,
     FirstByte,
     NoServerFit,
+    ServerChosen,
     ServersKnown,
     WantServer,
 )
 from hawthornstage.observe.events import EventLog
 
+# Idle connections kept for each server, and as a part of the router's share of those
+# that the server accepts.
+MAX_KEPT = 4
+KEPT_PART = 0.25
+
 
 class ServingTask(Task):
     """Owns what is known of the backend servers.
@@ -43,6 +51,8 @@
         self.serving = serving
         self.share = share
         self.routers = routers
+        self.kept = KeptConnections()
+        self.most_kept: dict[str, int] = {}
         self.clock = clock
         self.events = events
 
@@ -54,9 +64,15 @@
             case FirstByte(call_id):
                 self.serving.begin(call_id, now)
             case CallEnded():
-                self.serving.end(message, now)
+                server = self.serving.end(message, now)
+                self.keep(server, message, now)
             case ServersKnown(servers):
                 self.serving.replace_servers(dict(servers))
+                self.most_kept = {
+                    name: most
+                    for name, most in self.most_kept.items()
+                    if name in servers
+                }
 
     def choose(self, want: WantServer, now: float) -> Any:
         """Choose a server; a retry needs a part of the router's share."""
@@ -64,4 +80,21 @@
             self.share.count_request(want.service, now)
         elif not self.share.take(want.service, self.routers.value, now):
             return NoServerFit("this router's share of retries is used up")
-        return self.serving.choose(want, now)
+        share = want.connections // self.routers.value
+        most_kept = min(MAX_KEPT, int(share * KEPT_PART))
+        choice = self.serving.choose(want, max(1, share - most_kept), now)
+        if not isinstance(choice, ServerChosen):
+            return choice
+        self.most_kept[choice.server.id] = most_kept
+        if not want.repeatable:
+            return choice
+        return replace(choice, kept=self.kept.take(choice.server.id, now))
+
+    def keep(self, server: str | None, ended: CallEnded, now: float) -> None:
+        """Keep a connection whose call has ended, if its server is still of use."""
+        self.kept.drop_old(now)
+        if ended.kept is None:
+            return
+        self.kept.put(
+            server or "", ended.kept, self.most_kept.get(server or "", 0), now
+        )
--- a/src/hawthornstage/border/http1.py
+++ b/src/hawthornstage/border/http1.py
@@ -233,11 +233,10 @@
 
 
 class ServerConnection:
-    """A connection to a backend server for one request.
+    """A connection to a backend server, for one request at a time.
 
     Args:
         address: The server.
-        caller: The connection whose caller waits for the answer.
         clock: The runtime's clock.
         connect_timeout_s: Longest wait for the connection, in seconds.
 
@@ -245,16 +244,12 @@
         OSError: No connection could be made.
     """
 
+    caller: CallerConnection
+
     def __init__(
-        self,
-        address: SocketAddress,
-        caller: CallerConnection,
-        clock: Clock,
-        *,
-        connect_timeout_s: float,
+        self, address: SocketAddress, clock: Clock, *, connect_timeout_s: float
     ) -> None:
         self.clock = clock
-        self.caller = caller
         self.socket = socket.create_connection(
             (address.host, address.port), timeout=connect_timeout_s
         )
@@ -266,11 +261,28 @@
         self.unsent = memoryview(b"")
         self.watch_caller = True
         self.closed_by_server = False
+        self.answered_early = False
+        self.keep_s: float | None = None
 
     def start(
-        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        caller: CallerConnection,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
     ) -> None:
-        """Queue a request; `next_event` sends it."""
+        """Queue a request; `next_event` sends it.
+
+        Args:
+            caller: The connection whose caller waits for the answer.
+            method: HTTP method.
+            target: Path and query.
+            headers: All headers, the body's length too.
+            body: The whole body.
+        """
+        self.caller = caller
+        self.watch_caller = True
         listed = [(name, value.encode("latin-1")) for name, value in headers]
         head = h11.Request(method=method, target=target, headers=listed)
         parts = [self.parser.send(head)]
@@ -297,8 +309,11 @@
                     continue
                 case h11.Response():
                     # A server that answers early need not read the rest.
+                    self.answered_early = bool(self.unsent)
                     self.unsent = memoryview(b"")
-                    return to_answer_head(event)
+                    head = to_answer_head(event)
+                    self.keep_s = head.keep_s
+                    return head
                 case h11.Data(data=data):
                     return AnswerData(bytes(data))
                 case h11.EndOfMessage():
@@ -350,6 +365,25 @@
             return
         self.unsent = self.unsent[sent:]
 
+    def next_cycle(self) -> bool:
+        """Prepare for another request; False if the connection must close.
+
+        A server that answered early may still expect the rest of the request.
+        """
+        whole = (
+            self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
+        )
+        if not whole or self.answered_early or not self.quiet():
+            return False
+        self.parser.start_next_cycle()
+        return True
+
+    def quiet(self) -> bool:
+        """Whether nothing has come that no request asked for, not even a close."""
+        if self.parser.trailing_data[0]:
+            return False
+        return not wait_ready([(self.socket, READABLE)], 0.0)
+
     def close(self) -> None:
         """Close the connection, which makes the server drop the request."""
         self.socket.close()
--- a/src/hawthornstage/decisions/serving.py
+++ b/src/hawthornstage/decisions/serving.py
@@ -110,8 +110,16 @@
             del self.loads[name]
         self.servers = dict(servers)
 
-    def choose(self, want: WantServer, now: float) -> ServerChosen | NoServerFit:
-        """Choose the server with the shortest estimated time to a first byte."""
+    def choose(
+        self, want: WantServer, limit: int, now: float
+    ) -> ServerChosen | NoServerFit:
+        """Choose the server with the shortest estimated time to a first byte.
+
+        Args:
+            want: The call.
+            limit: Calls that this router may have on one server.
+            now: Monotonic time in seconds.
+        """
         fit = [
             server
             for server in self.servers.values()
@@ -122,6 +130,9 @@
         ]
         if not fit:
             return NoServerFit("no server is registered, staying and untried")
+        fit = [server for server in fit if self.loads[server.id].running < limit]
+        if not fit:
+            return NoServerFit(f"each server has {limit} calls of this router")
         calm = [s for s in fit if self.loads[s.id].avoid_until <= now]
         estimates = {s.id: self.estimate(s, want, now) for s in calm or fit}
         server = min(calm or fit, key=lambda each: estimates[each.id])
@@ -202,12 +213,12 @@
         load.late_at = now
         load.failures = 0
 
-    def end(self, ended: CallEnded, now: float) -> None:
-        """Note that a call has left its server."""
+    def end(self, ended: CallEnded, now: float) -> str | None:
+        """Note that a call has left its server; return its id if it is registered."""
         sent = self.sent.pop(ended.call_id, None)
         load = self.loads.get(sent.server) if sent else None
         if sent is None or load is None:
-            return
+            return None
         load.calls.pop(ended.call_id, None)
         load.running = max(0, load.running - 1)
         load.gone = load.gone or ended.gone
@@ -217,6 +228,7 @@
             load.avoid_until = now + min(pause, MAX_AVOIDANCE_S)
         elif sent.begun:
             load.failures = 0
+        return sent.server
 
 
 def rendezvous(name: str, servers: Iterable[str]) -> str:
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -80,7 +80,7 @@
             if isinstance(choice, NoServerFit):
                 return self.give_up(delivery, choice.reason)
             outcome = self.attempt(exchange, caller, choice, delivery)
-            self.note(exchange, choice, outcome)
+            self.note(exchange, choice, delivery, outcome)
             match outcome:
                 case Delivered():
                     delivery.outcome = "answered"
@@ -131,6 +131,8 @@
             prompt=exchange.call.prompt,
             excluded=frozenset(server.id for server in delivery.tried),
             retry=delivery.attempts > 0,
+            connections=exchange.connections,
+            repeatable=exchange.route.repeat is Repeat.IDEMPOTENT,
         )
         reply = ask(self.serving, want, self.clock, timeout=TASK_WAIT_S)
         return reply or NoServerFit("no reply in time")
@@ -143,32 +145,45 @@
         delivery: Delivery,
     ) -> AttemptOutcome:
         """Send a call to one server and relay its answer."""
-        server = choice.server
-        delivery.tried = (*delivery.tried, server)
+        delivery.tried = (*delivery.tried, choice.server)
         try:
-            connection = ServerConnection(
-                SocketAddress(server.host, server.port),
-                caller,
-                self.clock,
-                connect_timeout_s=CONNECT_TIMEOUT_S,
-            )
+            connection = self.connect(choice)
         except OSError as error:
-            return NotSent(f"no connection to {server.id}: {error}")
+            return NotSent(f"no connection to {choice.server.id}: {error}")
         delivery.attempts += 1
         ran_before, delivery.ran = delivery.ran, True
+        kept = False
         try:
-            outcome = self.exchange(exchange, connection, choice, delivery)
+            outcome = self.exchange(exchange, caller, connection, choice, delivery)
+            kept = isinstance(outcome, Delivered) and connection.next_cycle()
         finally:
-            connection.close()
+            if not kept:
+                connection.close()
+        delivery.kept = connection if kept else None
         if isinstance(outcome, Refused | Misdirected):
             delivery.ran = ran_before
         if isinstance(outcome, Misdirected):
             delivery.misdirected += 1
         return outcome
 
+    def connect(self, choice: ServerChosen) -> ServerConnection:
+        """Return the kept connection, or a new one.
+
+        Raises:
+            OSError: No connection could be made.
+        """
+        if isinstance(choice.kept, ServerConnection):
+            return choice.kept
+        return ServerConnection(
+            SocketAddress(choice.server.host, choice.server.port),
+            self.clock,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+
     def exchange(
         self,
         exchange: ForwardExchange,
+        caller: CallerConnection,
         connection: ServerConnection,
         choice: ServerChosen,
         delivery: Delivery,
@@ -185,7 +200,7 @@
             urgency=exchange.priority if call.prompt else None,
             resume_after=delivery.last_event_id or call.resume_after,
         )
-        connection.start(call.method, call.target, headers, call.body)
+        connection.start(caller, call.method, call.target, headers, call.body)
         head = connection.next_event(exchange.deadline + LAST_ANSWER_S)
         match head:
             case AnswerHead():
@@ -201,7 +216,11 @@
         return AnswerRelay(exchange, connection, delivery, retryable).relay(head)
 
     def note(
-        self, exchange: ForwardExchange, choice: ServerChosen, outcome: AttemptOutcome
+        self,
+        exchange: ForwardExchange,
+        choice: ServerChosen,
+        delivery: Delivery,
+        outcome: AttemptOutcome,
     ) -> None:
         """Tell the tasks how an attempt ended."""
         call = exchange.call
@@ -210,7 +229,10 @@
         failed = isinstance(outcome, Broken | NotSent)
         full = isinstance(outcome, Refused) and outcome.full
         gone = isinstance(outcome, Misdirected)
-        self.serving.tell(CallEnded(call.id, failed=failed, refused=full, gone=gone))
+        kept, delivery.kept = delivery.kept, None
+        self.serving.tell(
+            CallEnded(call.id, failed=failed, refused=full, gone=gone, kept=kept)
+        )
         match outcome:
             case Broken():
                 self.breaks.tell(CallBroke(exchange.fingerprint, choice.server.id))
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Protocol
 
 from hawthornstage.messages.backends import BackendServer
-from hawthornstage.messages.desired import DesiredState, ForwardRoute, WorkspaceTerms
+from hawthornstage.messages.desired import (
+    DesiredState,
+    ForwardRoute,
+    ServiceKind,
+    WorkspaceTerms,
+)
 
 Headers = tuple[tuple[str, str], ...]
+# Connections that a server accepts as long as the desired state does not say.
+UNKNOWN_MAX_CONNECTIONS = 100
 
 
 @dataclass(frozen=True)
@@ -111,13 +119,25 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def service_kind(self) -> ServiceKind | None:
+        """What the desired state says of the service."""
+        for service in self.desired.services:
+            if service.name == self.service:
+                return service
+        return None
+
     @property
     def tokens_per_event(self) -> int:
         """Output tokens in one event of the answer."""
-        for service in self.desired.services:
-            if service.name == self.service and service.engine is not None:
-                return service.engine.tokens_per_event
-        return 1
+        kind = self.service_kind
+        return kind.engine.tokens_per_event if kind and kind.engine else 1
+
+    @property
+    def connections(self) -> int:
+        """Connections that each of its servers accepts from all routers."""
+        kind = self.service_kind
+        return kind.max_connections if kind else UNKNOWN_MAX_CONNECTIONS
 
 
 @dataclass(frozen=True)
@@ -132,6 +152,7 @@
         not_run: Whether the server says that it did not run the request.
         misdirected: Whether another server than the one that was meant answers.
         encoded: Whether the body is not the server's own bytes.
+        keep_s: How long the server keeps the connection idle, in seconds, or None.
     """
 
     status: int
@@ -141,6 +162,7 @@
     not_run: bool
     misdirected: bool
     encoded: bool
+    keep_s: float | None = None
 
     @property
     def success(self) -> bool:
@@ -191,6 +213,18 @@
 )
 
 
+class KeptConnection(Protocol):
+    """An idle connection to a backend server."""
+
+    keep_s: float | None
+
+    def quiet(self) -> bool:
+        """Whether nothing has come on it, not even a close."""
+
+    def close(self) -> None:
+        """Close it."""
+
+
 @dataclass
 class Delivery:
     """What has been done for a call so far; settle reads it.
@@ -205,6 +239,7 @@
         head_sent: Whether the caller has the head of an answer.
         status: Status that the caller got, 0 if none.
         outcome: How it ended, for the log.
+        kept: The last connection to a server, if another call may use it.
     """
 
     attempts: int = 0
@@ -216,3 +251,4 @@
     head_sent: bool = False
     status: int = 0
     outcome: str = ""
+    kept: KeptConnection | None = None
--- a/src/hawthornstage/messages/serving.py
+++ b/src/hawthornstage/messages/serving.py
@@ -6,7 +6,11 @@
 from dataclasses import dataclass
 
 from hawthornstage.messages.backends import BackendServer
-from hawthornstage.messages.forward import Prompt
+from hawthornstage.messages.forward import (
+    UNKNOWN_MAX_CONNECTIONS,
+    KeptConnection,
+    Prompt,
+)
 
 
 @dataclass(frozen=True)
@@ -26,6 +30,8 @@
         prompt: What is known of its prompt, or None.
         excluded: Ids of servers that were tried before.
         retry: Whether this is a try after the first.
+        connections: Connections that one server of the group accepts from all routers.
+        repeatable: Whether the call may run again, and so may use a kept connection.
     """
 
     call_id: str
@@ -33,6 +39,8 @@
     prompt: Prompt | None
     excluded: frozenset[str]
     retry: bool
+    connections: int = UNKNOWN_MAX_CONNECTIONS
+    repeatable: bool = False
 
 
 @dataclass(frozen=True)
@@ -42,10 +50,12 @@
     Args:
         server: The server.
         wait_s: Estimated time to its first byte, in seconds.
+        kept: A connection to it that is idle, or None; the receiver owns it now.
     """
 
     server: BackendServer
     wait_s: float
+    kept: KeptConnection | None = None
 
 
 @dataclass(frozen=True)
@@ -71,9 +81,11 @@
         failed: Whether the server is to blame.
         refused: Whether the server said that it is full.
         gone: Whether another server has its address now.
+        kept: The connection, if another call may use it; the receiver owns it now.
     """
 
     call_id: str
     failed: bool
     refused: bool
     gone: bool = False
+    kept: KeptConnection | None = None
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -168,4 +168,14 @@
         not_run=NOT_RUN in single or status == WRONG_SERVER_STATUS,
         misdirected=status == WRONG_SERVER_STATUS,
         encoded="content-encoding" in single,
+        keep_s=read_keep_alive(single.get("keep-alive", "")),
     )
+
+
+def read_keep_alive(value: str) -> float | None:
+    """Return how long an idle connection is kept, in seconds, if that is said."""
+    for entry in value.split(","):
+        name, _, seconds = entry.partition("=")
+        if name.strip().lower() == "timeout" and seconds.strip().isdigit():
+            return float(seconds)
+    return None
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -96,6 +96,8 @@
         {"name": "shop-b", "api-keys": ["key-c"], "priority": 0},
     ],
 }
+# Calls that a router may have on one server.
+LIMIT = 50
 HEADERS = [
     ("host", "Shop.example:80"),
     ("x-request-id", "r1"),
@@ -345,39 +347,50 @@
     serving.replace_servers({server.id: server for server in servers})
     for number in range(10):
         asked = want(f"r{number}", excluded=frozenset({"b"}))
-        choice = serving.choose(asked, 1.0)
+        choice = serving.choose(asked, LIMIT, 1.0)
         assert isinstance(choice, ServerChosen)
         assert choice.server.id == "c"
-    none = serving.choose(want(excluded=frozenset({"b", "c"})), 1.0)
+    none = serving.choose(want(excluded=frozenset({"b", "c"})), LIMIT, 1.0)
     assert isinstance(none, NoServerFit)
 
 
 def test_failing_server_is_avoided_for_a_while() -> None:
     serving = Serving("z")
     serving.replace_servers({n: make_server(n) for n in ("a", "b")})
-    choice = serving.choose(want(), 1.0)
+    choice = serving.choose(want(), LIMIT, 1.0)
     assert isinstance(choice, ServerChosen)
     serving.end(CallEnded("r1", failed=True, refused=False), 1.0)
     for number in range(20):
-        other = serving.choose(want(f"n{number}"), 1.0 + FIRST_AVOIDANCE_S / 2)
+        other = serving.choose(want(f"n{number}"), LIMIT, 1.0 + FIRST_AVOIDANCE_S / 2)
         assert isinstance(other, ServerChosen)
         assert other.server.id != choice.server.id
 
 
+def test_calls_on_a_server_stay_within_the_routers_share() -> None:
+    serving = Serving("z")
+    serving.replace_servers({n: make_server(n) for n in ("a", "b")})
+    choices = [serving.choose(want(f"r{number}"), 2, 1.0) for number in range(5)]
+    assert [isinstance(choice, ServerChosen) for choice in choices] == [True] * 4 + [
+        False
+    ]
+    serving.end(CallEnded("r0", failed=False, refused=False), 1.0)
+    assert isinstance(serving.choose(want("r9"), 2, 1.0), ServerChosen)
+
+
 def test_server_whose_address_another_one_has_gets_nothing() -> None:
     serving = Serving("z")
     serving.replace_servers({"a": make_server("a")})
-    serving.choose(want(), 1.0)
+    serving.choose(want(), LIMIT, 1.0)
     serving.end(CallEnded("r1", failed=False, refused=False, gone=True), 1.0)
-    assert isinstance(serving.choose(want("r2"), 60.0), NoServerFit)
+    assert isinstance(serving.choose(want("r2"), LIMIT, 60.0), NoServerFit)
     serving.replace_servers({"a": make_server("a", started_ms=2)})
-    assert isinstance(serving.choose(want("r3"), 60.0), ServerChosen)
+    assert isinstance(serving.choose(want("r3"), LIMIT, 60.0), ServerChosen)
 
 
 def test_new_start_of_a_server_is_a_clean_slate() -> None:
     serving = Serving("z")
     serving.replace_servers({"a": make_server("a")})
-    serving.choose(want(), 1.0)
+    serving.choose(want(), LIMIT, 1.0)
     serving.replace_servers({"a": make_server("a", started_ms=2)})
     assert serving.loads["a"].running == 0
     serving.end(CallEnded("r1", failed=False, refused=False), 1.0)
@@ -389,7 +402,7 @@
     for number in range(5):
         serving = Serving(f"zone-{number}")
         serving.replace_servers({n: make_server(n) for n in ("a", "b", "c", "d")})
-        choice = serving.choose(want(f"r{number}", prompt=prompt), 1.0)
+        choice = serving.choose(want(f"r{number}", prompt=prompt), LIMIT, 1.0)
         assert isinstance(choice, ServerChosen)
         chosen.add(choice.server.id)
     assert len(chosen) == 1
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -10,7 +10,9 @@
 
 import pytest
 
+from hawthornstage.actors.kept_connections import KeptConnections
 from hawthornstage.border.http1 import (
+    READABLE,
     CallerConnection,
     ConnectionClosed,
     IdleTooLong,
@@ -18,6 +20,7 @@
     RawRequest,
     ServerConnection,
     SlowRequest,
+    wait_ready,
 )
 from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.forwarding import identify
@@ -370,29 +373,31 @@
     pair.caller.shutdown(socket.SHUT_WR)
     assert isinstance(pair.receive(), RawRequest)
     address = server.start()
-    connection = ServerConnection(
-        address, pair.connection, Clock(), connect_timeout_s=SOON
-    )
+    connection = ServerConnection(address, Clock(), connect_timeout_s=SOON)
     headers = [("host", "h"), ("content-length", "4")]
-    connection.start("POST", "/", headers, b"text")
+    connection.start(pair.connection, "POST", "/", headers, b"text")
     assert isinstance(connection.next_event(Clock().monotonic() + SOON), CallerLeft)
     connection.close()
 
 
-def test_early_answer_to_a_long_body_is_taken(pair: CallerPair) -> None:
-    near, far = tcp_pair()
-    far.sendall(sealed(b"{}", SEALED.replace(b"200 OK", b"413 Too Large")))
+def server_connection(near: socket.socket) -> ServerConnection:
+    """Return a connection whose other end the test holds."""
     with socket.create_server(("127.0.0.1", 0)) as server:
         address = SocketAddress(*server.getsockname())
-        connection = ServerConnection(
-            address, pair.connection, Clock(), connect_timeout_s=SOON
-        )
+        connection = ServerConnection(address, Clock(), connect_timeout_s=SOON)
     connection.socket.close()
     near.setblocking(False)
     connection.socket = near
+    return connection
+
+
+def test_early_answer_to_a_long_body_is_taken(pair: CallerPair) -> None:
+    near, far = tcp_pair()
+    far.sendall(sealed(b"{}", SEALED.replace(b"200 OK", b"413 Too Large")))
+    connection = server_connection(near)
     body = b"a" * 50_000_000
     headers = [("host", "h"), ("content-length", str(len(body)))]
-    connection.start("POST", "/", headers, body)
+    connection.start(pair.connection, "POST", "/", headers, body)
     deadline = Clock().monotonic() + SOON
     head = connection.next_event(deadline)
     assert isinstance(head, AnswerHead)
@@ -400,5 +405,71 @@
     assert isinstance(connection.next_event(deadline), AnswerData)
     assert isinstance(connection.next_event(deadline), AnswerEnd)
     assert not isinstance(head, Broken)
+    assert not connection.next_cycle()
+    connection.close()
+    far.close()
+
+
+@pytest.mark.parametrize(
+    ("answer", "unasked", "usable"),
+    [
+        (sealed(b"{}"), b"", True),
+        (sealed(b"{}"), sealed(b"{}"), False),
+        (sealed(b"{}", SEALED + b"Connection: close\r\n"), b"", False),
+        (SEALED + b"\r\n{}", b"", False),
+    ],
+    ids=["whole", "an extra answer", "to be closed", "ended by a close"],
+)
+def test_connection_is_used_again_only_after_a_whole_answer(
+    pair: CallerPair, answer: bytes, unasked: bytes, usable: bool
+) -> None:
+    near, far = tcp_pair()
+    connection = server_connection(near)
+    deadline = Clock().monotonic() + SOON
+    connection.start(pair.connection, "GET", "/", [("host", "h")], b"")
+    far.sendall(answer)
+    if b"Content-Length" not in answer:
+        far.shutdown(socket.SHUT_WR)
+    while not isinstance(connection.next_event(deadline), AnswerEnd):
+        pass
+    far.sendall(unasked)
+    assert not unasked or wait_ready([(near, READABLE)], SOON)
+    assert connection.next_cycle() is usable
+    if usable:
+        connection.start(pair.connection, "GET", "/", [("host", "h")], b"")
+        far.sendall(sealed(b"{}"))
+        assert isinstance(connection.next_event(deadline), AnswerHead)
     connection.close()
     far.close()
+
+
+@dataclass
+class IdleConnection:
+    """Stands for an idle connection."""
+
+    keep_s: float | None = None
+    closed: bool = False
+    calm: bool = True
+
+    def quiet(self) -> bool:
+        """Whether nothing has come on it."""
+        return self.calm
+
+    def close(self) -> None:
+        """Close it."""
+        self.closed = True
+
+
+def test_kept_connections_end_in_time_and_in_number() -> None:
+    kept = KeptConnections()
+    short, long, third = IdleConnection(1.0), IdleConnection(), IdleConnection()
+    kept.put("a", short, 2, 10.0)
+    kept.put("a", long, 2, 10.0)
+    kept.put("a", third, 2, 10.0)
+    assert third.closed
+    assert kept.take("b", 10.0) is None
+    kept.drop_old(10.9)
+    assert (short.closed, long.closed) == (True, False)
+    long.calm = False
+    assert kept.take("a", 11.0) is None
+    assert long.closed
