Log what decided the placement of each call

It now says the expected and the real time to the first byte, the servers to choose from, the tokens to read, this router's calls there and the age of its last answer; explain shows them. Tests: the explained call of test_explaining.

--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
 import structlog
 
@@ -235,9 +236,28 @@
             events=delivery.events,
             reserved=exchange.reserved if exchange else 0,
             tokens=used,
+            **placement_fields(delivery),
         )
 
 
+def placement_fields(delivery: Delivery) -> dict[str, Any]:
+    """Return what decided the last choice of a server, and what came of it."""
+    basis = delivery.basis
+    if basis is None:
+        return {}
+    fields: dict[str, Any] = {
+        "wait_ms": int(basis.wait_s * 1000),
+        "candidates": basis.candidates,
+        "unread": basis.unread,
+        "running": basis.running,
+    }
+    if basis.seen_age_s is not None:
+        fields["seen_age_ms"] = int(basis.seen_age_s * 1000)
+    if delivery.first_byte_s is not None:
+        fields["first_byte_ms"] = int(delivery.first_byte_s * 1000)
+    return fields
+
+
 class Callers(threading.Thread):
     """Owns the socket that callers connect to.
 
--- a/src/hawthornstage/decisions/serving.py
+++ b/src/hawthornstage/decisions/serving.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from hawthornstage.messages.backends import BackendServer
-from hawthornstage.messages.forward import Prompt
+from hawthornstage.messages.forward import PlacementBasis, Prompt
 from hawthornstage.messages.serving import (
     CallEnded,
     NoServerFit,
@@ -136,8 +136,16 @@
         calm = [s for s in fit if self.loads[s.id].avoid_until <= now]
         estimates = {s.id: self.estimate(s, want, now) for s in calm or fit}
         server = min(calm or fit, key=lambda each: estimates[each.id])
+        load = self.loads[server.id]
+        basis = PlacementBasis(
+            wait_s=estimates[server.id],
+            candidates=len(estimates),
+            unread=self.tokens_to_read(server, want.prompt, now) if want.prompt else 0,
+            running=load.running,
+            seen_age_s=now - load.late_at if load.late_at else None,
+        )
         self.send(server, want, now)
-        return ServerChosen(server, estimates[server.id])
+        return ServerChosen(server, basis)
 
     def estimate(self, server: BackendServer, want: WantServer, now: float) -> float:
         """Return the estimated time to a first byte, in seconds."""
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -190,6 +190,7 @@
     ) -> AttemptOutcome:
         """Send the request and handle the answer."""
         sent_at = self.clock.monotonic()
+        delivery.basis, delivery.first_byte_s = choice.basis, None
         call = exchange.call
         workspace = exchange.workspace.name if exchange.workspace else None
         headers = request_headers(
@@ -205,8 +206,9 @@
         match head:
             case AnswerHead():
                 self.serving.tell(FirstByte(call.id))
-                took = self.clock.monotonic() - sent_at
-                self.metrics.estimate_error.observe(took - choice.wait_s)
+                delivery.first_byte_s = self.clock.monotonic() - sent_at
+                error_s = delivery.first_byte_s - choice.basis.wait_s
+                self.metrics.estimate_error.observe(error_s)
             case AnswerData() | AnswerEnd():
                 return Broken("an answer without a head")
             case end:
@@ -243,7 +245,7 @@
                 "attempt_failed",
                 request_id=call.id,
                 server=choice.server.id,
-                wait_ms=int(choice.wait_s * 1000),
+                wait_ms=int(choice.basis.wait_s * 1000),
                 outcome=kind,
                 reason=getattr(outcome, "reason", ""),
             )
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -225,6 +225,26 @@
         """Close it."""
 
 
+@dataclass(frozen=True)
+class PlacementBasis:
+    """What decided the choice of a server.
+
+    Args:
+        wait_s: Estimated time to its first byte, in seconds.
+        candidates: Servers that might have been chosen.
+        unread: Prompt tokens that it is thought not to have cached.
+        running: This router's calls on it before this one.
+        seen_age_s: Time since its last first byte to this router, in seconds; None if
+            there was none.
+    """
+
+    wait_s: float = 0.0
+    candidates: int = 0
+    unread: int = 0
+    running: int = 0
+    seen_age_s: float | None = None
+
+
 @dataclass
 class Delivery:
     """What has been done for a call so far; settle reads it.
@@ -240,6 +260,8 @@
         status: Status that the caller got, 0 if none.
         outcome: How it ended, for the log.
         kept: The last connection to a server, if another call may use it.
+        basis: What decided the choice of the last server.
+        first_byte_s: Time from the last send to the first byte, in seconds.
     """
 
     attempts: int = 0
@@ -252,3 +274,5 @@
     status: int = 0
     outcome: str = ""
     kept: KeptConnection | None = None
+    basis: PlacementBasis | None = None
+    first_byte_s: float | None = None
--- a/src/hawthornstage/messages/serving.py
+++ b/src/hawthornstage/messages/serving.py
@@ -9,6 +9,7 @@
 from hawthornstage.messages.forward import (
     UNKNOWN_MAX_CONNECTIONS,
     KeptConnection,
+    PlacementBasis,
     Prompt,
 )
 
@@ -49,12 +50,12 @@
 
     Args:
         server: The server.
-        wait_s: Estimated time to its first byte, in seconds.
+        basis: What decided the choice.
         kept: A connection to it that is idle, or None; the receiver owns it now.
     """
 
     server: BackendServer
-    wait_s: float
+    basis: PlacementBasis
     kept: KeptConnection | None = None
 
 
--- a/src/hawthornstage/observe/timeline.py
+++ b/src/hawthornstage/observe/timeline.py
@@ -32,6 +32,19 @@
     return f"{clock:<16} {stamp['node']:<12} {event['name']:<18} {request:<26} {fields}"
 
 
+def placement(fields: dict[str, Any]) -> str:
+    """Sum up what decided the choice of the last server."""
+    if "wait_ms" not in fields:
+        return "no server was sent the call"
+    seen = f"{fields['seen_age_ms']} ms ago" if "seen_age_ms" in fields else "never"
+    first = f"{fields['first_byte_ms']} ms" if "first_byte_ms" in fields else "none"
+    return (
+        f"{fields['wait_ms']} ms expected, {fields['candidates']} servers to choose"
+        f" from, {fields['unread']} tokens to read, {fields['running']} calls there,"
+        f" last answer {seen}; first byte after {first}"
+    )
+
+
 def ended_call(node: str, fields: dict[str, Any]) -> dict[str, Any]:
     """Sum up the line that ends a forwarded call."""
     return {
@@ -39,6 +52,7 @@
         "workspace": fields["workspace"] or "-",
         "route": f"{fields['route'] or '-'} (desired state {fields['version']})",
         "servers": fields["servers"] or "none was asked",
+        "placed": placement(fields),
         "tokens": f"{fields['tokens']} used of {fields['reserved']} set aside",
         "events": fields["events"],
         "took": f"{fields['ms']} ms",
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -93,8 +93,9 @@
         fleet.call("edge-1", BOOKING, "busy")
         fleet.call("edge-1", STREAM, "costly", tokens=(5_000, 100))
         fleet.call("edge-1", READ, "stolen", key="stolen")
+        assert fleet.call("edge-1", STREAM, "fine", tokens=(10, 3)).status == 200
         log = fleet.log_of("edge-1")
-        wait_until(lambda: "request_id=stolen" in fleet.log_of("edge-1"))
+        wait_until(lambda: "request_id=fine" in fleet.log_of("edge-1"))
         log = fleet.log_of("edge-1")
     busy = hawthornstage("explain", "busy", "--logs=-", stdin=log)
     assert "servers_busy, status 503" in busy.stdout
@@ -107,6 +108,9 @@
     assert costly["servers"] == "none was asked"
     stolen = hawthornstage("explain", "stolen", "--logs=-", stdin=log)
     assert "unauthenticated, status 401" in stolen.stdout
+    fine = hawthornstage("explain", "fine", "--logs=-", stdin=log)
+    assert "1 servers to choose from, 10 tokens to read" in fine.stdout
+    assert "first byte after none" not in fine.stdout
     unknown = hawthornstage("explain", "nobody", "--logs=-", stdin=log)
     assert unknown.returncode == 1
     shown = hawthornstage("timeline", "--logs=-", stdin=log)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -35,6 +35,7 @@
     CallerLeft,
     Delivery,
     ForwardExchange,
+    PlacementBasis,
 )
 from hawthornstage.messages.node import SocketAddress
 from hawthornstage.messages.serving import NoServerFit, ServerChosen
@@ -211,7 +212,7 @@
         server = BackendServer(
             name, "models", address.host, address.port, "z", 1, False, 1
         )
-        reply_to.put(ServerChosen(server, 0.0))
+        reply_to.put(ServerChosen(server, PlacementBasis()))
 
 
 Deliver = Callable[..., tuple[Failure | None, Delivery]]
