Count sends by server, and export what the router believes and how old it is

Sends are counted by registered server and dropped when it is gone, which bounds the labels; the desired state's version, the known routers and the time of the store's last answer are exported. A test of the metrics read them once, right after the answer, which comes before the call is counted; it waits now.

--- a/src/hawthornstage/actors/serving_task.py
+++ b/src/hawthornstage/actors/serving_task.py
@@ -20,6 +20,7 @@
     WantServer,
 )
 from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
 
 # Idle connections kept for each server, and as a part of the router's share of those
 # that the server accepts.
@@ -34,6 +35,7 @@
         serving: The servers and this router's calls on them.
         share: This router's share of the fleet's retries.
         routers: Number of routers that share the retries.
+        metrics: Forgets servers that are gone.
         clock: The runtime's clock.
         events: Takes events.
     """
@@ -44,6 +46,7 @@
         share: RetryShare,
         routers: Latest[int],
         *,
+        metrics: Metrics,
         clock: Clock,
         events: EventLog,
     ) -> None:
@@ -53,6 +56,7 @@
         self.routers = routers
         self.kept = KeptConnections()
         self.most_kept: dict[str, int] = {}
+        self.metrics = metrics
         self.clock = clock
         self.events = events
 
@@ -68,6 +72,7 @@
                 self.keep(server, message, now)
             case ServersKnown(servers):
                 self.serving.replace_servers(dict(servers))
+                self.metrics.forget_servers(servers)
                 self.most_kept = {
                     name: most
                     for name, most in self.most_kept.items()
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -161,6 +161,7 @@
             Serving(self.settings.failure_domain),
             RetryShare(self.retry_terms),
             self.routers,
+            metrics=self.metrics,
             **shared,
         )
         peers = self.settings.peers
@@ -201,6 +202,8 @@
 
         def count(kind: str, outcome: str) -> None:
             self.metrics.store_calls.labels(kind, outcome).inc()
+            if outcome.isdigit():
+                self.metrics.store_answered.set(self.clock.wall())
 
         return StoreClient(lambda: self.live_settings.value.store, count=count)
 
@@ -262,6 +265,9 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Show the metrics in the format of Prometheus."""
+        state = self.desired.value
+        self.metrics.desired_version.set(state.version if state else 0)
+        self.metrics.known_routers.set(self.routers.value)
         body = generate_latest(self.metrics.registry)
         return send(start_response, 200, "text/plain; version=0.0.4", body)
 
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -227,7 +227,7 @@
         """Tell the tasks how an attempt ended."""
         call = exchange.call
         kind = type(outcome).__name__
-        self.metrics.attempts.labels(exchange.service, kind).inc()
+        self.metrics.count_attempt(exchange.service, choice.server.id, kind)
         failed = isinstance(outcome, Broken | NotSent)
         full = isinstance(outcome, Refused) and outcome.full
         gone = isinstance(outcome, Misdirected)
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 
@@ -41,10 +43,11 @@
         )
         self.attempts = Counter(
             "hawthornstage_attempts_total",
-            "Sends of forwarded calls by service and outcome",
-            ["service", "outcome"],
+            "Sends of forwarded calls by service, registered server and outcome",
+            ["service", "server", "outcome"],
             registry=self.registry,
         )
+        self.attempt_labels: set[tuple[str, str, str]] = set()
         self.estimate_error = Histogram(
             "hawthornstage_wait_estimate_error_seconds",
             "First byte of an answer, less the estimate when its server was chosen",
@@ -74,6 +77,21 @@
             "Age of this router's last stored record",
             registry=self.registry,
         )
+        self.store_answered = Gauge(
+            "hawthornstage_store_answered_timestamp_seconds",
+            "Wall time of the store's last answer",
+            registry=self.registry,
+        )
+        self.desired_version = Gauge(
+            "hawthornstage_desired_state_version",
+            "Version of the desired state in use, 0 if none is known",
+            registry=self.registry,
+        )
+        self.known_routers = Gauge(
+            "hawthornstage_known_routers",
+            "Routers that share retries and budgets, this one included",
+            registry=self.registry,
+        )
         self.retries = Counter(
             "hawthornstage_retries_total",
             "Tries after the first",
@@ -100,3 +118,15 @@
             "Routers heard of lately, this one included",
             registry=self.registry,
         )
+
+    def count_attempt(self, service: str, server: str, outcome: str) -> None:
+        """Count one send of a forwarded call."""
+        self.attempts.labels(service, server, outcome).inc()
+        self.attempt_labels.add((service, server, outcome))
+
+    def forget_servers(self, registered: Iterable[str]) -> None:
+        """Drop the counts of servers that are gone, which bounds the label sets."""
+        known = frozenset(registered)
+        for labels in [each for each in self.attempt_labels if each[1] not in known]:
+            self.attempt_labels.discard(labels)
+            self.attempts.remove(*labels)
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import subprocess
 import sys
 import threading
@@ -10,12 +11,14 @@
 from pathlib import Path
 
 import pytest
+from prometheus_client import generate_latest
 
 from hawthornstage.actors.settings_watch import SettingsWatch
 from hawthornstage.clock import ManualClock
 from hawthornstage.latest import Latest
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.log_reader import parse_line, parse_lines
+from hawthornstage.observe.metrics import Metrics
 from hawthornstage.observe.quota import MAX_LINES_S, MAX_ROUTINE_LINES_S, LineQuota
 from hawthornstage.platform.settings import load_host_settings
 from tests.test_platform_boundary import SETTINGS
@@ -121,8 +124,27 @@
     with Fleet(routers=1) as fleet:
         assert fleet.call("edge-1", STREAM, "s1", tokens=(10, 3)).status == 200
         url = fleet.metrics_url("edge-1")
-        with urllib.request.urlopen(url, timeout=10) as answer:
-            text = answer.read().decode()
+
+        def shown() -> str:
+            with urllib.request.urlopen(url, timeout=10) as answer:
+                return answer.read().decode()
+
+        # A call is counted after its answer has been sent.
+        wait_until(lambda: "hawthornstage_requests_total{" in shown())
+        text = shown()
     assert 'hawthornstage_requests_total{answer="answered",route="letters"} 1.0' in text
     assert "hawthornstage_store_calls_total" in text
     assert 'hawthornstage_free_tokens{workspace="shop-a"}' in text
+    assert "hawthornstage_desired_state_version 1.0" in text
+    assert "hawthornstage_store_answered_timestamp_seconds" in text
+    assert re.search(r'attempts_total\{outcome="Delivered",server="[^"]+"', text)
+
+
+def test_counts_of_servers_that_are_gone_are_dropped() -> None:
+    metrics = Metrics()
+    metrics.count_attempt("models", "a", "Delivered")
+    metrics.count_attempt("models", "b", "Broken")
+    metrics.forget_servers(["b"])
+    text = generate_latest(metrics.registry).decode()
+    assert 'server="a"' not in text
+    assert 'server="b"' in text
