--- a/src/hawthornstage/decisions/serving.py
+++ b/src/hawthornstage/decisions/serving.py
@@ -1,10 +1,10 @@
 """Choosing a backend server for a forwarded call.
 
-A server's time to the first byte is estimated from what this router has sent there
-and from how late its latest answers were. A prompt's shared parts are assumed to be
-cached where this router sent them before; the first time, rendezvous hashing makes
-all routers send equal parts to the same server. Times are seconds of the monotonic
-clock.
+A server's time to the first byte is estimated from what this router has sent there,
+from how late its latest answers were, and from how overdue the next ones are. A
+prompt's shared parts are assumed to be cached where this router sent them before; the
+first time, rendezvous hashing makes all routers send equal parts to the same server.
+Times are seconds of the monotonic clock.
 """
 
 from __future__ import annotations
@@ -150,7 +150,7 @@
     def estimate(self, server: BackendServer, want: WantServer, now: float) -> float:
         """Return the estimated time to a first byte, in seconds."""
         load = self.loads[server.id]
-        wait = self.lateness(load, now)
+        wait = max(self.lateness(load, now), self.overdue(load, now))
         wait += sum(load.calls.values()) / PREFILL_TOKENS_S
         wait += load.running * CALL_COST_S
         if server.failure_domain != self.failure_domain:
@@ -164,6 +164,11 @@
         """Return how late a server is, as far as it is not yet forgotten."""
         return load.lateness_s * math.exp(-(now - load.late_at) / LATENESS_TAU_S)
 
+    def overdue(self, load: Load, now: float) -> float:
+        """Return by how much a server's latest first byte is overdue, in seconds."""
+        pending = (self.sent[call_id] for call_id in load.calls)
+        return max((now - sent.at - sent.expected_s for sent in pending), default=0.0)
+
     def tokens_to_read(self, server: BackendServer, prompt: Prompt, now: float) -> int:
         """Return the prompt tokens that a server is thought not to have cached."""
         load = self.loads[server.id]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -366,6 +366,19 @@
         assert other.server.id != choice.server.id
 
 
+def test_silent_server_is_passed_over_as_its_answer_gets_overdue() -> None:
+    serving = Serving("z")
+    serving.replace_servers({n: make_server(n) for n in ("a", "b")})
+    silent = serving.choose(want("r1"), LIMIT, 1.0)
+    assert isinstance(silent, ServerChosen)
+    for number in range(20):
+        now = 2.0 + number * 0.05
+        other = serving.choose(want(f"n{number}"), LIMIT, now)
+        assert isinstance(other, ServerChosen)
+        assert other.server.id != silent.server.id
+        serving.begin(f"n{number}", now + 0.02)
+
+
 def test_calls_on_a_server_stay_within_the_routers_share() -> None:
     serving = Serving("z")
     serving.replace_servers({n: make_server(n) for n in ("a", "b")})
