--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -44,9 +44,9 @@
 RECORDS_PREFIX = "hawthornstage/records/"
 # Counts that one write changes at most; the store takes 32 entries, the record too.
 MAX_COUNTS = 30
-# Age at which the ledger is read again, in seconds, and before a draw.
+# Age at which the ledger is read again, in seconds, and while calls wait for tokens.
 REFRESH_S = 2.5
-DRAW_REFRESH_S = 0.3
+WAITED_REFRESH_S = 0.3
 # Age at which the record's lease is renewed, in seconds.
 RENEW_S = 0.9
 # Tries of one draw against the changes of other routers.
@@ -123,7 +123,7 @@
             if failure is not None:
                 return self.dropped(failure)
         for _ in range(MAX_TRIES):
-            age = DRAW_REFRESH_S if wanted.amounts else REFRESH_S
+            age = WAITED_REFRESH_S if wanted.least else REFRESH_S
             failure = self.refresh(age) or self.renew_lease()
             if failure is not None:
                 return self.dropped(failure)
