--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -12,7 +12,7 @@
 import structlog
 
 from hawthornstage.border.answers import error_document, error_headers
-from hawthornstage.border.http1 import (
+from hawthornstage.border.caller_connection import (
     CallerConnection,
     ConnectionClosed,
     IdleTooLong,
--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -14,7 +14,7 @@
     encode_record,
 )
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.draws import LEASE_S, covered, left_over, with_draw
+from hawthornstage.decisions.draw_plans import LEASE_S, covered, left_over, with_draw
 from hawthornstage.messages.draws import (
     CloseAccounts,
     Moment,
--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -11,13 +11,12 @@
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.draw_plans import make_record, plan_draws
 from hawthornstage.decisions.draws import (
     Purse,
     account_of,
     give,
     hand_over,
-    make_record,
-    plan_draws,
     put_back,
     return_free,
     room,
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -8,7 +8,8 @@
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.breaks_task import CallAnswered
-from hawthornstage.border.http1 import CallerConnection, ServerConnection
+from hawthornstage.border.caller_connection import CallerConnection
+from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.forward import TASK_WAIT_S
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -4,7 +4,8 @@
 
 from dataclasses import dataclass
 
-from hawthornstage.border.http1 import CallerConnection, ServerConnection
+from hawthornstage.border.caller_connection import CallerConnection
+from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.border.sse import EventCutter, EventTooLarge
 from hawthornstage.messages.forward import (
     AnswerData,
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -10,8 +10,8 @@
 from hawthornstage.actors.ledger import MAX_COUNTS
 from hawthornstage.actors.purse import HoldNothing, ReturnAll
 from hawthornstage.actors.task import Ask
-from hawthornstage.decisions import draws
-from hawthornstage.decisions.draws import left_over
+from hawthornstage.decisions import draw_plans, draws
+from hawthornstage.decisions.draw_plans import left_over
 from hawthornstage.messages.draws import Bound, Moment, Record, StoreRecord
 from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld, Reply
 
@@ -168,7 +168,7 @@
 
 
 def test_nothing_is_held_ahead_of_a_nearly_used_budget(world: DrawsWorld) -> None:
-    world.use_up("a", keep=int(BUDGET * draws.LAST_PART * 0.9))
+    world.use_up("a", keep=int(BUDGET * draw_plans.LAST_PART * 0.9))
     for _ in range(3):
         for host in world.hosts.values():
             world.clock.advance(1.0)
@@ -186,7 +186,7 @@
 
 
 def test_death_strands_nothing_of_a_nearly_used_budget(world: DrawsWorld) -> None:
-    world.use_up("a", keep=int(BUDGET * draws.LAST_PART * 0.9))
+    world.use_up("a", keep=int(BUDGET * draw_plans.LAST_PART * 0.9))
     for host in world.hosts.values():
         world.clock.advance(1.0)
         host.check()
@@ -201,7 +201,7 @@
     ids=["short", "long", "clock set back"],
 )
 def test_left_over_depends_on_the_predecessors_life(life: float, left: int) -> None:
-    growth = 100.0 / (1.0 + draws.WALL_MARGIN_S)
+    growth = 100.0 / (1.0 + draw_plans.WALL_MARGIN_S)
     bounds = {WORKSPACE: Bound(200, growth)}
     record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
     death = Moment(0.0, 1_000.0 + life)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,17 +11,16 @@
 import pytest
 
 from hawthornstage.actors.kept_connections import KeptConnections
-from hawthornstage.border.http1 import (
-    READABLE,
+from hawthornstage.border.caller_connection import (
     CallerConnection,
     ConnectionClosed,
     IdleTooLong,
     MalformedRequest,
     RawRequest,
-    ServerConnection,
     SlowRequest,
-    wait_ready,
 )
+from hawthornstage.border.server_connection import ServerConnection
+from hawthornstage.border.sockets import READABLE, wait_ready
 from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.forwarding import identify
 from hawthornstage.errors import ErrorKind, Failure
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -107,6 +107,15 @@
         return self.popen.wait(timeout)
 
 
+def kill_all(processes: Iterable[Process]) -> None:
+    """Kill processes and wait until they are gone."""
+    started = list(processes)
+    for process in started:
+        process.popen.kill()
+    for process in started:
+        process.popen.wait()
+
+
 def start_stand_in(name: str, module: str, *options: str) -> Process:
     """Start a stand-in and wait until it serves."""
     popen = subprocess.Popen(
@@ -159,10 +168,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        for process in self.processes.values():
-            process.popen.kill()
-        for process in self.processes.values():
-            process.popen.wait()
+        kill_all(self.processes.values())
 
     def stand_in(self, name: str, module: str, *options: str) -> Process:
         """Start a stand-in and wait until it serves."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -20,6 +20,7 @@
     ROOT,
     Process,
     free_ports,
+    kill_all,
     own_host,
     post,
     start_stand_in,
@@ -125,10 +126,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        for process in self.processes.values():
-            process.popen.kill()
-        for process in self.processes.values():
-            process.popen.wait()
+        kill_all(self.processes.values())
         self.stack.close()
 
     def stand_in(self, name: str, module: str, *options: str) -> None:
