--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -255,6 +255,8 @@
         fields["seen_age_ms"] = int(basis.seen_age_s * 1000)
     if delivery.first_byte_s is not None:
         fields["first_byte_ms"] = int(delivery.first_byte_s * 1000)
+    if delivery.events:
+        fields["pause_ms"] = int(delivery.longest_pause_s * 1000)
     return fields
 
 
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -126,10 +126,18 @@
     def relay_stream(self, head: AnswerHead) -> AttemptOutcome:
         """Pass whole events on as they come."""
         cutter = EventCutter()
+        clock = self.connection.clock
+        passed_at = clock.monotonic()
         while True:
             match self.connection.next_event(self.exchange.deadline):
                 case AnswerData(data):
-                    self.pass_events(head, cutter.feed(data))
+                    events = cutter.feed(data)
+                    now = clock.monotonic()
+                    if events:
+                        pause = max(self.delivery.longest_pause_s, now - passed_at)
+                        self.delivery.longest_pause_s = pause
+                        passed_at = now
+                    self.pass_events(head, events)
                 case AnswerEnd(closed) if closed and cutter.rest:
                     return Broken("the stream ends in the middle of an event")
                 case AnswerEnd():
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -262,6 +262,7 @@
         kept: The last connection to a server, if another call may use it.
         basis: What decided the choice of the last server.
         first_byte_s: Time from the last send to the first byte, in seconds.
+        longest_pause_s: Longest time between two events of the answer, in seconds.
     """
 
     attempts: int = 0
@@ -276,3 +277,4 @@
     kept: KeptConnection | None = None
     basis: PlacementBasis | None = None
     first_byte_s: float | None = None
+    longest_pause_s: float = 0.0
