--- a/src/hawthornstage/decisions/serving.py
+++ b/src/hawthornstage/decisions/serving.py
@@ -43,10 +43,10 @@
 # A prompt of more tokens is long. While an engine reads it, the streams that it
 # generates stand still, so part of the servers is left to short prompts.
 LONG_TOKENS = 3_000
-SHORT_PART = 0.4
+SHORT_PART = 0.2
 # Cost of a long prompt on one of those, and of a short one elsewhere, in seconds.
-LONG_COST_S = 0.3
-SHORT_COST_S = 0.08
+LONG_COST_S = 0.06
+SHORT_COST_S = 0.05
 
 
 @dataclass
