--- a/src/hawthornstage/decisions/serving.py
+++ b/src/hawthornstage/decisions/serving.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from hawthornstage.messages.backends import BackendServer
-from hawthornstage.messages.forward import PlacementBasis
+from hawthornstage.messages.forward import PlacementBasis, Prompt
 from hawthornstage.messages.serving import (
     CallEnded,
     NoServerFit,
@@ -40,13 +40,6 @@
 CALL_COST_S = 0.004
 # Cost of crossing to another failure domain, in seconds.
 CROSSING_S = 0.004
-# A prompt of more tokens is long. While an engine reads it, the streams that it
-# generates stand still, so part of the servers is left to short prompts.
-LONG_TOKENS = 3_000
-SHORT_PART = 0.2
-# Cost of a long prompt on one of those, and of a short one elsewhere, in seconds.
-LONG_COST_S = 0.06
-SHORT_COST_S = 0.05
 
 
 @dataclass
@@ -74,24 +67,6 @@
     parts: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(frozen=True)
-class Preference:
-    """Which servers all routers prefer for a prompt.
-
-    Args:
-        home: The server on which its shared parts are assumed to be cached, or empty.
-        others: Servers that are left to prompts of another length.
-        cost_s: Cost of using one of those all the same, in seconds.
-    """
-
-    home: str = ""
-    others: frozenset[str] = frozenset()
-    cost_s: float = 0.0
-
-
-NO_PREFERENCE = Preference()
-
-
 @dataclass
 class Sent:
     """A call on its way.
@@ -159,28 +134,21 @@
         if not fit:
             return NoServerFit(f"each server has {limit} calls of this router")
         calm = [s for s in fit if self.loads[s.id].avoid_until <= now]
-        preference = self.preference(want)
-        estimates = {s.id: self.estimate(s, want, preference, now) for s in calm or fit}
+        estimates = {s.id: self.estimate(s, want, now) for s in calm or fit}
         server = min(calm or fit, key=lambda each: estimates[each.id])
         load = self.loads[server.id]
         basis = PlacementBasis(
             wait_s=estimates[server.id],
             candidates=len(estimates),
-            unread=self.tokens_to_read(server, want, preference, now),
+            unread=self.tokens_to_read(server, want.prompt, now) if want.prompt else 0,
             running=load.running,
             seen_age_s=now - load.late_at if load.late_at else None,
         )
-        self.send(server, want, basis.unread, now)
+        self.send(server, want, now)
         return ServerChosen(server, basis)
 
-    def estimate(
-        self,
-        server: BackendServer,
-        want: WantServer,
-        preference: Preference,
-        now: float,
-    ) -> float:
-        """Return the estimated time to a first byte, with other costs, in seconds."""
+    def estimate(self, server: BackendServer, want: WantServer, now: float) -> float:
+        """Return the estimated time to a first byte, in seconds."""
         load = self.loads[server.id]
         wait = max(self.lateness(load, now), self.overdue(load, now))
         wait += sum(load.calls.values()) / PREFILL_TOKENS_S
@@ -189,11 +157,8 @@
             wait += CROSSING_S
         if want.prompt is None:
             return wait + jitter(want.call_id, server.id) * CROSSING_S
-        if server.id in preference.others:
-            wait += preference.cost_s
-        return (
-            wait + self.tokens_to_read(server, want, preference, now) / PREFILL_TOKENS_S
-        )
+        wait += self.tokens_to_read(server, want.prompt, now) / PREFILL_TOKENS_S
+        return wait
 
     def lateness(self, load: Load, now: float) -> float:
         """Return how late a server is, as far as it is not yet forgotten."""
@@ -204,55 +169,39 @@
         pending = (self.sent[call_id] for call_id in load.calls)
         return max((now - sent.at - sent.expected_s for sent in pending), default=0.0)
 
-    def tokens_to_read(
-        self,
-        server: BackendServer,
-        want: WantServer,
-        preference: Preference,
-        now: float,
-    ) -> int:
+    def tokens_to_read(self, server: BackendServer, prompt: Prompt, now: float) -> int:
         """Return the prompt tokens that a server is thought not to have cached."""
-        if want.prompt is None:
-            return 0
         load = self.loads[server.id]
-        tokens = want.prompt.tokens
-        for part in want.prompt.shared_parts:
+        home = self.home(server.service, prompt)
+        tokens = prompt.tokens
+        for part in prompt.shared_parts:
             sent_at = load.parts.get(part.id)
             known = sent_at is not None and now - sent_at < CACHED_S
-            if not known and server.id != preference.home:
+            if not known and server.id != home:
                 break
             tokens -= part.tokens
         return max(0, tokens)
 
-    def preference(self, want: WantServer) -> Preference:
-        """Return which servers all routers prefer for a call's prompt."""
-        if want.prompt is None:
-            return NO_PREFERENCE
-        staying = [
+    def home(self, service: str, prompt: Prompt) -> str:
+        """Return the server that all routers choose first for a prompt's parts."""
+        if not prompt.shared_parts:
+            return ""
+        part = prompt.shared_parts[-1].id
+        staying = (
             server.id
             for server in self.servers.values()
-            if server.service == want.service
+            if server.service == service
             and not server.leaving
             and not self.loads[server.id].gone
-        ]
-        ranked = sorted(staying, key=lambda each: digest(want.service, each))
-        count = round(len(ranked) * SHORT_PART) if len(ranked) > 1 else 0
-        short = frozenset(ranked[:count])
-        long = frozenset(ranked[count:]) if short else frozenset()
-        is_long = want.prompt.tokens > LONG_TOKENS
-        others, cost_s = (short, LONG_COST_S) if is_long else (long, SHORT_COST_S)
-        home = ""
-        if want.prompt.shared_parts:
-            part = want.prompt.shared_parts[-1].id
-            home = rendezvous(part, [s for s in staying if s not in others])
-        return Preference(home, others, cost_s)
-
-    def send(
-        self, server: BackendServer, want: WantServer, tokens: int, now: float
-    ) -> None:
-        """Note that a call goes to a server, which has so many tokens to read."""
+        )
+        return rendezvous(part, staying)
+
+    def send(self, server: BackendServer, want: WantServer, now: float) -> None:
+        """Note that a call goes to a server."""
         load = self.loads[server.id]
+        tokens = 0
         if want.prompt is not None:
+            tokens = self.tokens_to_read(server, want.prompt, now)
             for part in want.prompt.shared_parts:
                 load.parts.pop(part.id, None)
                 load.parts[part.id] = now
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -366,34 +366,6 @@
         assert other.server.id != choice.server.id
 
 
-def test_short_prompts_are_kept_apart_from_long_ones() -> None:
-    names = [f"s{number}" for number in range(9)]
-    served: dict[int, set[str]] = {500: set(), 9_000: set()}
-    for number in range(200):
-        serving = Serving("z")
-        serving.replace_servers({name: make_server(name) for name in names})
-        for tokens, servers in served.items():
-            parts = (PromptPart(f"{number}", 100), PromptPart("own", tokens - 100))
-            asked = want(f"r{number}-{tokens}", prompt=Prompt(tokens, 50, parts))
-            choice = serving.choose(asked, LIMIT, 1.0)
-            assert isinstance(choice, ServerChosen)
-            servers.add(choice.server.id)
-    assert (len(served[500]), len(served[9_000])) == (4, 5)
-    assert not served[500] & served[9_000]
-
-
-def test_short_prompts_go_elsewhere_when_their_servers_are_late() -> None:
-    serving = Serving("z")
-    serving.replace_servers({name: make_server(name) for name in ("a", "b")})
-    prompt = Prompt(500, 50, (PromptPart("own", 500),))
-    used = set()
-    for number in range(3):
-        choice = serving.choose(want(f"r{number}", prompt=prompt), LIMIT, 1.0 + number)
-        assert isinstance(choice, ServerChosen)
-        used.add(choice.server.id)
-    assert used == {"a", "b"}
-
-
 def test_silent_server_is_passed_over_as_its_answer_gets_overdue() -> None:
     serving = Serving("z")
     serving.replace_servers({n: make_server(n) for n in ("a", "b")})
