Let records bind in long outages too, and hold 12 s

With two further deaths under a quarter of the last calls was served. Now the bound only grows faster after 3.8 s, so that all that is held may be spent 8 s later, and 12 s are held. With leases that pause, a successor's word rests on its clocks alone, as docs/PLATFORM.md says; the state machine pauses leases now.

--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -7,10 +7,10 @@
 So that what it holds is not lost when its process dies, it stores a record of what it
 may have spent: a bound that grows with the time since the record. The next process on
 the same host gives back what lies above the bound, if it knows that its predecessor,
-which is dead, cannot have lived until `WIDEN_S`. Two clocks must say so: the record's
-lease, which the store ends by then unless the store itself stood still, and the host's
-time of day, unless it was set back. Where the host was not started anew, its steady
-clock must say so as well.
+which is dead, cannot have lived longer than it assumes. The host's time of day says how
+long, and its steady clock too where the host was not started anew. As the time of day
+may have been set back, the record's lease says it as well: the store ends it before
+`WIDEN_S`, unless the store itself stood still.
 """
 
 from __future__ import annotations
@@ -26,11 +26,11 @@
 from hawthornstage.messages.draws import Bound, Moment, Record, StoreRecord
 
 # Demand that a router holds ahead, in seconds.
-HORIZON_S = 18.0
+HORIZON_S = 12.0
 # It draws again when it holds less than this part of that.
 LOW_WATER = 0.85
 # Part of a budget that a router holds before it knows its demand.
-FIRST_PART = 0.03
+FIRST_PART = 0.02
 # Part of a fair share of what is left in the ledger that one draw may take.
 LEFT_PART = 0.5
 # A budget gets scarce when less than this part of it is left in the ledger: routers
@@ -54,6 +54,10 @@
 BOUND_LEAST_PART = 0.2
 # Growth of the bound, as a multiple of the demand.
 BOUND_GROWTH = 1.2
+# The same in an outage that outlasts the record's lease; all that is held may be spent
+# after this further time, in seconds.
+LATE_GROWTH = 1.5
+LATE_S = 8.0
 # A router that uses its even share of a budget would use it up in this time, in
 # seconds; the bound grows at least as if it did.
 EVEN_SHARE_S = 100.0
@@ -144,7 +148,7 @@
     for workspace, budget in budgets.items():
         account = account_of(purse, workspace)
         even = budget / routers / EVEN_SHARE_S
-        rate = max(account.rate_at(now), even)
+        needed = rate = max(account.rate_at(now), even)
         # What a crash strands hurts more the less there is left; in the end each call
         # is drawn for, and nothing is stranded.
         part = plenty(account, budget)
@@ -152,7 +156,9 @@
         rate *= part
         ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS * part
         taken = account.spent + account.open + wanted.get(workspace, 0)
-        bounds[workspace] = Bound(taken + int(ahead), rate * BOUND_GROWTH)
+        base = taken + int(ahead)
+        late = max(needed * LATE_GROWTH, account.free / LATE_S)
+        bounds[workspace] = Bound(base, rate * BOUND_GROWTH, late)
     granted = {name: each.granted for name, each in purse.accounts.items()}
     gifted = {name: each.gifted for name, each in purse.accounts.items()}
     return Record(mark, now, wall, granted, gifted, bounds)
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -4,8 +4,9 @@
 drawn. A router draws before it promises: the count is raised by compare-and-swap
 and never exceeds the budget.
 
-A router keeps to the bound of its last record until `WIDEN_S` after it, and then
-spends all that it holds. A record that may or may not be stored binds as one that is.
+A router keeps to the bound of its last record, which grows faster from `WIDEN_S` after
+it on, when an outage has outlasted the record's lease. A record that may or may not be
+stored binds as one that is.
 """
 
 from __future__ import annotations
@@ -23,8 +24,8 @@
 FIRST_SIZE = 5_000.0
 # Part of what is free that a router gives to another one at a time.
 GIFT_PART = 0.5
-# Time after the last record at which a router may spend all that it holds, in
-# seconds.
+# Time after a record from which its bound grows faster, in seconds; longer than its
+# lease.
 WIDEN_S = 3.8
 
 
@@ -103,11 +104,12 @@
 
 def bound_at(record: Record, workspace: str, now: float) -> float:
     """Return what a record allows at a time of its own clock."""
-    age = now - record.at
-    if age >= WIDEN_S:
-        return math.inf
     bound = record.bounds.get(workspace)
-    return 0.0 if bound is None else bound.base + bound.slope * age
+    if bound is None:
+        return 0.0
+    age = now - record.at
+    late = max(0.0, age - WIDEN_S)
+    return bound.base + bound.slope * (age - late) + bound.late_slope * late
 
 
 def room(purse: Purse, workspace: str, now: float) -> float:
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -58,10 +58,13 @@
     Args:
         base: Tokens at the time of the record.
         slope: Tokens for each second since then.
+        late_slope: The same after the time in which a record is renewed or its lease
+            ends.
     """
 
     base: int
     slope: float
+    late_slope: float
 
 
 @dataclass(frozen=True)
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -73,10 +73,18 @@
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     holders: dict[str, int] = field(default_factory=dict)
     late: list[LateWrite] = field(default_factory=list)
+    paused: bool = False
+    settled: float = 0.0
 
     def settle(self) -> None:
         """Do what time has brought: late writes and ends of leases."""
         now = self.clock.monotonic()
+        if self.paused:
+            gone = now - self.settled
+            self.leases = {
+                each: (end + gone, ttl) for each, (end, ttl) in self.leases.items()
+            }
+        self.settled = now
         due = [write for write in self.late if write.due <= now]
         self.late = [write for write in self.late if write.due > now]
         for write in due:
