Give nothing back on the word of the time of day alone

Cause: with bounds that stay finite, a successor after a loss of power would have relied on the time of day alone where the store let a lease live on; set back in the same seconds it would give back tokens that were spent.

--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -18,6 +18,7 @@
 from dataclasses import replace
 
 from hawthornstage.decisions.draws import (
+    WIDEN_S,
     Account,
     Purse,
     account_of,
@@ -177,7 +178,8 @@
 
     The time of day may have been set back, so the longer life of the two clocks
     counts. But the steady clock starts anew with the host; a reading far from the
-    record says only that.
+    record says only that. Then the record's lease must confirm the time of day, which
+    it cannot where the store let it live on.
 
     Args:
         record: Its last record, whose lease had not ended.
@@ -187,8 +189,10 @@
     if life < 0:
         return {}
     steady = death.steady - record.at
-    if steady < SAME_START_S:
+    if 0 <= steady < SAME_START_S:
         life = max(life, steady)
+    elif life >= WIDEN_S:
+        return {}
     last = record.at + life + WALL_MARGIN_S
     left: dict[str, int] = {}
     for workspace, granted in record.granted.items():
