--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -250,7 +250,7 @@
     assert left_over(record, Moment(1.0, 1_002.0)) == true
     assert left_over(record, Moment(7_000.0, 1_002.0)) == true
     # A record that outlives its lease says that the store stood still.
-    long_ago = Moment(1.0, 1_000.0 + draws.WIDEN_S)
+    long_ago = Moment(1.0, 1_000.1 + draws.WIDEN_S)
     assert left_over(record, long_ago) == {}
 
 
