Let a call that got no server in time, or failed within, not stay counted

Cause, found by reading: if the serving task took over a second to reply, or an attempt raised, the call stayed counted on the server chosen for it until that server started anew. The new test fails on the code before.

--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -80,7 +80,11 @@
             choice = self.choose(exchange, delivery)
             if isinstance(choice, NoServerFit):
                 return self.give_up(delivery, choice.reason)
-            outcome = self.attempt(exchange, caller, choice, delivery)
+            try:
+                outcome = self.attempt(exchange, caller, choice, delivery)
+            except Exception:
+                self.release(exchange)
+                raise
             self.note(exchange, choice, delivery, outcome)
             match outcome:
                 case Delivered():
@@ -136,7 +140,15 @@
             repeatable=exchange.route.repeat is Repeat.IDEMPOTENT,
         )
         reply = ask(self.serving, want, self.clock, timeout=TASK_WAIT_S)
-        return reply or NoServerFit("no reply in time")
+        if reply is None:
+            self.release(exchange)
+            return NoServerFit("no reply in time")
+        return reply
+
+    def release(self, exchange: ForwardExchange) -> None:
+        """Let the call not count on a server that may have been chosen for it."""
+        ended = CallEnded(exchange.call.id, failed=False, refused=False)
+        self.serving.tell(ended)
 
     def attempt(
         self,
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,6 +11,7 @@
 import pytest
 
 from hawthornstage.actors.kept_connections import KeptConnections
+from hawthornstage.actors.task import Ask
 from hawthornstage.border.caller_connection import (
     CallerConnection,
     ConnectionClosed,
@@ -24,6 +25,7 @@
 from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.forwarding import identify
 from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.filters import forward_attempt
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
@@ -37,7 +39,7 @@
     PlacementBasis,
 )
 from hawthornstage.messages.node import SocketAddress
-from hawthornstage.messages.serving import NoServerFit, ServerChosen
+from hawthornstage.messages.serving import CallEnded, NoServerFit, ServerChosen
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.desired_state import decode_desired_state
@@ -365,6 +367,24 @@
     assert delivery.ran
 
 
+def test_call_without_a_timely_choice_does_not_stay_counted(
+    pair: CallerPair, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class Slow(Tasks):
+        """A task whose reply comes too late."""
+
+        def tell(self, message: Any) -> None:
+            self.told.append(message)
+
+    monkeypatch.setattr(forward_attempt, "TASK_WAIT_S", 0.01)
+    tasks: Any = Slow([])
+    clock = Clock()
+    forwarder = Forwarder(tasks, tasks, clock, EventLog("a", clock), Metrics())
+    failure = forwarder.deliver(exchange_for("/letters/x"), pair.connection, Delivery())
+    assert isinstance(failure, Failure)
+    assert [type(each) for each in tasks.told] == [Ask, CallEnded]
+
+
 def test_leaving_caller_ends_the_call_at_the_server(
     deliver: Deliver, pair: CallerPair
 ) -> None:
