Say that tokens were returned only when they were; wait for a hand-over's receipt

Cause, found by reading: the line at a router's end said returned=true whenever the purse replied, also when it replied that the tokens did not arrive. And a hand-over to another router was not waited for, so that the process could end before it was sent.

--- a/src/hawthornstage/actors/purse.py
+++ b/src/hawthornstage/actors/purse.py
@@ -41,6 +41,7 @@
     StoreRecord,
     TokensGiven,
     TokensHandedOver,
+    TokensTakenOver,
     TokensWanted,
     Used,
 )
@@ -170,10 +171,16 @@
                 for workspace, tokens in amounts.items():
                     self.purse = take_gift(self.purse, workspace, tokens)
                 self.events.emit("tokens_taken_over", amounts=amounts)
+                reply_to.put(TokensTakenOver())
                 self.serve_waiting(now)
 
     def return_all(self, reply_to: ReplyTo, now: float) -> None:
-        """Give back what is free; to another router if the store is away."""
+        """Give back what is free; to another router if the store is away.
+
+        Args:
+            reply_to: Gets whether the tokens have certainly arrived.
+            now: Monotonic time in seconds.
+        """
         self.closed = True
         if not self.store_lost or not self.others:
             self.purse, free = return_free(self.purse)
@@ -182,9 +189,11 @@
         self.purse, amounts = hand_over(self.purse, now)
         self.turn += 1
         node = self.others[self.turn % len(self.others)]
-        self.peers.tell(Send(node, TokensHandedOver(amounts)))
+        confirm = Forward(
+            lambda reply: reply_to.put(isinstance(reply, TokensTakenOver))
+        )
+        self.peers.tell(Send(node, TokensHandedOver(amounts), confirm))
         self.events.emit("tokens_handed_over", to=node, amounts=amounts)
-        reply_to.put(False)
 
     def set_aside(self, request: SetAside, reply_to: ReplyTo, now: float) -> None:
         """Set tokens aside, at once or when there is room for them."""
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -43,6 +43,7 @@
         draws.TokensWanted,
         draws.TokensGiven,
         draws.TokensHandedOver,
+        draws.TokensTakenOver,
         fleet.StateBeat,
         fleet.DesiredStateWanted,
         fleet.DesiredStateOffered,
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -283,9 +283,9 @@
         self.stopping.end_idle()
         left = deadline - self.clock.monotonic() - RETURN_S
         whole = self.callers.wait_idle(self.clock, left)
-        done = ask(self.purse, ReturnAll(), self.clock, timeout=RETURN_S)
+        returned = ask(self.purse, ReturnAll(), self.clock, timeout=RETURN_S)
         self.members.tell(Deregister())
-        self.events.emit("stopped", whole=whole, returned=done is not None)
+        self.events.emit("stopped", whole=whole, returned=bool(returned))
         self.peer_server.stop()
         self.readiness.stop()
         self.metrics_http.stop()
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -192,6 +192,11 @@
     amounts: dict[str, int]
 
 
+@dataclass(frozen=True)
+class TokensTakenOver:
+    """The receiver holds the tokens that were handed over."""
+
+
 @dataclass(frozen=True)
 class TokensGiven:
     """Tokens that the sender has given up for good; 0 if it has none to spare."""
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -21,6 +21,7 @@
     SetAside,
     TokensGiven,
     TokensHandedOver,
+    TokensTakenOver,
     Used,
 )
 from hawthornstage.messages.fleet import DesiredStateInUse, RoutersKnown
@@ -324,8 +325,11 @@
             if lost and isinstance(send.message, TokensHandedOver):
                 continue
             self.hosts[send.node].purse.handle(Ask(send.message, reply))
-            if isinstance(reply.value, TokensGiven) and not lost:
-                host.purse.handle(reply.value)
+            match reply.value:
+                case TokensGiven() if not lost:
+                    host.purse.handle(reply.value)
+                case TokensTakenOver():
+                    send.reply_to.put(reply.value)
 
     def restart(self, name: str, down_s: float) -> None:
         """Kill a router and start the next one after a time."""
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -161,8 +161,11 @@
     world.clock.advance(draws.WIDEN_S)
     free = host.purse.purse.accounts[WORKSPACE].free
     held = {name: world.free(name) for name in ("b", "c")}
-    host.purse.handle(Ask(ReturnAll(), Reply()))
+    reply = Reply()
+    host.purse.handle(Ask(ReturnAll(), reply))
+    assert reply.value is None
     world.pass_gift("a", lost=False)
+    assert reply.value is True
     assert free > 0
     assert sum(world.free(name) - held[name] for name in held) == free
     assert not host.ask(100)
