--- a/src/hawthornstage/actors/kept_connections.py
+++ b/src/hawthornstage/actors/kept_connections.py
@@ -14,7 +14,12 @@
 
 @dataclass(frozen=True)
 class Kept:
-    """An idle connection, and when it must not be used any more."""
+    """An idle connection.
+
+    Args:
+        connection: The connection.
+        until: Monotonic time from which it must not be used, in seconds.
+    """
 
     connection: KeptConnection
     until: float
@@ -29,7 +34,14 @@
     def put(
         self, server: str, connection: KeptConnection, most: int, now: float
     ) -> None:
-        """Keep a connection, or close it if there are `most` already."""
+        """Keep a connection, or close it if there are enough.
+
+        Args:
+            server: The server's id.
+            connection: The connection; it is this object's from now on.
+            most: Connections kept for that server at most.
+            now: Monotonic time in seconds.
+        """
         kept = self.by_server.setdefault(server, [])
         keep_s = connection.keep_s
         limit_s = KEEP_S if keep_s is None else min(KEEP_S, keep_s * KEEP_PART)
@@ -39,7 +51,15 @@
         kept.append(Kept(connection, now + limit_s))
 
     def take(self, server: str, now: float) -> KeptConnection | None:
-        """Give up the newest connection on which nothing has come, if there is one."""
+        """Give up the newest connection on which nothing has come, if there is one.
+
+        Args:
+            server: The server's id.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The connection, which is the caller's from now on, or None.
+        """
         kept = self.by_server.get(server, [])
         while kept:
             newest = kept.pop()
--- a/src/hawthornstage/actors/serving_task.py
+++ b/src/hawthornstage/actors/serving_task.py
@@ -100,6 +100,7 @@
         self.kept.drop_old(now)
         if ended.kept is None:
             return
-        # A connection to a server that is gone is closed.
-        most = self.most_kept.get(server, 0) if server else 0
-        self.kept.put(server or "", ended.kept, most, now)
+        if server is None:
+            ended.kept.close()
+            return
+        self.kept.put(server, ended.kept, self.most_kept.get(server, 0), now)
--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -74,6 +74,9 @@
             target: Path and query.
             headers: All headers, the body's length too.
             body: The whole body.
+
+        Raises:
+            h11.LocalProtocolError: The headers are no request.
         """
         self.caller = caller
         self.watch_caller = True
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -10,7 +10,7 @@
 which is dead, cannot have lived longer than it assumes. The host's time of day says how
 long, and its steady clock too where the host was not started anew. As the time of day
 may have been set back, the record's lease says it as well: the store ends it before
-`WIDEN_S`, unless the store itself stood still.
+`LATE_AFTER_S`, unless the store itself stood still.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from dataclasses import replace
 
 from hawthornstage.decisions.draws import (
-    WIDEN_S,
+    LATE_AFTER_S,
     Account,
     Purse,
     account_of,
@@ -55,9 +55,9 @@
 BOUND_LEAST_PART = 0.2
 # Growth of the bound, as a multiple of the demand.
 BOUND_GROWTH = 1.2
-# The same in an outage that outlasts the record's lease; all that is held may be spent
-# after this further time, in seconds.
+# The same in an outage that outlasts the record's lease.
 LATE_GROWTH = 1.5
+# Further time after which all that is held may be spent, in seconds.
 LATE_S = 8.0
 # A router that uses its even share of a budget would use it up in this time, in
 # seconds; the bound grows at least as if it did.
@@ -113,11 +113,11 @@
     """
     ahead = account.rate_at(now) * HORIZON_S + 2 * account.size
     first = budget * min(FIRST_PART, 0.5 / routers)
-    return int(max(ahead, first) * plenty(account, budget))
+    return int(max(ahead, first) * supply_factor(account, budget))
 
 
-def plenty(account: Account, budget: int) -> float:
-    """Return 1 while the ledger holds more than a part of a budget, falling to 0."""
+def supply_factor(account: Account, budget: int) -> float:
+    """Return 1 while a budget is not scarce, falling to 0 as it is nearly used."""
     if not budget:
         return 0.0
     left = (budget - account.drawn) / budget
@@ -149,17 +149,18 @@
     for workspace, budget in budgets.items():
         account = account_of(purse, workspace)
         even = budget / routers / EVEN_SHARE_S
-        needed = rate = max(account.rate_at(now), even)
+        rate = max(account.rate_at(now), even)
         # What a crash strands hurts more the less there is left; in the end each call
         # is drawn for, and nothing is stranded.
-        part = plenty(account, budget)
+        part = supply_factor(account, budget)
         part = max(BOUND_LEAST_PART, part) if part else 0.0
-        rate *= part
-        ahead = rate * BOUND_AHEAD_S + account.size * BOUND_CALLS * part
+        ahead = (rate * BOUND_AHEAD_S + account.size * BOUND_CALLS) * part
         taken = account.spent + account.open + wanted.get(workspace, 0)
-        base = taken + int(ahead)
-        late = max(needed * LATE_GROWTH, account.free / LATE_S)
-        bounds[workspace] = Bound(base, rate * BOUND_GROWTH, late)
+        bounds[workspace] = Bound(
+            base=taken + int(ahead),
+            slope=rate * part * BOUND_GROWTH,
+            late_slope=max(rate * LATE_GROWTH, account.free / LATE_S),
+        )
     granted = {name: each.granted for name, each in purse.accounts.items()}
     gifted = {name: each.gifted for name, each in purse.accounts.items()}
     return Record(mark, now, wall, granted, gifted, bounds)
@@ -191,7 +192,7 @@
     steady = death.steady - record.at
     if 0 <= steady < SAME_START_S:
         life = max(life, steady)
-    elif life >= WIDEN_S:
+    elif life >= LATE_AFTER_S:
         return {}
     last = record.at + life + WALL_MARGIN_S
     left: dict[str, int] = {}
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -4,9 +4,9 @@
 drawn. A router draws before it promises: the count is raised by compare-and-swap
 and never exceeds the budget.
 
-A router keeps to the bound of its last record, which grows faster from `WIDEN_S` after
-it on, when an outage has outlasted the record's lease. A record that may or may not be
-stored binds as one that is.
+A router keeps to the bound of its last record. The bound grows faster from
+`LATE_AFTER_S` after the record on, when an outage has outlasted its lease. A record
+that may or may not be stored binds as one that is.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 GIFT_PART = 0.5
 # Time after a record from which its bound grows faster, in seconds; longer than its
 # lease.
-WIDEN_S = 3.8
+LATE_AFTER_S = 3.8
 
 
 @dataclass(frozen=True)
@@ -108,7 +108,7 @@
     if bound is None:
         return 0.0
     age = now - record.at
-    late = max(0.0, age - WIDEN_S)
+    late = max(0.0, age - LATE_AFTER_S)
     return bound.base + bound.slope * (age - late) + bound.late_slope * late
 
 
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -58,8 +58,8 @@
     Args:
         base: Tokens at the time of the record.
         slope: Tokens for each second since then.
-        late_slope: The same after the time in which a record is renewed or its lease
-            ends.
+        late_slope: The same from the time on at which the record's lease has ended,
+            unless it was renewed.
     """
 
     base: int
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -250,9 +250,9 @@
     """What has been done for a call so far; settle reads it.
 
     Args:
-        attempts: Servers that the call was sent to.
-        misdirected: Those of them that were not the ones that were meant.
-        tried: Their ids.
+        attempts: Sends to servers.
+        misdirected: Those of them that another server answered than the one meant.
+        tried: The servers that were chosen, also those that could not be reached.
         ran: Whether a server may have begun to work on it.
         events: Whole events passed to the caller.
         last_event_id: Id of the last of them.
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -115,7 +115,7 @@
     host = world.hosts["a"]
     assert host.ask(1_000)
     world.store.cut_off.add("a")
-    world.clock.advance(draws.WIDEN_S + 0.1)
+    world.clock.advance(draws.LATE_AFTER_S + 0.1)
     host.check()
     spend_all(world, "a", 500)
     drawn = world.store.counts()[WORKSPACE]
@@ -155,10 +155,10 @@
     world: DrawsWorld,
 ) -> None:
     world.store.mood = "deaf"
-    world.clock.advance(draws.WIDEN_S)
+    world.clock.advance(draws.LATE_AFTER_S)
     host = world.hosts["a"]
     host.check()
-    world.clock.advance(draws.WIDEN_S)
+    world.clock.advance(draws.LATE_AFTER_S)
     free = host.purse.purse.accounts[WORKSPACE].free
     held = {name: world.free(name) for name in ("b", "c")}
     reply = Reply()
@@ -174,7 +174,7 @@
 def test_lost_gift_is_lost_and_not_spent_twice(world: DrawsWorld) -> None:
     world.store.mood = "deaf"
     for host in world.hosts.values():
-        world.clock.advance(draws.WIDEN_S)
+        world.clock.advance(draws.LATE_AFTER_S)
         host.check()
     before = world.hosts["b"].purse.purse.accounts[WORKSPACE].free
     world.hosts["a"].ask(20_000)
@@ -226,12 +226,12 @@
 
 @pytest.mark.parametrize(
     ("life", "left"),
-    [(1.0, 690), (draws.WIDEN_S, 400), (draws.WIDEN_S + 2.0, 0), (-1.0, 0)],
+    [(1.0, 690), (draws.LATE_AFTER_S, 400), (draws.LATE_AFTER_S + 2.0, 0), (-1.0, 0)],
     ids=["short", "as long as a lease", "long", "clock set back"],
 )
 def test_left_over_depends_on_the_predecessors_life(life: float, left: int) -> None:
     life -= draw_plans.WALL_MARGIN_S
-    bounds = {WORKSPACE: Bound(200, 400.0 / draws.WIDEN_S, 200.0)}
+    bounds = {WORKSPACE: Bound(200, 400.0 / draws.LATE_AFTER_S, 200.0)}
     record = Record("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
     death = Moment(50.0 + life, 1_000.0 + life)
     given = left_over(record, death).get(WORKSPACE, 0)
@@ -253,7 +253,7 @@
     assert left_over(record, Moment(1.0, 1_002.0)) == true
     assert left_over(record, Moment(7_000.0, 1_002.0)) == true
     # A record that outlives its lease says that the store stood still.
-    long_ago = Moment(1.0, 1_000.1 + draws.WIDEN_S)
+    long_ago = Moment(1.0, 1_000.1 + draws.LATE_AFTER_S)
     assert left_over(record, long_ago) == {}
 
 
