--- /dev/null
+++ b/src/hawthornstage/budget_commands.py
@@ -0,0 +1,63 @@
+"""Commands that show and top up prepaid budgets."""
+
+from __future__ import annotations
+
+import json as json_codec
+from typing import Any
+
+from hawthornstage.command_output import (
+    Commands,
+    guarded,
+    show,
+    table,
+)
+
+
+class BudgetCommands(Commands):
+    """Shows and tops up prepaid budgets; all amounts are tokens."""
+
+    def show(self, workspace: str = "", json: bool = False) -> None:
+        """Show all budgets, or one with its grants.
+
+        Args:
+            workspace: The budget to show; all by default.
+            json: Print JSON.
+        """
+        if workspace:
+            document = guarded(lambda: self.client.get(f"budgets/{workspace}"))
+            show(document, json, self.one(workspace, document))
+            return
+        document = guarded(lambda: self.client.get("budgets"))
+        rows = [["WORKSPACE", "TOPPED UP", "BILLED", "GRANTED", "AVAILABLE"]]
+        for name, budget in document["budgets"].items():
+            rows.append([name, *self.sums(budget)])
+        show(document, json, table(rows))
+
+    def top_up(self, workspace: str, tokens: int, id: str, json: bool = False) -> None:
+        """Add tokens to a budget; the same id counts once, however often it is sent.
+
+        Args:
+            workspace: The budget.
+            tokens: How many tokens to add.
+            id: Names the top-up, such as the invoice's number.
+            json: Print JSON.
+        """
+        body = json_codec.dumps({"id": str(id), "tokens": tokens}).encode()
+        answer = guarded(lambda: self.client.post(f"budgets/{workspace}/top-up", body))
+        repeated = " (this id was counted before)" if answer["repeated"] else ""
+        show(answer, json, f"{workspace}: {answer['topped_up']} tokens{repeated}")
+
+    def sums(self, budget: dict[str, Any]) -> list[Any]:
+        """Return a budget's sums as a row."""
+        names = ("topped_up", "billed", "granted", "available")
+        return [budget[name] for name in names]
+
+    def one(self, workspace: str, budget: dict[str, Any]) -> str:
+        """Write one budget with its grants."""
+        rows: list[list[Any]] = [["GRANT", "HOLDER", "AMOUNT", "BILLED", "WITNESSES"]]
+        for grant_id, grant in budget["grants"].items():
+            witnesses = ",".join(grant["witnesses"])
+            row = [grant_id, grant["holder"], grant["amount"], grant["billed"]]
+            rows.append([*row, witnesses])
+        heading = ["WORKSPACE", "TOPPED UP", "BILLED", "GRANTED", "AVAILABLE"]
+        return table([heading, [workspace, *self.sums(budget)]]) + "\n\n" + table(rows)
--- /dev/null
+++ b/src/hawthornstage/command_output.py
@@ -0,0 +1,59 @@
+"""What operators' commands share: the client, exit codes, and how results are shown."""
+
+from __future__ import annotations
+
+import json as json_codec
+import sys
+from collections.abc import Callable
+from typing import Any, NoReturn
+
+from hawthornstage.operator_client import OperatorClient, OperatorError
+
+# Exit codes: refused by the system, not reachable, raced by another edit, late.
+EXIT_REFUSED = 1
+EXIT_UNREACHABLE = 3
+EXIT_RACED = 4
+EXIT_LATE = 5
+
+
+def fail(message: str, code: int) -> NoReturn:
+    """Print why a command failed and end with an exit code."""
+    print(f"hawthornstage: {message}", file=sys.stderr)
+    raise SystemExit(code)
+
+
+def guarded(action: Callable[[], Any]) -> Any:
+    """Run a call to the routers; its errors become exit codes."""
+    try:
+        return action()
+    except OperatorError as error:
+        if error.status == 409 and isinstance(error.document, dict):
+            return error
+        fail(str(error), EXIT_REFUSED if error.status else EXIT_UNREACHABLE)
+
+
+def show(document: Any, as_json: bool, text: str) -> None:
+    """Print a document for programs, or text for people."""
+    print(json_codec.dumps(document, indent=2) if as_json else text)
+
+
+def table(rows: list[list[Any]]) -> str:
+    """Lay rows out in columns; the first row is the heading."""
+    texts = [[str(cell) for cell in row] for row in rows]
+    widths = [max(len(row[i]) for row in texts) for i in range(len(texts[0]))]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in texts
+    )
+
+
+class Commands:
+    """What all operators' commands share: which routers to ask, and the key.
+
+    Args:
+        routers: Base addresses, separated by commas.
+        key: The operator's key.
+    """
+
+    def __init__(self, routers: str, key: str) -> None:
+        self.client = OperatorClient(tuple(r for r in routers.split(",") if r), key)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,18 +5,20 @@
 import json
 import subprocess
 import sys
-import threading
-import time
-from collections.abc import Callable
-from http.client import HTTPConnection
-from urllib.parse import urlsplit
 
 import pytest
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
-from standins.engine import CRASH_MARK
 from tests.conftest import top_up
+from tests.failure_steps import (
+    LONG,
+    StartCluster,
+    assert_money,
+    in_background,
+    wait_running,
+    wait_stored,
+)
 from tools import audit
 from tools.audit import Asked
 from tools.caller import Answer, Caller, expected_text
@@ -24,53 +26,11 @@
     OLD_SETUP_KEY,
     OPERATOR_KEY,
     Cluster,
-    Process,
     counts,
     post,
     wait_until,
 )
 
-StartCluster = Callable[..., Cluster]
-LONG = "a long answer tokens=600"
-
-
-def in_background(call: Callable[[], Answer]) -> tuple[threading.Thread, list[Answer]]:
-    """Start a call in a thread; its answer comes into the list."""
-    answers: list[Answer] = []
-    thread = threading.Thread(target=lambda: answers.append(call()))
-    thread.start()
-    return thread, answers
-
-
-def wait_running(cluster: Cluster, runs: int = 1) -> None:
-    """Wait until the first engine has begun a number of calls."""
-    engine = cluster.processes["engine-1"]
-    wait_until(lambda: len(counts(engine)["runs"]) >= runs, what="the call running")
-
-
-def wait_stored(cluster: Cluster, asked: list[Asked]) -> None:
-    """Wait until the ledger holds a bill for each answered request."""
-
-    def stored() -> bool:
-        bills = audit.bills_of(audit.read_budgets(cluster))
-        return all(each.answer.request_id in bills for each in asked if each.answered)
-
-    wait_until(stored, timeout=40.0, what="all bills being stored")
-
-
-def assert_money(cluster: Cluster, asked: list[Asked]) -> None:
-    """Check overspend, bills and texts."""
-    wait_stored(cluster, asked)
-    budgets = audit.read_budgets(cluster)
-    engines = [p for name, p in cluster.processes.items() if name.startswith("engine")]
-    alive = [process for process in engines if process.popen.poll() is None]
-    for verdict in (
-        audit.no_overspend(budgets),
-        audit.billed_once(asked, budgets, alive),
-        audit.whole_answers(asked),
-    ):
-        assert verdict.held, verdict
-
 
 def test_retry_after_a_routers_death_is_billed_once(
     start_cluster: StartCluster,
@@ -217,64 +177,6 @@
     assert counts(service)["ran"].get("refund-3", 0) <= 1
 
 
-def test_stream_cut_by_an_engines_death_is_said_and_not_billed(
-    start_cluster: StartCluster,
-) -> None:
-    cluster = start_cluster()
-    top_up(cluster, "shop-a", 5_000)
-    caller, router = Caller("shop-a"), cluster.processes["r1"].url
-    thread, answers = in_background(lambda: caller.chat(router, LONG, max_tokens=700))
-    wait_running(cluster)
-    time.sleep(0.2)
-    cluster.processes["engine-1"].kill()
-    thread.join()
-    assert (answers[0].whole, answers[0].kind) == (False, "stream_cut")
-    bills = audit.bills_of(audit.read_budgets(cluster))
-    assert answers[0].request_id not in bills
-
-
-def test_call_goes_elsewhere_if_an_engine_cannot_be_reached(
-    start_cluster: StartCluster,
-) -> None:
-    cluster = start_cluster(engines=2)
-    top_up(cluster, "shop-a", 50_000)
-    cluster.processes["engine-1"].kill()
-    caller, router = Caller("shop-a"), cluster.processes["r1"].url
-    asked = [
-        Asked("chat", "shop-a", caller.chat(router, f"q {n}"), expected_text(f"q {n}"))
-        for n in range(6)
-    ]
-    assert all(each.answered for each in asked), [each.answer for each in asked]
-    assert_money(cluster, asked)
-
-
-def test_caller_gone_cancels_the_engine(start_cluster: StartCluster) -> None:
-    cluster = start_cluster()
-    top_up(cluster, "shop-a", 5_000)
-    caller, router = Caller("shop-a"), cluster.processes["r1"].url
-    connection = HTTPConnection(urlsplit(router).netloc, timeout=30)
-    body = {
-        "messages": [{"role": "user", "content": LONG}],
-        "max_tokens": 700,
-        "stream": True,
-    }
-    headers = {"X-Purpose": "chat", "Content-Type": "application/json"}
-    connection.request(
-        "POST",
-        "/v1/chat/completions",
-        json.dumps(body),
-        {**headers, **caller.headers(None)},
-    )
-    # The caller leaves once the engine has begun, however long that takes.
-    wait_running(cluster)
-    connection.close()
-    engine = cluster.processes["engine-1"]
-    load = engine.url + "/load"
-    wait_until(lambda: post(load, {})["running"] == 0, what="the engine being free")
-    [run] = counts(engine)["runs"]
-    assert not run["complete"]
-
-
 def test_graceful_shutdown_under_load_cuts_nothing(start_cluster: StartCluster) -> None:
     cluster = start_cluster()
     top_up(cluster, "shop-a", 50_000)
@@ -311,27 +213,6 @@
     assert answer.whole
 
 
-def test_leaving_server_gets_nothing_new(start_cluster: StartCluster) -> None:
-    cluster = start_cluster(engines=2)
-    top_up(cluster, "shop-a", 50_000)
-    assert cluster.hosts is not None
-    change = {"name": "engine-2", "state": "leaving"}
-    post(cluster.hosts.url + "/standin/hosts", change)
-
-    def known() -> bool:
-        return all(
-            "server=engine-2 leaving=true" in cluster.log_of(r) for r in cluster.plans
-        )
-
-    wait_until(known, what="every router knowing")
-    before = len(counts(cluster.processes["engine-2"])["runs"])
-    caller = Caller("shop-a")
-    for name in cluster.plans:
-        for number in range(4):
-            assert caller.chat(cluster.processes[name].url, f"q {number}").whole
-    assert len(counts(cluster.processes["engine-2"])["runs"]) == before
-
-
 def holder_in(cluster: Cluster, workspace: str) -> str:
     """Return the router that holds the workspace's only grant."""
     [grant] = audit.read_budgets(cluster)[workspace].grants.values()
@@ -411,41 +292,6 @@
     return done.returncode, kinds
 
 
-def test_request_that_crashes_servers_costs_two_at_most(
-    start_cluster: StartCluster,
-) -> None:
-    cluster = start_cluster(engines=5)
-    top_up(cluster, "shop-a", 500_000)
-    caller = Caller("shop-a")
-    routers = [cluster.processes[name].url for name in cluster.plans]
-    innocent = "an innocent question tokens=100"
-    bystanders = [
-        in_background(lambda url=url: caller.chat(url, innocent, max_tokens=200))
-        for url in routers * 4
-    ]
-    wait_until(
-        lambda: sum(len(counts(p)["runs"]) for p in engines_of(cluster)) >= 8,
-        what="the innocent requests running",
-    )
-    last = [caller.chat(url, f"please {CRASH_MARK}") for url in routers * 3][-1]
-    assert last.kind == "crashes_servers"
-    assert len(engines_of(cluster)) >= 3
-    for thread, _ in bystanders:
-        thread.join()
-    for url in routers:
-        again = caller.chat(url, innocent, max_tokens=200, timeout=30.0)
-        assert again.text == expected_text(innocent, 200), again
-
-
-def engines_of(cluster: Cluster) -> list[Process]:
-    """Return the engines that still run."""
-    return [
-        process
-        for name, process in cluster.processes.items()
-        if name.startswith("engine") and process.popen.poll() is None
-    ]
-
-
 def test_cut_off_router_stays_within_the_budget(start_cluster: StartCluster) -> None:
     cluster = start_cluster(cut_off="r1", settings={"budgets": {"patience_s": 0.3}})
     top_up(cluster, "shop-a", 4_000)
