--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -4,7 +4,7 @@
 
 import pykka
 
-from hawthornstage.actors.store_watch import WATCH_WAIT_S, StoreWatch
+from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.clock import Clock
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.server_selection import RegisteredServers
@@ -16,13 +16,17 @@
 # Time after an outage of the store within which servers register again whose entries
 # expired during the outage, in seconds.
 REREGISTRATION_GRACE_S = 2.5
+# Longest time that a removed entry stays in use, in seconds: its server may also have
+# left for good, and then must get nothing new after 2 s.
+MAX_LAPSED_S = 1.9
 
 
 class ServerRegistry(StoreWatch):
     """Owns the watch for servers' entries, and the registered servers.
 
     Entries removed within `REREGISTRATION_GRACE_S` after an outage of the store stay in
-    use until that time is over, because their servers may only have to register again.
+    use until that time is over, but for `MAX_LAPSED_S` at most, because their servers
+    may only have to register again.
 
     Args:
         store: A client used by this thread only.
@@ -41,7 +45,7 @@
         super().__init__(ENTRIES_PREFIX, store, clock, events)
         self.subscriber = subscriber
         self.servers: dict[str, BackendServer] = {}
-        self.lapsed: set[str] = set()
+        self.drop_times: dict[str, float] = {}
         self.grace_ends_at = float("-inf")
 
     def step(self) -> bool:
@@ -53,12 +57,13 @@
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch, in seconds.
 
-        With lapsed entries it ends no later than their grace time.
+        It ends no later than the time at which the next lapsed entry is dropped.
         """
-        if not self.lapsed:
-            return WATCH_WAIT_S
-        left = self.grace_ends_at - self.clock.monotonic()
-        return min(WATCH_WAIT_S, max(0.05, left))
+        wait = super().watch_timeout()
+        if not self.drop_times:
+            return wait
+        left = min(self.drop_times.values()) - self.clock.monotonic()
+        return min(wait, max(0.05, left))
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
         """Replace all entries by the listed ones."""
@@ -90,7 +95,7 @@
             Whether the registered servers have changed.
         """
         name = item.key.removeprefix(ENTRIES_PREFIX)
-        self.lapsed.discard(name)
+        self.drop_times.pop(name, None)
         entry = decode_entry(item.key, item.value)
         if isinstance(entry, str):
             self.events.emit("entry_refused", server=name, reason=entry[:160])
@@ -117,22 +122,25 @@
         """
         if name not in self.servers:
             return False
-        if self.clock.monotonic() < self.grace_ends_at:
-            self.lapsed.add(name)
+        now = self.clock.monotonic()
+        if now < self.grace_ends_at:
+            drop_at = min(self.grace_ends_at, now + MAX_LAPSED_S)
+            self.drop_times.setdefault(name, drop_at)
             return False
         del self.servers[name]
         self.events.emit("server_gone", server=name)
         return True
 
     def drop_lapsed(self) -> None:
-        """Remove lapsed entries that did not return within the grace time."""
-        if not self.lapsed or self.clock.monotonic() < self.grace_ends_at:
-            return
-        for name in self.lapsed & self.servers.keys():
-            del self.servers[name]
-            self.events.emit("server_gone", server=name, lapsed=True)
-        self.lapsed.clear()
-        self.publish()
+        """Remove lapsed entries that did not return in time."""
+        now = self.clock.monotonic()
+        overdue = [name for name, at in self.drop_times.items() if at <= now]
+        for name in overdue:
+            del self.drop_times[name]
+            if self.servers.pop(name, None) is not None:
+                self.events.emit("server_gone", server=name, lapsed=True)
+        if overdue:
+            self.publish()
 
     def publish(self) -> None:
         """Send the registered servers to the subscriber."""
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -19,6 +19,9 @@
 
 # Longest timeout of one watch call, in seconds.
 WATCH_WAIT_S = 10.0
+# Timeout of the first watch call after a failed one, in seconds: its response is what
+# shows that the store is back.
+RECOVERY_WAIT_S = 0.05
 # Delay after a failed call to the store, in seconds.
 RETRY_PAUSE_S = 0.25
 
@@ -75,7 +78,7 @@
 
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch call, in seconds."""
-        return WATCH_WAIT_S
+        return RECOVERY_WAIT_S if self.unavailable else WATCH_WAIT_S
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
         """Handle all items below the prefix; implemented by subclasses."""
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -5,7 +5,11 @@
 import json
 from typing import Any
 
-from hawthornstage.actors.server_registry import REREGISTRATION_GRACE_S, ServerRegistry
+from hawthornstage.actors.server_registry import (
+    MAX_LAPSED_S,
+    REREGISTRATION_GRACE_S,
+    ServerRegistry,
+)
 from hawthornstage.clock import ManualClock
 from hawthornstage.messages.store import (
     Changes,
@@ -34,6 +38,39 @@
         return self.outcomes.pop(0)
 
 
+class TimedStore:
+    """A store whose watches pass time: they wait for the next event or their timeout.
+
+    Args:
+        clock: The clock that a waiting watch advances.
+        down_until: Time until which every call fails.
+        events: Changes by the time at which they occur.
+    """
+
+    def __init__(
+        self, clock: ManualClock, down_until: float, events: dict[float, Any]
+    ) -> None:
+        self.clock = clock
+        self.down_until = down_until
+        self.events = events
+
+    def list(self, prefix: str) -> Any:
+        """Return two servers."""
+        return Listing((entry_item("a", 1), entry_item("b", 2)), 2)
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> Any:
+        """Wait for the next event, for at most `wait_s` seconds."""
+        if self.clock.monotonic() < self.down_until:
+            self.clock.advance(0.25)
+            return StoreNoResponse("no answer")
+        ends_at = self.clock.monotonic() + wait_s
+        due = min(self.events, default=ends_at + 1.0)
+        self.clock.advance(max(0.0, min(due, ends_at) - self.clock.monotonic()))
+        if due > ends_at:
+            return Changes((), after)
+        return Changes((self.events.pop(due),), after + 1)
+
+
 def entry_item(name: str, revision: int, state: str = "ready") -> Item:
     """Return a server's entry."""
     entry = {"service": "models", "address": "10.0.0.1:80", "state": state, "born": 5}
@@ -77,6 +114,32 @@
     assert set(registry.servers) == {"a"}
 
 
+def test_server_that_leaves_long_after_an_outage_is_dropped_at_once(
+    clock: ManualClock, events: EventLog
+) -> None:
+    start = clock.monotonic()
+    left_at = start + 1.0 + REREGISTRATION_GRACE_S + 0.8
+    removal = Removal("servers/a", 3)
+    store: Any = TimedStore(clock, start + 1.0, {left_at: removal})
+    registry = ServerRegistry(store, Inbox(), clock, events)  # type: ignore[arg-type]
+    while clock.monotonic() < left_at:
+        registry.step()
+    assert set(registry.servers) == {"b"}
+
+
+def test_server_that_leaves_right_after_an_outage_is_dropped_in_time(
+    clock: ManualClock, events: EventLog
+) -> None:
+    start = clock.monotonic()
+    left_at = start + 1.1
+    removal = Removal("servers/a", 3)
+    store: Any = TimedStore(clock, start + 1.0, {left_at: removal})
+    registry = ServerRegistry(store, Inbox(), clock, events)  # type: ignore[arg-type]
+    while clock.monotonic() < left_at + MAX_LAPSED_S:
+        registry.step()
+    assert set(registry.servers) == {"b"}
+
+
 def test_registry_reads_again_after_lost_history(
     clock: ManualClock, events: EventLog
 ) -> None:
