--- a/src/hawthornstage/actors/task.py
+++ b/src/hawthornstage/actors/task.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import pykka
 import structlog
@@ -27,6 +27,13 @@
     reply_to: ReplyTo = DISCARD_REPLY
 
 
+class Recipient(Protocol):
+    """A task that accepts messages: an actor, or a thread with an inbox."""
+
+    def tell(self, message: Any) -> None:
+        """Queue a message for the task; must not block."""
+
+
 class Task(pykka.ThreadingActor):
     """An actor with an inbox of typed messages.
 
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import secrets
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
 import pykka
 
 from hawthornstage.actors.peers import Send
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.draw_plans import make_record, plan_draws
 from hawthornstage.decisions.draws import (
@@ -29,6 +30,7 @@
 )
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback, ReplyTo
+from hawthornstage.messages.desired import WorkspaceSpec
 from hawthornstage.messages.draws import (
     CloseAccounts,
     FinalTransfer,
@@ -116,7 +118,7 @@
         self,
         *,
         ledger: pykka.ActorRef,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         routers: LatestValue[int],
         clock: Clock,
         events: EventLog,
@@ -131,6 +133,7 @@
         self.events = events
         self.token_accounts = TokenAccounts()
         self.budgets: dict[str, int] = {}
+        self.unlimited_workspaces: frozenset[str] = frozenset()
         self.other_routers: tuple[str, ...] = ()
         self.router_index = 0
         self.waiting: list[PendingReservation] = []
@@ -175,11 +178,8 @@
             case PeerUnreachable():
                 pass
             case DesiredStateInUse(state, _):
-                self.budgets = {
-                    each.name: each.budget
-                    for each in state.workspaces
-                    if each.budget is not None
-                }
+                self.update_budgets(state.workspaces)
+                self.retry_waiting(now)
                 self.write_record(now)
             case KnownRouters(urls):
                 self.other_routers = tuple(sorted(urls))
@@ -197,6 +197,15 @@
                 reply_to.put(FinalTransferAccepted())
                 self.retry_waiting(now)
 
+    def update_budgets(self, workspaces: Iterable[WorkspaceSpec]) -> None:
+        """Replace the budgets by those of a newly adopted desired state."""
+        self.budgets = {
+            each.name: each.budget for each in workspaces if each.budget is not None
+        }
+        self.unlimited_workspaces = frozenset(
+            each.name for each in workspaces if each.budget is None
+        )
+
     def return_all(self, reply_to: ReplyTo, now: float) -> None:
         """Return the free tokens, or transfer them if the store is unavailable.
 
@@ -223,9 +232,10 @@
     ) -> None:
         """Reserve tokens for a call, at once or as soon as enough are available.
 
-        Workspaces without a budget reserve nothing and are never refused.
+        Workspaces without a budget reserve nothing and are never refused. A call may be
+        ahead of the desired state that tells this task of its workspace; it waits.
         """
-        if request.workspace not in self.budgets:
+        if request.workspace in self.unlimited_workspaces:
             reply_to.put(TokensReserved(0))
             return
         self.token_accounts, reserved = reserve_tokens(
@@ -257,7 +267,7 @@
     def refusal(self, request: RequestReservation, now: float) -> TokensUnavailable:
         """Return the refusal of a request, with the amounts that caused it."""
         account = account_of(self.token_accounts, request.workspace)
-        undrawn = self.budgets[request.workspace] - account.drawn
+        undrawn = self.budgets.get(request.workspace, 0) - account.drawn
         available = reservable_tokens(self.token_accounts, request.workspace, now)
         detail = (
             f"{request.tokens} tokens requested, {account.free} free,"
@@ -425,6 +435,8 @@
         A draw cannot do so while the store is unavailable or slow, or when the free
         tokens and those left in the ledger are fewer than the request needs.
         """
+        if request.workspace not in self.budgets:
+            return
         account = account_of(self.token_accounts, request.workspace)
         undrawn = self.budgets[request.workspace] - account.drawn
         slow = self.write_in_progress and now - self.write_started_at > SLOW_WRITE_S
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -252,9 +252,13 @@
         )
         others = {name: "" for name in world.names if name != self.node}
         self.token_accounts.handle(KnownRouters(others))
-        self.token_accounts.handle(DesiredStateInUse(state_with(world.budget), b""))
+        self.adopt_state(state_with(world.budget))
         self.calls: list[OpenCall] = []
 
+    def adopt_state(self, state: DesiredState) -> None:
+        """Tell the token accounts of a desired state."""
+        self.token_accounts.handle(DesiredStateInUse(state, b""))
+
     def pump(self) -> None:
         """Let the ledger and the purse handle what lies before them."""
         for _ in range(6):
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -9,16 +11,24 @@
 
 from hawthornstage.actors.ledger import MAX_COUNTS_PER_WRITE
 from hawthornstage.actors.task import Ask
-from hawthornstage.actors.token_accounts import ReturnAllTokens, StopDrawingAhead
+from hawthornstage.actors.token_accounts import (
+    MAX_WAIT_S,
+    ReturnAllTokens,
+    StopDrawingAhead,
+)
 from hawthornstage.decisions import draw_plans, draws
 from hawthornstage.decisions.draw_plans import reclaimable_tokens
+from hawthornstage.messages.desired import DesiredState, WorkspaceSpec
 from hawthornstage.messages.draws import (
     ClockReading,
+    RequestReservation,
     RouterRecord,
     SpendingBound,
+    TokensReserved,
+    TokensUnavailable,
     WriteRecord,
 )
-from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld, Reply
+from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld, Reply, state_with
 
 NAMES = st.sampled_from(("a", "b", "c"))
 MOODS = st.sampled_from(("well", "well", "refuses", "deaf", "mute", "late"))
@@ -44,6 +54,44 @@
     assert world.store.counts()[WORKSPACE] >= 1_000
 
 
+def with_newcomer(budget: int) -> DesiredState:
+    """Return a desired state with one more workspace."""
+    state = state_with(BUDGET)
+    newcomer = WorkspaceSpec("newcomer", frozenset({"new"}), None, budget)
+    return replace(state, workspaces=(*state.workspaces, newcomer))
+
+
+def test_call_ahead_of_its_desired_state_waits_for_it(world: DrawsWorld) -> None:
+    host = world.hosts["a"]
+    reply = Reply()
+    host.token_accounts.handle(Ask(RequestReservation("newcomer", 500), reply))
+    host.pump()
+    assert reply.value is None
+    host.adopt_state(with_newcomer(10_000))
+    host.pump()
+    host.check()
+    assert reply.value == TokensReserved(500)
+    assert world.store.counts()["newcomer"] >= 500
+
+
+def test_call_whose_desired_state_does_not_come_is_refused(world: DrawsWorld) -> None:
+    host = world.hosts["a"]
+    reply = Reply()
+    host.token_accounts.handle(Ask(RequestReservation("newcomer", 500), reply))
+    world.clock.advance(MAX_WAIT_S)
+    host.check()
+    assert isinstance(reply.value, TokensUnavailable)
+
+
+def test_workspace_without_a_budget_reserves_nothing(world: DrawsWorld) -> None:
+    host = world.hosts["a"]
+    unlimited = WorkspaceSpec(WORKSPACE, frozenset({"key"}), None, None)
+    host.adopt_state(replace(state_with(BUDGET), workspaces=(unlimited,)))
+    reply = Reply()
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 500), reply))
+    assert reply.value == TokensReserved(0)
+
+
 def test_one_router_can_use_nearly_all_of_a_budget(world: DrawsWorld) -> None:
     for _ in range(20):
         spend_all(world, "a", 1_000)
