--- a/src/hawthornstage/actors/budgets.py
+++ b/src/hawthornstage/actors/budgets.py
@@ -11,7 +11,7 @@
 from hawthornstage.actors.documents import Applied, Apply
 from hawthornstage.actors.members import MembershipSnapshot
 from hawthornstage.actors.peers import Send
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions import holder as policy
 from hawthornstage.decisions import holder_state as holding
@@ -113,7 +113,7 @@
         options: HolderOptions,
         *,
         documents: pykka.ActorRef,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         clock: Clock,
         events: EventLog,
     ) -> None:
--- a/src/hawthornstage/actors/crash_guard.py
+++ b/src/hawthornstage/actors/crash_guard.py
@@ -9,11 +9,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-import pykka
-
 from hawthornstage.actors.members import MembershipSnapshot
 from hawthornstage.actors.peers import Send
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions import crashes as policy
 from hawthornstage.decisions.crashes import CrashSuspects, SuspectSlot
@@ -125,7 +123,7 @@
     """
 
     def __init__(
-        self, node: str, peers: pykka.ActorRef, *, clock: Clock, events: EventLog
+        self, node: str, peers: Recipient, *, clock: Clock, events: EventLog
     ) -> None:
         super().__init__()
         self.node = node
--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -9,7 +9,7 @@
 
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.store_watch import StoreWatch
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import is_newer
 from hawthornstage.latest_value import LatestValue
@@ -61,7 +61,7 @@
         node: str,
         in_use: LatestValue[DesiredState | None],
         *,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         subscribers: tuple[pykka.ActorRef, ...],
         events: EventLog,
     ) -> None:
--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -9,7 +9,7 @@
 import pykka
 
 from hawthornstage.actors.peers import PeersChanged, Send
-from hawthornstage.actors.task import Task
+from hawthornstage.actors.task import Recipient, Task
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
@@ -70,7 +70,7 @@
         url: str,
         *,
         store: StoreClient,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         desired: LatestValue[DesiredState | None],
         routers: LatestValue[int],
         subscribers: tuple[pykka.ActorRef, ...],
--- a/src/hawthornstage/actors/grant_closer.py
+++ b/src/hawthornstage/actors/grant_closer.py
@@ -10,7 +10,7 @@
 from hawthornstage.actors.documents import Applied, Apply, Read, ReadDone
 from hawthornstage.actors.members import MembershipSnapshot
 from hawthornstage.actors.peers import Send
-from hawthornstage.actors.task import Task
+from hawthornstage.actors.task import Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.grant_closing import (
     GrantClosure,
@@ -49,7 +49,7 @@
         keys: tuple[str, ...],
         *,
         documents: pykka.ActorRef,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         clock: Clock,
         events: EventLog,
     ) -> None:
--- a/src/hawthornstage/actors/members.py
+++ b/src/hawthornstage/actors/members.py
@@ -8,7 +8,7 @@
 import pykka
 
 from hawthornstage.actors.peers import PeersChanged, Send
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.membership import (
     Members,
@@ -79,7 +79,7 @@
         members: Members,
         urls: dict[str, str],
         *,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         subscribers: tuple[pykka.ActorRef, ...],
         clock: Clock,
         events: EventLog,
--- a/src/hawthornstage/actors/server_failures.py
+++ b/src/hawthornstage/actors/server_failures.py
@@ -5,10 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-import pykka
-
 from hawthornstage.actors.peers import Send
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.server_failures import ServerFailures
 from hawthornstage.messages.budget_messages import Acknowledged
@@ -42,7 +40,7 @@
         events: The event log.
     """
 
-    def __init__(self, peers: pykka.ActorRef, clock: Clock, events: EventLog) -> None:
+    def __init__(self, peers: Recipient, clock: Clock, events: EventLog) -> None:
         super().__init__()
         self.peers = peers
         self.clock = clock
--- a/src/hawthornstage/actors/settlements.py
+++ b/src/hawthornstage/actors/settlements.py
@@ -10,7 +10,7 @@
 from hawthornstage.actors.budgets import ledger_key
 from hawthornstage.actors.documents import Applied, Apply
 from hawthornstage.actors.peers import Send
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.ledger import GrantNotOpen, RecordBills
 from hawthornstage.mailbox import ReplyCallback
@@ -106,7 +106,7 @@
         shards: int,
         *,
         documents: pykka.ActorRef,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         clock: Clock,
         events: EventLog,
     ) -> None:
--- a/src/hawthornstage/actors/tables.py
+++ b/src/hawthornstage/actors/tables.py
@@ -11,7 +11,7 @@
 from hawthornstage.actors.documents import Applied, Apply, Read, ReadDone
 from hawthornstage.actors.members import MembershipSnapshot, RevisionInUse
 from hawthornstage.actors.peers import Send
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.border.documents import TABLES_CODEC
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.membership import Members, live, rendezvous_order
@@ -111,7 +111,7 @@
         self,
         *,
         documents: pykka.ActorRef,
-        peers: pykka.ActorRef,
+        peers: Recipient,
         subscribers: tuple[pykka.ActorRef, ...],
         watching: threading.Event,
         clock: Clock,
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -21,7 +21,7 @@
 from hawthornstage.actors.documents import DocumentKind, Documents
 from hawthornstage.actors.grant_closer import GrantCloser, Sweep
 from hawthornstage.actors.members import Membership, SendHeartbeat, StartDraining
-from hawthornstage.actors.peers import PeerIdentity, PeerLink, Peers
+from hawthornstage.actors.peers import Peers
 from hawthornstage.actors.reservations import CheckReservations, Reservations
 from hawthornstage.actors.servers import (
     HostListTask,
@@ -44,7 +44,7 @@
 from hawthornstage.border.documents import CLAIMS_KIND, LEDGER_KIND, TABLES_KIND
 from hawthornstage.border.old_setup_api import OldSetupApi
 from hawthornstage.border.operator_api import OperatorApi
-from hawthornstage.border.peer_server import PeerServer
+from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.border.settings import ApiKeySettings, GrantSharing, Settings
 from hawthornstage.border.wsgi import StartResponse, send_response
 from hawthornstage.clock import Clock
@@ -62,6 +62,7 @@
 from hawthornstage.filters.reserve import ReservationClient, Reserve
 from hawthornstage.filters.settle import BillFinaliser, OutcomeRecorder, Settle
 from hawthornstage.messages import budget_messages, crashes, members
+from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.host_list import HostListClient
@@ -89,7 +90,7 @@
     ledger: pykka.ActorRef
     claims: pykka.ActorRef
     tables_documents: pykka.ActorRef
-    peers: pykka.ActorRef
+    peers: Peers
     witnesses: pykka.ActorRef
     budgets: pykka.ActorRef
     settlements: pykka.ActorRef
@@ -122,14 +123,12 @@
         self.local_router = budget_messages.Witness(
             settings.node.name, new_incarnation(self.clock)
         )
-        self.identity = PeerIdentity(self.local_router.node, settings.peers.secrets[0])
         self.dispatcher = MessageDispatcher()
         self.timers = Timers(self.clock)
         self.gate = AdmissionGate(settings.limits.max_requests)
         self.tasks = self.start_tasks()
         self.register()
         self.schedule_periodic_messages()
-        self.peer_server = self.make_peer_server()
         self.reservation_client = self.make_treasury()
         self.bill_finaliser = self.make_cashier()
         self.front = self.make_front()
@@ -140,9 +139,7 @@
     def start_tasks(self) -> Tasks:
         """Start every task with references to the tasks that it sends messages to."""
         options = self.holder_options()
-        peers = Peers.start(
-            self.identity, self.dispatcher, self.start_peer_link, self.timers
-        )
+        peers = self.make_peers()
         flush = self.settings.budgets.flush_interval_s
         ledger = self.documents(LEDGER_KIND, interval=flush, share=LEDGER_WRITE_SHARE)
         claims = self.documents(CLAIMS_KIND, interval=0.0, share=CLAIMS_WRITE_SHARE)
@@ -253,10 +250,17 @@
         platform = self.settings.platform
         return KeyValueClient(platform.key_value_url, timeout=platform.timeout_s)
 
-    def start_peer_link(self, name: str, url: str) -> pykka.ActorRef:
-        """Start the task that owns the link to another router."""
-        return PeerLink.start(
-            name, url, self.identity, self.clock, self.events, self.metrics
+    def make_peers(self) -> Peers:
+        """Create the task that owns the connections to and from other routers."""
+        settings = self.settings.peers
+        return Peers(
+            PeerIdentity(self.local_router.node, settings.secrets[0]),
+            SocketAddress(settings.host, settings.port),
+            secrets=tuple(settings.secrets),
+            dispatcher=self.dispatcher,
+            clock=self.clock,
+            events=self.events,
+            metrics=self.metrics,
         )
 
     def initial_members(self) -> Members:
@@ -332,18 +336,6 @@
         if tasks.host_list is not None:
             every(HOST_LIST_POLL_INTERVAL_S, tasks.host_list, Poll())
 
-    def make_peer_server(self) -> PeerServer:
-        """Create the server for connections of other routers."""
-        return PeerServer(
-            self.settings.peers.host,
-            self.settings.peers.port,
-            secrets=tuple(self.settings.peers.secrets),
-            dispatcher=self.dispatcher,
-            events=self.events,
-            metrics=self.metrics,
-            clock=self.clock,
-        )
-
     def make_treasury(self) -> ReservationClient:
         """Create the client that reserves tokens with the holders of grants."""
         return ReservationClient(
@@ -493,7 +485,7 @@
     def start(self) -> None:
         """Start serving; does not block."""
         self.timers.start()
-        self.peer_server.start()
+        self.tasks.peers.start()
         TablesWatch(
             self.store(), self.tasks.tables, self.watching, self.stopping
         ).start()
@@ -523,7 +515,7 @@
         )
         self.events.emit("stopped", whole=whole, returned=done is not None)
         self.http.stop()
-        self.peer_server.stop()
+        self.tasks.peers.stop()
 
     def sleep(self, seconds: float) -> None:
         """Wait for a time measured by this router's clock, in seconds."""
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import Any
 
-import pykka
 from cheroot import wsgi
 from prometheus_client import generate_latest
 
@@ -17,7 +16,7 @@
 from hawthornstage.actors.desired_states import DesiredStateTask, DesiredStateWatch
 from hawthornstage.actors.fleet_members import Deregister, FleetMembers, MembershipTick
 from hawthornstage.actors.ledger import LedgerTask
-from hawthornstage.actors.peers import PeerIdentity, PeerLink, Peers
+from hawthornstage.actors.peers import Peers
 from hawthornstage.actors.server_failures import ServerFailuresTask
 from hawthornstage.actors.server_registry import ServerRegistry
 from hawthornstage.actors.server_selection import ServerSelectionTask
@@ -31,7 +30,7 @@
     StopDrawingAhead,
     TokenAccountsTask,
 )
-from hawthornstage.border.peer_server import PeerServer
+from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.border.wsgi import StartResponse, send_response
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
@@ -108,17 +107,8 @@
         serve(self.metrics_http, "metrics")
         self.timers.start()
         secret = self.load_shared_secret()
-        self.start_tasks(PeerIdentity(self.settings.node, secret))
-        self.peer_server = PeerServer(
-            self.settings.peers.host,
-            self.settings.peers.port,
-            secrets=(secret,),
-            dispatcher=self.dispatcher,
-            events=self.events,
-            metrics=self.metrics,
-            clock=self.clock,
-        )
-        self.peer_server.start()
+        self.start_tasks(secret)
+        self.peers.start()
         self.watch_store()
         self.events.emit("router_started", metrics_port=self.metrics_http.bind_addr[1])
 
@@ -139,12 +129,21 @@
                             continue
             sleep(self.clock, SHARED_SECRET_POLL_INTERVAL_S)
 
-    def start_tasks(self, identity: PeerIdentity) -> None:
-        """Start every task with references to the tasks that it sends messages to."""
+    def start_tasks(self, secret: str) -> None:
+        """Start every task with references to the tasks that it sends messages to.
+
+        Args:
+            secret: The routers' shared secret.
+        """
         shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
         node = self.settings.node
-        self.peers = Peers.start(
-            identity, self.dispatcher, self.peer_link_factory(identity), self.timers
+        self.peers = Peers(
+            PeerIdentity(node, secret),
+            self.settings.peers,
+            secrets=(secret,),
+            dispatcher=self.dispatcher,
+            metrics=self.metrics,
+            **shared,
         )
         ledger = LedgerTask.start(node, self.store(), self.clock, self.events)
         self.token_accounts = TokenAccountsTask.start(
@@ -228,22 +227,6 @@
             path, load_host_settings, self.live_settings, changed, self.events
         ).start()
 
-    def peer_link_factory(
-        self, identity: PeerIdentity
-    ) -> Callable[[str, str], pykka.ActorRef]:
-        """Return a function that starts the link to another router.
-
-        Args:
-            identity: This router's name and the shared secret.
-        """
-
-        def start(name: str, url: str) -> pykka.ActorRef:
-            return PeerLink.start(
-                name, url, identity, self.clock, self.events, self.metrics
-            )
-
-        return start
-
     def make_pipe(self) -> ForwardPipe:
         """Create the pipe of filters for forwarded calls."""
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
@@ -316,7 +299,7 @@
         )
         self.members.tell(Deregister())
         self.events.emit("stopped", whole=whole, returned=bool(returned))
-        self.peer_server.stop()
+        self.peers.stop()
         self.readiness.stop()
         self.metrics_http.stop()
 
--- a/src/hawthornstage/filters/reserve.py
+++ b/src/hawthornstage/filters/reserve.py
@@ -9,7 +9,7 @@
 from hawthornstage.actors.members import GetMembers, MembershipSnapshot
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.settlements import DeliverToHolder
-from hawthornstage.actors.task import Ask
+from hawthornstage.actors.task import Ask, Recipient
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.membership import choose_holder
 from hawthornstage.errors import ErrorKind, Failure
@@ -44,7 +44,7 @@
     node: str
     shared: bool
     patience_s: float
-    peers: pykka.ActorRef
+    peers: Recipient
     membership: pykka.ActorRef
     settlements: pykka.ActorRef
     clock: Clock
--- a/src/hawthornstage/filters/settle.py
+++ b/src/hawthornstage/filters/settle.py
@@ -12,6 +12,7 @@
 from hawthornstage.actors.documents import Applied, Apply
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.settlements import DeliverToHolder
+from hawthornstage.actors.task import Recipient
 from hawthornstage.border.error_responses import error_document
 from hawthornstage.border.sse import error_event
 from hawthornstage.clock import Clock
@@ -74,7 +75,7 @@
     reservation_client: ReservationClient
     shards: int
     documents: pykka.ActorRef
-    peers: pykka.ActorRef
+    peers: Recipient
     settlements: pykka.ActorRef
     clock: Clock
 
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -103,6 +103,12 @@
             ["direction"],
             registry=self.registry,
         )
+        self.peer_connections = Gauge(
+            "hawthornstage_peer_connections",
+            "Connections between this router and others",
+            ["direction"],
+            registry=self.registry,
+        )
         self.revision = Gauge(
             "hawthornstage_tables_revision",
             "Revision of the tables in use",
