--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -12,6 +12,7 @@
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import is_newer
+from hawthornstage.decisions.peer_links import neighbours
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
@@ -19,6 +20,7 @@
     DesiredStateHeartbeat,
     DesiredStateInUse,
     DesiredStateOffered,
+    KnownRouters,
     RequestDesiredState,
 )
 from hawthornstage.messages.store import Item, Removal
@@ -45,9 +47,17 @@
     source: str
 
 
+@dataclass(frozen=True)
+class SendVersion:
+    """Triggers the periodic heartbeat to one neighbour."""
+
+
 class DesiredStateTask(Task):
     """Owns the desired state in use, whose version never decreases.
 
+    It tells its neighbours of each version at once, and one of them in turn of the
+    version in use periodically, so that a router without the store gets it as well.
+
     Args:
         node: This router's name.
         in_use: Where the state is published.
@@ -72,6 +82,8 @@
         self.subscribers = subscribers
         self.events = events
         self.document = b""
+        self.neighbours: tuple[str, ...] = ()
+        self.heartbeats = 0
 
     def handle(self, message: Any) -> None:
         match message:
@@ -86,12 +98,23 @@
                 self.handle_heartbeat(heartbeat)
             case DesiredStateHeartbeat():
                 self.handle_heartbeat(message)
+            case SendVersion() if self.neighbours:
+                self.heartbeats += 1
+                turn = self.heartbeats % len(self.neighbours)
+                self.send_heartbeat(self.neighbours[turn])
+            case KnownRouters(urls):
+                self.neighbours = neighbours(self.node, urls)
 
     def heartbeat(self) -> DesiredStateHeartbeat:
         """Return this router's heartbeat, which carries its desired state's version."""
         state = self.in_use.value
         return DesiredStateHeartbeat(self.node, state.version if state else 0)
 
+    def send_heartbeat(self, node: str) -> None:
+        """Send a heartbeat to a router, whose reply is its own heartbeat."""
+        reply_to = ReplyCallback(self.actor_ref.tell)
+        self.peers.tell(Send(node, self.heartbeat(), reply_to))
+
     def handle_heartbeat(self, heartbeat: DesiredStateHeartbeat) -> None:
         """Request the desired state of a router whose version is newer."""
         if heartbeat.version > self.heartbeat().version:
@@ -123,6 +146,8 @@
         )
         for subscriber in self.subscribers:
             subscriber.tell(DesiredStateInUse(state, document))
+        for node in self.neighbours:
+            self.send_heartbeat(node)
 
 
 class DesiredStateWatch(StoreWatch):
--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -2,19 +2,15 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass
 from typing import Any
 
 import pykka
 
-from hawthornstage.actors.peers import PeersChanged, Send
+from hawthornstage.actors.peers import PeersChanged
 from hawthornstage.actors.task import Recipient, Task
 from hawthornstage.latest_value import LatestValue
-from hawthornstage.mailbox import ReplyCallback
-from hawthornstage.messages.desired import DesiredState
-from hawthornstage.messages.fleet import DesiredStateHeartbeat, KnownRouters
-from hawthornstage.messages.members import PeerUnreachable
+from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.store import (
     Committed,
     LeaseGranted,
@@ -35,8 +31,6 @@
 RENEWAL_TICKS = 8
 # Period of reading the other routers' entries, in ticks.
 DISCOVERY_TICKS = 5
-# Number of routers that get each heartbeat.
-FANOUT = 2
 
 
 @dataclass(frozen=True)
@@ -56,11 +50,9 @@
         node: This router's name.
         url: Its address for other routers.
         store: A client used by this task only.
-        peers: Sends messages to other routers.
-        desired: The desired state in use, whose version heartbeats carry.
+        peers: Gets the addresses of the other routers.
         routers: Where the number of routers is published.
         subscribers: Get `KnownRouters`.
-        reply_handler: Gets the replies to heartbeats.
         events: The event log.
     """
 
@@ -71,10 +63,8 @@
         *,
         store: StoreClient,
         peers: Recipient,
-        desired: LatestValue[DesiredState | None],
         routers: LatestValue[int],
         subscribers: tuple[pykka.ActorRef, ...],
-        reply_handler: pykka.ActorRef,
         events: EventLog,
     ) -> None:
         super().__init__()
@@ -82,12 +72,9 @@
         self.url = url
         self.store = store
         self.peers = peers
-        self.desired = desired
         self.routers = routers
         self.subscribers = subscribers
-        self.reply_handler = reply_handler
         self.events = events
-        self.random = random.Random(node)
         self.lease: int | None = None
         self.urls: dict[str, str] = {}
         self.ticks = 0
@@ -101,7 +88,7 @@
                     self.store.end_lease(self.lease)
 
     def tick(self) -> None:
-        """Register or renew, read the entries if due, and send heartbeats.
+        """Register or renew, and read the entries if due.
 
         In the first 12 ticks the entries are read every time until another router is
         found.
@@ -113,7 +100,6 @@
         if self.ticks % DISCOVERY_TICKS == 0 or (self.ticks < 12 and not self.urls):
             self.discover_routers()
         self.ticks += 1
-        self.heartbeat()
 
     def register(self) -> None:
         """Write this router's entry under a new lease."""
@@ -156,16 +142,3 @@
         self.peers.tell(PeersChanged(found))
         for subscriber in self.subscribers:
             subscriber.tell(KnownRouters(found))
-
-    def heartbeat(self) -> None:
-        """Send the version of the desired state to some random routers."""
-        state = self.desired.value
-        heartbeat = DesiredStateHeartbeat(self.node, state.version if state else 0)
-        names = sorted(self.urls)
-        for node in self.random.sample(names, min(FANOUT, len(names))):
-            self.peers.tell(Send(node, heartbeat, ReplyCallback(self.forward_reply)))
-
-    def forward_reply(self, reply: Any) -> None:
-        """Pass a reply to the reply handler, unless the router was unreachable."""
-        if not isinstance(reply, PeerUnreachable):
-            self.reply_handler.tell(reply)
--- a/src/hawthornstage/actors/server_failures.py
+++ b/src/hawthornstage/actors/server_failures.py
@@ -8,14 +8,16 @@
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.server_failures import ServerFailures
+from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.decisions.server_failures import ServerFailures, counting_routers
 from hawthornstage.messages.budget_messages import Acknowledged
-from hawthornstage.messages.fleet import KnownRouters, ServerFailedDuringCall
+from hawthornstage.messages.fleet import (
+    CallBlocked,
+    KnownRouters,
+    ServerFailedDuringCall,
+)
 from hawthornstage.observe.events import EventLog
 
-# Most routers that are notified of a server failure.
-MAX_NOTIFIED_ROUTERS = 16
-
 
 @dataclass(frozen=True)
 class CheckCallAllowed:
@@ -35,18 +37,23 @@
     """Owns the server failures during calls that this router knows of.
 
     Args:
+        node: This router's name.
         peers: Sends messages to other routers.
         clock: The runtime's clock.
         events: The event log.
     """
 
-    def __init__(self, peers: Recipient, clock: Clock, events: EventLog) -> None:
+    def __init__(
+        self, node: str, peers: Recipient, clock: Clock, events: EventLog
+    ) -> None:
         super().__init__()
+        self.node = node
         self.peers = peers
         self.clock = clock
         self.events = events
         self.failures = ServerFailures()
-        self.other_routers: tuple[str, ...] = ()
+        self.routers: tuple[str, ...] = (node,)
+        self.neighbours: tuple[str, ...] = ()
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
@@ -55,21 +62,34 @@
                 reply_to.put(not self.failures.is_blocked(fingerprint, now))
             case ServerFailedDuringCall():
                 self.record_failure(message, now)
-                for node in self.other_routers[:MAX_NOTIFIED_ROUTERS]:
-                    self.peers.tell(Send(node, message))
+                for node in counting_routers(message.fingerprint, self.routers):
+                    if node != self.node:
+                        self.peers.tell(Send(node, message))
             case Ask(message=ServerFailedDuringCall() as failure, reply_to=reply_to):
                 self.record_failure(failure, now)
                 reply_to.put(Acknowledged())
+            case Ask(message=CallBlocked(fingerprint), reply_to=reply_to):
+                if not self.failures.is_blocked(fingerprint, now):
+                    self.failures.block(fingerprint, now)
+                    self.announce_block(fingerprint)
+                reply_to.put(Acknowledged())
             case CallAnswered(fingerprint):
                 self.failures.clear_failures(fingerprint)
             case KnownRouters(urls):
-                self.other_routers = tuple(sorted(urls))
+                self.routers = (self.node, *urls)
+                self.neighbours = neighbours(self.node, urls)
 
     def record_failure(self, failure: ServerFailedDuringCall, now: float) -> None:
-        """Count a server failure, and log when it blocks the call."""
+        """Count a server failure, and tell the others if it blocks the call."""
         before = self.failures.is_blocked(failure.fingerprint, now)
         self.failures.record_failure(failure.fingerprint, now)
         if not before and self.failures.is_blocked(failure.fingerprint, now):
             self.events.emit(
                 "call_blocked", fingerprint=failure.fingerprint, server=failure.server
             )
+            self.announce_block(failure.fingerprint)
+
+    def announce_block(self, fingerprint: str) -> None:
+        """Tell the neighbours that a call is blocked; they tell theirs."""
+        for node in self.neighbours:
+            self.peers.tell(Send(node, CallBlocked(fingerprint)))
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -54,6 +54,7 @@
     "DesiredStateWanted": fleet.RequestDesiredState,
     "DesiredStateOffered": fleet.DesiredStateOffered,
     "CallBroke": fleet.ServerFailedDuringCall,
+    "CallBlocked": fleet.CallBlocked,
 }
 FRAME_NAMES = {message_type: name for name, message_type in FRAME_MESSAGES.items()}
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -13,7 +13,11 @@
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.callers import CallerListener, ForwardPipe, StopSignal
-from hawthornstage.actors.desired_states import DesiredStateTask, DesiredStateWatch
+from hawthornstage.actors.desired_states import (
+    DesiredStateTask,
+    DesiredStateWatch,
+    SendVersion,
+)
 from hawthornstage.actors.fleet_members import Deregister, FleetMembers, MembershipTick
 from hawthornstage.actors.ledger import LedgerTask
 from hawthornstage.actors.peers import Peers
@@ -41,6 +45,7 @@
 from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.draws import FinalTransfer, RequestTransfer
 from hawthornstage.messages.fleet import (
+    CallBlocked,
     DesiredStateHeartbeat,
     RequestDesiredState,
     ServerFailedDuringCall,
@@ -54,6 +59,7 @@
 
 # Intervals of the messages that trigger the tasks' periodic work, in seconds.
 MEMBERS_INTERVAL_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
 TOKEN_ACCOUNTS_CHECK_INTERVAL_S = 0.1
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
@@ -153,7 +159,7 @@
             metrics=self.metrics,
             **shared,
         )
-        self.server_failures = ServerFailuresTask.start(self.peers, **shared)
+        self.server_failures = ServerFailuresTask.start(node, self.peers, **shared)
         self.desired_states = DesiredStateTask.start(
             node,
             self.desired,
@@ -174,19 +180,24 @@
             f"ws://{peers.host}:{peers.port}",
             store=self.store(),
             peers=self.peers,
-            desired=self.desired,
             routers=self.routers,
-            subscribers=(self.token_accounts, self.server_failures),
-            reply_handler=self.desired_states,
+            subscribers=(
+                self.token_accounts,
+                self.server_failures,
+                self.desired_states,
+            ),
             events=self.events,
         )
         self.dispatcher.register(
             self.desired_states, (DesiredStateHeartbeat, RequestDesiredState)
         )
         self.dispatcher.register(self.token_accounts, (RequestTransfer, FinalTransfer))
-        self.dispatcher.register(self.server_failures, (ServerFailedDuringCall,))
+        self.dispatcher.register(
+            self.server_failures, (ServerFailedDuringCall, CallBlocked)
+        )
         self.members.tell(MembershipTick())
         self.timers.every(MEMBERS_INTERVAL_S, self.members, MembershipTick())
+        self.timers.every(HEARTBEAT_INTERVAL_S, self.desired_states, SendVersion())
         self.timers.every(
             TOKEN_ACCOUNTS_CHECK_INTERVAL_S, self.token_accounts, CheckTokenAccounts()
         )
--- a/src/hawthornstage/decisions/server_failures.py
+++ b/src/hawthornstage/decisions/server_failures.py
@@ -1,19 +1,26 @@
 """Blocks forwarded calls that crash the servers that run them.
 
-Every server failure during a call is counted on all routers, by the call's
-fingerprint. A call with `MAX_SERVER_FAILURES` failures is blocked. An answer to the
-call resets its count. Times are seconds of the monotonic clock.
+Server failures during a call are counted by the call's fingerprint: on the router that
+sent it, and on a few others that the fingerprint chooses, so that they add up although
+a repeated call comes to other routers. A call with `MAX_SERVER_FAILURES` failures is
+blocked, which all routers are told. An answer to the call resets its count. Times are
+seconds of the monotonic clock.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from hawthornstage.decisions.membership import rendezvous_order
+
 # Server failures after which a call is blocked.
 MAX_SERVER_FAILURES = 3
 # Time for which a call stays blocked after its last server failure, in seconds.
 FAILURE_TTL_S = 120.0
+# Routers that count a call's failures, beside the one that sent it.
+COUNTING_ROUTERS = 4
 # Calls with recorded failures; the oldest are dropped first.
 MAX_TRACKED_CALLS = 4_096
 
@@ -31,6 +38,11 @@
         while len(self.failure_times) > MAX_TRACKED_CALLS:
             self.failure_times.popitem(last=False)
 
+    def block(self, fingerprint: str, now: float) -> None:
+        """Block a call because another router has counted enough failures."""
+        for _ in range(MAX_SERVER_FAILURES):
+            self.record_failure(fingerprint, now)
+
     def clear_failures(self, fingerprint: str) -> None:
         """Drop the recorded failures of a call that was answered."""
         self.failure_times.pop(fingerprint, None)
@@ -42,3 +54,8 @@
             len(failure_times) >= MAX_SERVER_FAILURES
             and now - failure_times[-1] < FAILURE_TTL_S
         )
+
+
+def counting_routers(fingerprint: str, routers: Iterable[str]) -> tuple[str, ...]:
+    """Return the routers that count a call's failures, out of all known ones."""
+    return tuple(rendezvous_order(fingerprint, routers)[:COUNTING_ROUTERS])
--- a/src/hawthornstage/messages/fleet.py
+++ b/src/hawthornstage/messages/fleet.py
@@ -50,6 +50,13 @@
     server: str
 
 
+@dataclass(frozen=True)
+class CallBlocked:
+    """Too many servers failed during a call; no router may send it any more."""
+
+    fingerprint: str
+
+
 @dataclass(frozen=True)
 class DesiredStateInUse:
     """Announces a newly adopted desired state to this router's tasks."""
