--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -76,7 +76,7 @@
         self.subscribers = subscribers
         self.events = events
         self.lease: int | None = None
-        self.urls: dict[str, str] = {}
+        self.urls: dict[str, str] | None = None
         self.ticks = 0
 
     def handle(self, message: Any) -> None:
--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -20,7 +20,7 @@
 )
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.draw_plans import (
-    LEASE_S,
+    LEASE_MARGIN_S,
     add_draw_to_record,
     cap_to_budgets,
     reclaimable_tokens,
@@ -109,6 +109,7 @@
         self.renewed_at = float("-inf")
         self.started_at = ClockReading(clock.monotonic(), clock.wall())
         self.lease: int | None = None
+        self.lease_ttl_s = 0.0
         self.loaded = False
         self.revisions: dict[str, int] = {}
         self.drawn: dict[str, int] = {}
@@ -141,7 +142,12 @@
                 return self.record_dropped(failure)
         for _ in range(MAX_ATTEMPTS):
             max_age = URGENT_REFRESH_S if request.minimum else REFRESH_S
-            failure = self.refresh(max_age) or self.renew_lease()
+            lease_ttl_s = request.record.late_after_s - LEASE_MARGIN_S
+            # Old counts only make a write fail, so a cheaper read serves as long as no
+            # call waits for the draw.
+            failure = self.refresh(
+                max_age, stale=not request.minimum
+            ) or self.renew_lease(lease_ttl_s)
             if failure is not None:
                 return self.record_dropped(failure)
             write = self.plan_write(request)
@@ -152,23 +158,36 @@
                 return outcome
         return self.record_dropped(f"no success in {MAX_ATTEMPTS} attempts")
 
-    def refresh(self, max_age: float) -> str | None:
-        """Reload the counts if older than `max_age`; return the failure, if any."""
+    def refresh(self, max_age: float, *, stale: bool) -> str | None:
+        """Reload the counts if older than `max_age`; return the failure, if any.
+
+        Args:
+            max_age: Age in seconds.
+            stale: Whether to allow a cheaper read that may be seconds out of date.
+        """
         now = self.clock.monotonic()
         if now - self.refreshed_at < max_age:
             return None
-        match self.store.list(COUNTS_PREFIX):
+        match self.store.list(COUNTS_PREFIX, stale=stale):
             case Listing(items, _):
                 for item in items:
-                    self.apply_item(item)
+                    if item.revision > self.revisions.get(item.key, 0):
+                        self.apply_item(item)
                 self.refreshed_at = now
                 return None
             case StoreRefused(reason) | StoreNoResponse(reason):
                 return reason
 
-    def renew_lease(self) -> str | None:
-        """Renew the record's lease or obtain a new one; return the failure, if any."""
+    def renew_lease(self, ttl_s: float) -> str | None:
+        """Renew the record's lease or obtain a new one; return the failure, if any.
+
+        Args:
+            ttl_s: Time to live of the lease, in seconds.
+        """
         now = self.clock.monotonic()
+        if ttl_s != self.lease_ttl_s:
+            # The record moves to the new lease with its next write.
+            self.lease = None
         if self.lease is not None and now - self.renewed_at < LEASE_RENEWAL_AGE_S:
             return None
         if self.lease is not None:
@@ -181,9 +200,10 @@
                     self.lease = None
                 case StoreRefused(reason) | StoreNoResponse(reason):
                     return reason
-        match self.store.grant_lease(LEASE_S):
+        match self.store.grant_lease(ttl_s):
             case LeaseGranted(lease, _):
                 self.lease = lease
+                self.lease_ttl_s = ttl_s
                 self.renewed_at = now
                 return None
             case StoreRefused(reason) | StoreNoResponse(reason):
@@ -200,7 +220,7 @@
                 self.apply_item(item)
             case StoreRefused(reason) | StoreNoResponse(reason):
                 return reason
-        failure = self.refresh(REFRESH_S)
+        failure = self.refresh(REFRESH_S, stale=False)
         self.loaded = failure is None
         return failure
 
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -12,13 +12,19 @@
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.draw_plans import make_record, plan_draws
+from hawthornstage.decisions.draw_plans import (
+    DrawTerms,
+    is_urgent,
+    make_record,
+    plan_draws,
+)
 from hawthornstage.decisions.draws import (
     TokenAccounts,
     account_of,
     add_drawn,
     deduct_free_tokens,
     deduct_returns,
+    give_call_tokens,
     record_usage,
     reservable_tokens,
     reserve_tokens,
@@ -28,6 +34,7 @@
     transfer_out,
     update_drawn_totals,
 )
+from hawthornstage.decisions.token_holders import HolderDirectory
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback, ReplyTo
 from hawthornstage.messages.desired import WorkspaceSpec
@@ -39,6 +46,7 @@
     RecordNotStored,
     RecordOutcomeUnknown,
     RecordStored,
+    RequestCallTokens,
     RequestReservation,
     RequestTransfer,
     TokensReserved,
@@ -52,10 +60,12 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
-# Longest time that a call waits for tokens, in seconds.
+# Longest time that a call waits for tokens, in seconds: on a router that holds spare
+# tokens of its workspace, and on any other.
 MAX_WAIT_S = 0.07
-# Age at which a record is renewed, in seconds.
-RECORD_RENEWAL_AGE_S = 0.9
+MAX_HOLDER_WAIT_S = 0.25
+# Time without a holder's reply after which the next one is asked, in seconds.
+HOLDER_TIMEOUT_S = 0.08
 # Delay after a failed write, in seconds.
 WRITE_RETRY_DELAY_S = 0.4
 # Shortest time between two rounds of transfer requests, in seconds.
@@ -87,28 +97,54 @@
     """
 
 
-@dataclass(frozen=True)
-class PendingReservation:
+TokenRequest = RequestReservation | RequestCallTokens
+
+
+@dataclass(eq=False)
+class PendingRequest:
     """A request that waits for tokens.
 
     Args:
         request: The request.
         reply_to: Gets the outcome.
         deadline: Monotonic time at which the request is refused, in seconds.
+        holder: The holder that is asked for the tokens; without one, this router draws
+            them.
+        asked: Holders asked so far.
+        asked_at: Monotonic time of the last question, in seconds.
     """
 
-    request: RequestReservation
+    request: TokenRequest
     reply_to: ReplyTo
     deadline: float
+    holder: str | None = None
+    asked: int = 0
+    asked_at: float = float("-inf")
+
+
+@dataclass(frozen=True)
+class HolderReplied:
+    """A holder's reply to the question for the tokens of a call.
+
+    Args:
+        pending: The request that waits for them.
+        holder: The holder.
+        reply: `TokensTransferred` or `PeerUnreachable`.
+    """
+
+    pending: PendingRequest
+    holder: str
+    reply: Any
 
 
 class TokenAccountsTask(Task):
     """Owns this router's token accounts, one for each workspace with a budget.
 
     Args:
+        node: This router's name.
         ledger: Stores records and draws from the budgets.
         peers: Sends messages to other routers.
-        routers: Number of routers that share the budgets.
+        routers: Number of routers that store records.
         clock: The runtime's clock.
         events: The event log.
         metrics: Gauges of the held tokens.
@@ -117,6 +153,7 @@
     def __init__(
         self,
         *,
+        node: str,
         ledger: pykka.ActorRef,
         peers: Recipient,
         routers: LatestValue[int],
@@ -134,9 +171,10 @@
         self.token_accounts = TokenAccounts()
         self.budgets: dict[str, int] = {}
         self.unlimited_workspaces: frozenset[str] = frozenset()
+        self.holders = HolderDirectory(node)
         self.other_routers: tuple[str, ...] = ()
         self.router_index = 0
-        self.waiting: list[PendingReservation] = []
+        self.waiting: list[PendingRequest] = []
         self.write_in_progress = False
         self.write_started_at = float("-inf")
         self.amounts_in_flight: dict[str, int] = {}
@@ -149,8 +187,13 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case Ask(message=RequestReservation() as request, reply_to=reply_to):
+            case Ask(
+                message=RequestReservation() | RequestCallTokens() as request,
+                reply_to=reply_to,
+            ):
                 self.reserve_tokens(request, reply_to, now)
+            case HolderReplied():
+                self.handle_holder_reply(message, now)
             case TokensUsed(workspace, reserved, used):
                 self.token_accounts = record_usage(
                     self.token_accounts, workspace, reserved, used, now
@@ -183,6 +226,8 @@
                 self.write_record(now)
             case KnownRouters(urls):
                 self.other_routers = tuple(sorted(urls))
+                node = self.holders.node
+                self.holders = HolderDirectory(node, frozenset((node, *urls)))
             case Ask(message=ReturnAllTokens(), reply_to=reply_to):
                 self.return_all(reply_to, now)
             case StopDrawingAhead():
@@ -228,7 +273,7 @@
         self.events.emit("tokens_handed_over", to=node, amounts=amounts)
 
     def reserve_tokens(
-        self, request: RequestReservation, reply_to: ReplyTo, now: float
+        self, request: TokenRequest, reply_to: ReplyTo, now: float
     ) -> None:
         """Reserve tokens for a call, at once or as soon as enough are available.
 
@@ -238,34 +283,94 @@
         if request.workspace in self.unlimited_workspaces:
             reply_to.put(TokensReserved(0))
             return
-        self.token_accounts, reserved = reserve_tokens(
-            self.token_accounts, request.workspace, request.tokens, now
-        )
-        if reserved:
-            reply_to.put(TokensReserved(request.tokens))
+        if self.grant(request, reply_to, now):
+            return
+        pending = PendingRequest(request, reply_to, now + MAX_WAIT_S)
+        self.waiting.append(pending)
+        if isinstance(request, RequestReservation) and self.ask_holder(pending, now):
+            pending.deadline = now + MAX_HOLDER_WAIT_S
             return
-        self.waiting.append(PendingReservation(request, reply_to, now + MAX_WAIT_S))
         self.write_record(now)
         self.request_transfers(request, now)
 
+    def grant(self, request: TokenRequest, reply_to: ReplyTo, now: float) -> bool:
+        """Grant a request if enough tokens are free; return whether it is granted."""
+        workspace, tokens = request.workspace, request.tokens
+        match request:
+            case RequestReservation():
+                self.token_accounts, granted = reserve_tokens(
+                    self.token_accounts, workspace, tokens, now
+                )
+                reply: Any = TokensReserved(tokens)
+            case RequestCallTokens():
+                self.token_accounts, granted = give_call_tokens(
+                    self.token_accounts, workspace, tokens, now
+                )
+                reply = TokensTransferred(workspace, tokens)
+        if granted:
+            reply_to.put(reply)
+        return granted
+
+    def ask_holder(self, pending: PendingRequest, now: float) -> bool:
+        """Ask the next holder for the tokens of a call.
+
+        Returns:
+            False if no holder is left to ask, so that this router draws them.
+        """
+        workspace = pending.request.workspace
+        holder = self.holders.holder_to_ask(workspace, pending.asked)
+        pending.holder = holder
+        if holder is None:
+            return False
+        pending.asked += 1
+        pending.asked_at = now
+        request = RequestCallTokens(workspace, pending.request.tokens)
+        reply_to = ReplyCallback(
+            lambda reply: self.actor_ref.tell(HolderReplied(pending, holder, reply))
+        )
+        self.peers.tell(Send(holder, request, reply_to))
+        return True
+
+    def handle_holder_reply(self, message: HolderReplied, now: float) -> None:
+        """Take the tokens of a holder, or ask the next one."""
+        match message.reply:
+            case TokensTransferred(workspace, tokens) if tokens:
+                self.token_accounts = transfer_in(
+                    self.token_accounts, workspace, tokens
+                )
+                self.retry_waiting(now)
+                return
+        pending = message.pending
+        if pending in self.waiting and pending.holder == message.holder:
+            self.ask_next_holder(pending, now)
+
+    def ask_next_holder(self, pending: PendingRequest, now: float) -> None:
+        """Ask the next holder, or draw the tokens if none is left."""
+        if not self.ask_holder(pending, now):
+            self.write_record(now)
+            self.request_transfers(pending.request, now)
+
     def retry_waiting(self, now: float) -> None:
         """Retry the waiting requests, and refuse those past their deadline."""
         waiting, self.waiting = self.waiting, []
         for each in waiting:
-            request = each.request
-            self.token_accounts, reserved = reserve_tokens(
-                self.token_accounts, request.workspace, request.tokens, now
-            )
-            if reserved:
-                each.reply_to.put(TokensReserved(request.tokens))
-            elif now >= each.deadline:
-                each.reply_to.put(self.refusal(request, now))
-            else:
-                self.waiting.append(each)
-                self.request_transfers(request, now)
-
-    def refusal(self, request: RequestReservation, now: float) -> TokensUnavailable:
+            if self.grant(each.request, each.reply_to, now):
+                continue
+            if now >= each.deadline:
+                each.reply_to.put(self.refusal(each.request, now))
+                continue
+            self.waiting.append(each)
+            if each.holder is None:
+                self.request_transfers(each.request, now)
+            elif now - each.asked_at >= HOLDER_TIMEOUT_S:
+                self.ask_next_holder(each, now)
+
+    def refusal(
+        self, request: TokenRequest, now: float
+    ) -> TokensUnavailable | TokensTransferred:
         """Return the refusal of a request, with the amounts that caused it."""
+        if isinstance(request, RequestCallTokens):
+            return TokensTransferred(request.workspace, 0)
         account = account_of(self.token_accounts, request.workspace)
         undrawn = self.budgets.get(request.workspace, 0) - account.drawn
         available = reservable_tokens(self.token_accounts, request.workspace, now)
@@ -286,7 +391,7 @@
             or now < self.next_write_at
         ):
             return
-        routers = self.routers.value
+        terms = DrawTerms(self.routers.value, self.holders.holder_count)
         wanted = self.wanted()
         amounts: dict[str, int] = {}
         if self.token_accounts.sent is None:
@@ -296,14 +401,15 @@
             amounts = plan_draws(
                 self.token_accounts,
                 self.budgets,
-                routers,
+                terms,
                 wanted=wanted,
-                ahead=ahead,
+                held=self.held_workspaces() if ahead else (),
                 now=now,
             )
-        required = self.record_due(now) or (self.stopping and bool(amounts))
-        # Returns alone do not cause a write; they wait until a record is due.
-        if not required and not any(amount > 0 for amount in amounts.values()):
+        required = self.record_due(terms, now) or (self.stopping and bool(amounts))
+        if not required and not is_urgent(
+            self.token_accounts, self.budgets, terms, amounts, wanted=wanted, now=now
+        ):
             return
         if self.token_accounts.sent is None:
             self.amounts_in_flight = amounts
@@ -311,7 +417,7 @@
         record = self.token_accounts.sent or make_record(
             self.token_accounts,
             self.budgets,
-            routers,
+            terms,
             wanted=wanted,
             mark=secrets.token_hex(8),
             now=now,
@@ -329,14 +435,23 @@
         )
         self.ledger.tell(Ask(request, ReplyCallback(self.actor_ref.tell)))
 
-    def record_due(self, now: float) -> bool:
-        """Return whether a record has to be stored even without a draw."""
+    def held_workspaces(self) -> frozenset[str]:
+        """Return the workspaces of which this router holds spare tokens."""
+        return frozenset(name for name in self.budgets if self.holders.is_holder(name))
+
+    def record_due(self, terms: DrawTerms, now: float) -> bool:
+        """Return whether a record has to be stored even without a draw.
+
+        A router that holds no spare tokens has nothing that a record would save.
+        """
         stored = self.token_accounts.stored
-        fresh = stored is not None and now - stored.at < RECORD_RENEWAL_AGE_S
-        return (
-            not fresh
-            or self.token_accounts.sent is not None
-            or self.limited_by_record()
+        if stored is None or self.token_accounts.sent or self.limited_by_record():
+            return True
+        if now - stored.at < terms.record_interval_s:
+            return False
+        return any(
+            account_of(self.token_accounts, name).free
+            for name in self.held_workspaces()
         )
 
     def limited_by_record(self) -> bool:
@@ -345,12 +460,15 @@
             account_of(self.token_accounts, each.request.workspace).free
             >= each.request.tokens
             for each in self.waiting
+            if each.holder is None
         )
 
     def wanted(self) -> dict[str, int]:
-        """Return the tokens that waiting calls request, by workspace."""
+        """Return the tokens to draw for waiting calls, by workspace."""
         amounts: dict[str, int] = {}
         for each in self.waiting:
+            if each.holder is not None:
+                continue
             name = each.request.workspace
             amounts[name] = amounts.get(name, 0) + each.request.tokens
         return amounts
@@ -359,6 +477,8 @@
         """Return the smallest shortfall of a waiting call, by workspace."""
         minimum: dict[str, int] = {}
         for each in self.waiting:
+            if each.holder is not None:
+                continue
             name = each.request.workspace
             shortfall = max(
                 1, each.request.tokens - account_of(self.token_accounts, name).free
@@ -429,8 +549,8 @@
             self.store_unavailable = True
             self.events.emit("draws_stopped", reason=reason[:120])
 
-    def request_transfers(self, request: RequestReservation, now: float) -> None:
-        """Ask other routers to transfer tokens if a draw cannot cover the request.
+    def request_transfers(self, request: TokenRequest, now: float) -> None:
+        """Ask other holders to transfer tokens if a draw cannot cover the request.
 
         A draw cannot do so while the store is unavailable or slow, or when the free
         tokens and those left in the ledger are fewer than the request needs.
@@ -442,7 +562,8 @@
         slow = self.write_in_progress and now - self.write_started_at > SLOW_WRITE_S
         store_unresponsive = self.store_unavailable or slow
         drawable = not store_unresponsive and undrawn + account.free >= request.tokens
-        if not self.other_routers or now < self.next_transfer_request_at or drawable:
+        others = self.holders.other_holders(request.workspace)
+        if not others or now < self.next_transfer_request_at or drawable:
             return
         self.next_transfer_request_at = now + TRANSFER_REQUEST_INTERVAL_S
         missing = request.tokens - max(
@@ -450,9 +571,9 @@
         )
         tokens_per_router = int(missing * TRANSFER_REQUEST_FACTOR / TRANSFER_FANOUT) + 1
         transfer_request = RequestTransfer(request.workspace, tokens_per_router)
-        for _ in range(min(TRANSFER_FANOUT, len(self.other_routers))):
+        for _ in range(min(TRANSFER_FANOUT, len(others))):
             self.router_index += 1
-            node = self.other_routers[self.router_index % len(self.other_routers)]
+            node = others[self.router_index % len(others)]
             self.peers.tell(
                 Send(node, transfer_request, ReplyCallback(self.actor_ref.tell))
             )
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -47,6 +47,7 @@
     "SlotGranted": crashes.SlotGranted,
     "ReleaseSlot": crashes.ReleaseSlot,
     "TokensWanted": draws.RequestTransfer,
+    "CallTokensWanted": draws.RequestCallTokens,
     "TokensGiven": draws.TokensTransferred,
     "TokensHandedOver": draws.FinalTransfer,
     "TokensTakenOver": draws.FinalTransferAccepted,
--- a/src/hawthornstage/border/stored_values.py
+++ b/src/hawthornstage/border/stored_values.py
@@ -33,7 +33,8 @@
 
 def encode_record(record: RouterRecord) -> bytes:
     """Encode a router's record."""
-    return cbor2.dumps(RECORD_ADAPTER.dump_python(record, mode="python"))
+    body = RECORD_ADAPTER.dump_python(record, mode="python", exclude_defaults=True)
+    return cbor2.dumps(body)
 
 
 def decode_record(data: bytes) -> RouterRecord:
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -43,7 +43,11 @@
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import DesiredState
-from hawthornstage.messages.draws import FinalTransfer, RequestTransfer
+from hawthornstage.messages.draws import (
+    FinalTransfer,
+    RequestCallTokens,
+    RequestTransfer,
+)
 from hawthornstage.messages.fleet import (
     CallBlocked,
     DesiredStateHeartbeat,
@@ -153,6 +157,7 @@
         )
         ledger = LedgerTask.start(node, self.store(), self.clock, self.events)
         self.token_accounts = TokenAccountsTask.start(
+            node=node,
             ledger=ledger,
             peers=self.peers,
             routers=self.routers,
@@ -191,7 +196,9 @@
         self.dispatcher.register(
             self.desired_states, (DesiredStateHeartbeat, RequestDesiredState)
         )
-        self.dispatcher.register(self.token_accounts, (RequestTransfer, FinalTransfer))
+        self.dispatcher.register(
+            self.token_accounts, (RequestCallTokens, RequestTransfer, FinalTransfer)
+        )
         self.dispatcher.register(
             self.server_failures, (ServerFailedDuringCall, CallBlocked)
         )
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -9,16 +9,16 @@
 host returns the tokens above the bound, if it knows an upper limit of its dead
 predecessor's lifetime. That limit comes from the host's time of day, and from its
 monotonic clock if the host has not rebooted. As the time of day may have been set back,
-the record's lease confirms it: the store ends the lease before `LATE_AFTER_S`, unless
-the store itself was stopped.
+the record's lease confirms it: the store ends the lease before the record is late,
+unless the store itself was stopped.
 """
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import Collection
+from dataclasses import dataclass, replace
 
 from hawthornstage.decisions.draws import (
-    LATE_AFTER_S,
     TokenAccount,
     TokenAccounts,
     account_of,
@@ -31,8 +31,9 @@
     WriteRecord,
 )
 
-# Spare tokens that a router holds, as seconds of its demand.
-HORIZON_S = 12.0
+# Spare tokens that a router holds beyond its demand until the next record, as seconds
+# of its demand: an outage of the store may last 9 s.
+OUTAGE_HORIZON_S = 11.1
 # A router draws again when it holds less than this fraction of its target.
 LOW_WATER_FRACTION = 0.85
 # Fraction of a budget that a router holds before it knows its demand.
@@ -48,8 +49,19 @@
 # A router returns its surplus when that exceeds this fraction of the target plus an
 # average call.
 SURPLUS_FRACTION = 0.3
-# Lease of a record, in seconds.
-LEASE_S = 3.5
+# Records that all routers together store regularly, per second, and the shortest and
+# longest interval of one router's records, in seconds.
+FLEET_RECORDS_PER_S = 9.0
+MIN_RECORD_INTERVAL_S = 0.9
+MAX_RECORD_INTERVAL_S = 5.4
+# Time after the next record's due time from which a record is late, in seconds: a write
+# may be slow, and a process that dies needs time to start again.
+LATE_MARGIN_S = 2.9
+# Time by which the lease of a record ends before the record is late, in seconds.
+LEASE_MARGIN_S = 0.3
+# A draw does not wait for the next record when less than this fraction of the target is
+# held.
+URGENT_FRACTION = 0.5
 # Margin added to a predecessor's estimated lifetime, in seconds.
 WALL_CLOCK_MARGIN_S = 0.2
 # If the monotonic clock differs from a record by more than this, the host is assumed
@@ -71,13 +83,42 @@
 EVEN_SHARE_DURATION_S = 100.0
 
 
+@dataclass(frozen=True)
+class DrawTerms:
+    """How the routers of a fleet share its budgets and the store.
+
+    Args:
+        routers: Routers that store records.
+        holders: Routers that hold spare tokens of one workspace.
+    """
+
+    routers: int
+    holders: int
+
+    @property
+    def record_interval_s(self) -> float:
+        """Interval of one router's records, in seconds."""
+        interval = self.routers / FLEET_RECORDS_PER_S
+        return min(MAX_RECORD_INTERVAL_S, max(MIN_RECORD_INTERVAL_S, interval))
+
+    @property
+    def late_after_s(self) -> float:
+        """Age from which a record is late, in seconds."""
+        return self.record_interval_s + LATE_MARGIN_S
+
+    @property
+    def horizon_s(self) -> float:
+        """Spare tokens that a router holds, as seconds of its demand."""
+        return self.record_interval_s + OUTAGE_HORIZON_S
+
+
 def plan_draws(
     token_accounts: TokenAccounts,
     budgets: dict[str, int],
-    routers: int,
+    terms: DrawTerms,
     *,
     wanted: dict[str, int],
-    ahead: bool,
+    held: Collection[str],
     now: float,
 ) -> dict[str, int]:
     """Return the tokens to draw now, by workspace; negative amounts are returned.
@@ -85,15 +126,16 @@
     Args:
         token_accounts: What is held.
         budgets: Each workspace's whole budget in tokens.
-        routers: Routers that draw on the same budgets.
+        terms: How the budgets are shared.
         wanted: Tokens that waiting calls need, by workspace.
-        ahead: Whether to hold spare tokens beyond that.
+        held: Workspaces of which this router holds spare tokens beyond that.
         now: Monotonic time in seconds.
     """
     amounts: dict[str, int] = {}
     for workspace, budget in budgets.items():
         account = account_of(token_accounts, workspace)
-        target_free = target_tokens(account, budget, routers, now) if ahead else 0
+        ahead = workspace in held
+        target_free = target_tokens(account, budget, terms, now) if ahead else 0
         left = max(0, budget - account.drawn)
         waiting_tokens = wanted.get(workspace, 0)
         needed = waiting_tokens - account.free
@@ -105,7 +147,7 @@
         )
         if needed > 0 or account.free < target_free * LOW_WATER_FRACTION:
             fair_amount = int(
-                left * MAX_DRAW_FRACTION / routers + account.mean_call_tokens
+                left * MAX_DRAW_FRACTION / terms.holders + account.mean_call_tokens
             )
             # `left` may be outdated and too low; the ledger checks the amount itself.
             amount = max(min(target_free - account.free, fair_amount, left), needed)
@@ -118,14 +160,51 @@
     return amounts
 
 
-def target_tokens(account: TokenAccount, budget: int, routers: int, now: float) -> int:
+def is_urgent(
+    token_accounts: TokenAccounts,
+    budgets: dict[str, int],
+    terms: DrawTerms,
+    amounts: dict[str, int],
+    *,
+    wanted: dict[str, int],
+    now: float,
+) -> bool:
+    """Whether planned draws are made at once instead of with the next record.
+
+    In a small fleet they always are, as the next record is due soon anyway.
+
+    Args:
+        token_accounts: What is held.
+        budgets: Each workspace's whole budget in tokens.
+        terms: How the budgets are shared.
+        amounts: The planned draws, by workspace.
+        wanted: Tokens that waiting calls need, by workspace.
+        now: Monotonic time in seconds.
+    """
+    for workspace, amount in amounts.items():
+        if amount <= 0:
+            continue
+        account = account_of(token_accounts, workspace)
+        target = target_tokens(account, budgets[workspace], terms, now)
+        if (
+            terms.record_interval_s <= MIN_RECORD_INTERVAL_S
+            or workspace in wanted
+            or account.free < target * URGENT_FRACTION
+        ):
+            return True
+    return False
+
+
+def target_tokens(
+    account: TokenAccount, budget: int, terms: DrawTerms, now: float
+) -> int:
     """Return how many free tokens a router should hold.
 
     The target falls with the tokens left in the ledger, as tokens unused at one router
     are missing at the others.
     """
-    spare_tokens = account.rate_at(now) * HORIZON_S + 2 * account.mean_call_tokens
-    initial_tokens = budget * min(INITIAL_BUDGET_FRACTION, 0.5 / routers)
+    spare_tokens = account.rate_at(now) * terms.horizon_s + 2 * account.mean_call_tokens
+    initial_tokens = budget * min(INITIAL_BUDGET_FRACTION, 0.5 / terms.holders)
     return int(max(spare_tokens, initial_tokens) * supply_factor(account, budget))
 
 
@@ -147,7 +226,7 @@
 def make_record(
     token_accounts: TokenAccounts,
     budgets: dict[str, int],
-    routers: int,
+    terms: DrawTerms,
     *,
     wanted: dict[str, int],
     mark: str,
@@ -159,7 +238,7 @@
     Args:
         token_accounts: What is held.
         budgets: Each workspace's whole budget in tokens.
-        routers: Routers that draw on the same budgets.
+        terms: How the budgets are shared.
         wanted: Tokens that waiting calls need, by workspace.
         mark: Unique id of this record.
         now: Monotonic time in seconds.
@@ -168,7 +247,7 @@
     bounds: dict[str, SpendingBound] = {}
     for workspace, budget in budgets.items():
         account = account_of(token_accounts, workspace)
-        even_rate = budget / routers / EVEN_SHARE_DURATION_S
+        even_rate = budget / terms.holders / EVEN_SHARE_DURATION_S
         rate = max(account.rate_at(now), even_rate)
         # Tokens stranded by a crash matter more the less is left. In the end, each call
         # draws its own tokens and none are stranded.
@@ -185,7 +264,7 @@
         )
     granted = {name: each.granted for name, each in token_accounts.accounts.items()}
     gifted = {name: each.gifted for name, each in token_accounts.accounts.items()}
-    return RouterRecord(mark, now, wall, granted, gifted, bounds)
+    return RouterRecord(mark, now, wall, granted, gifted, bounds, terms.late_after_s)
 
 
 def add_draw_to_record(record: RouterRecord, granted: dict[str, int]) -> RouterRecord:
@@ -217,7 +296,7 @@
     monotonic = death.monotonic - record.at
     if 0 <= monotonic < SAME_BOOT_MAX_S:
         lifetime_s = max(lifetime_s, monotonic)
-    elif lifetime_s >= LATE_AFTER_S:
+    elif lifetime_s >= record.late_after_s:
         return {}
     latest_end = record.at + lifetime_s + WALL_CLOCK_MARGIN_S
     unspent: dict[str, int] = {}
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -4,9 +4,9 @@
 drawn. A router draws before it reserves tokens for calls: the count is raised by
 compare-and-swap and never exceeds the budget.
 
-A router spends at most what its last record allows. The bound grows faster from
-`LATE_AFTER_S` after the record, when an outage has outlasted the record's lease. A
-record whose write has an unknown outcome limits spending like a stored one.
+A router spends at most what its last record allows. The bound grows faster once the
+record is late, when an outage has outlasted the record's lease. A record whose write
+has an unknown outcome limits spending like a stored one.
 """
 
 from __future__ import annotations
@@ -24,9 +24,6 @@
 INITIAL_CALL_TOKENS = 5_000.0
 # Largest fraction of the free tokens that one transfer moves to another router.
 MAX_TRANSFER_FRACTION = 0.5
-# Time after a record from which its bound grows faster, in seconds; longer than its
-# lease.
-LATE_AFTER_S = 3.8
 
 
 @dataclass(frozen=True)
@@ -117,7 +114,7 @@
     if bound is None:
         return 0.0
     age = now - record.at
-    late = max(0.0, age - LATE_AFTER_S)
+    late = max(0.0, age - record.late_after_s)
     return bound.base + bound.slope * (age - late) + bound.late_slope * late
 
 
@@ -130,6 +127,22 @@
     return min(account.free, allowed)
 
 
+def give_call_tokens(
+    token_accounts: TokenAccounts, workspace: str, tokens: int, now: float
+) -> tuple[TokenAccounts, bool]:
+    """Transfer the tokens of a call to the router that serves it.
+
+    They count as spent and as demand of this router.
+
+    Returns:
+        The new state, and False if too few tokens can be transferred.
+    """
+    token_accounts, reserved = reserve_tokens(token_accounts, workspace, tokens, now)
+    if not reserved:
+        return token_accounts, False
+    return record_usage(token_accounts, workspace, tokens, tokens, now), True
+
+
 def reserve_tokens(
     token_accounts: TokenAccounts, workspace: str, tokens: int, now: float
 ) -> tuple[TokenAccounts, bool]:
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -23,6 +23,21 @@
     tokens: int
 
 
+@dataclass(frozen=True)
+class RequestCallTokens:
+    """Asks a holder for the tokens of one call.
+
+    The reply is `TokensTransferred`, with 0 tokens if the holder cannot provide them.
+
+    Args:
+        workspace: The workspace that pays for the call.
+        tokens: Tokens that the sender lacks for the call.
+    """
+
+    workspace: str
+    tokens: int
+
+
 @dataclass(frozen=True)
 class TokensReserved:
     """The requested tokens are reserved for the call."""
@@ -62,9 +77,8 @@
 
     Args:
         base: Bound at the time of the record, in tokens.
-        slope: Growth of the bound until the record's lease ends, in tokens per second.
-        late_slope: Growth after the lease has ended without renewal, in tokens per
-            second.
+        slope: Growth of the bound until the record is late, in tokens per second.
+        late_slope: Growth from then on, in tokens per second.
     """
 
     base: int
@@ -96,6 +110,8 @@
         granted: Tokens that this process has received, by workspace.
         gifted: The part of `granted` that other routers transferred, by workspace.
         bounds: Upper bounds of what the process has spent, by workspace.
+        late_after_s: Age from which the bounds grow faster, in seconds; the record's
+            lease ends before.
     """
 
     mark: str
@@ -104,6 +120,7 @@
     granted: dict[str, int] = field(default_factory=dict)
     gifted: dict[str, int] = field(default_factory=dict)
     bounds: dict[str, SpendingBound] = field(default_factory=dict)
+    late_after_s: float = 3.8
 
 
 @dataclass(frozen=True)
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -243,6 +243,7 @@
         client: Any = FakeClient(world.store, self.node)
         self.ledger = LedgerTask(self.node, client, world.clock, events)
         self.token_accounts = TokenAccountsTask(
+            node=self.node,
             ledger=self.ledger_inbox,
             peers=self.peer_inbox,
             routers=LatestValue(len(world.names)),
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -30,6 +30,7 @@
 )
 from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld, Reply, state_with
 
+LATE_AFTER_S = draw_plans.DrawTerms(3, 3).late_after_s
 NAMES = st.sampled_from(("a", "b", "c"))
 MOODS = st.sampled_from(("well", "well", "refuses", "deaf", "mute", "late"))
 
@@ -171,7 +172,7 @@
     host = world.hosts["a"]
     assert host.ask(1_000)
     world.store.cut_off.add("a")
-    world.clock.advance(draws.LATE_AFTER_S + 0.1)
+    world.clock.advance(LATE_AFTER_S + 0.1)
     host.check()
     spend_all(world, "a", 500)
     drawn = world.store.counts()[WORKSPACE]
@@ -212,10 +213,10 @@
     world: DrawsWorld,
 ) -> None:
     world.store.mood = "deaf"
-    world.clock.advance(draws.LATE_AFTER_S)
+    world.clock.advance(LATE_AFTER_S)
     host = world.hosts["a"]
     host.check()
-    world.clock.advance(draws.LATE_AFTER_S)
+    world.clock.advance(LATE_AFTER_S)
     free = host.token_accounts.token_accounts.accounts[WORKSPACE].free
     held = {name: world.free(name) for name in ("b", "c")}
     reply = Reply()
@@ -231,7 +232,7 @@
 def test_lost_gift_is_lost_and_not_spent_twice(world: DrawsWorld) -> None:
     world.store.mood = "deaf"
     for host in world.hosts.values():
-        world.clock.advance(draws.LATE_AFTER_S)
+        world.clock.advance(LATE_AFTER_S)
         host.check()
     before = world.hosts["b"].token_accounts.token_accounts.accounts[WORKSPACE].free
     world.hosts["a"].ask(20_000)
@@ -288,12 +289,12 @@
 
 @pytest.mark.parametrize(
     ("life", "left"),
-    [(1.0, 690), (draws.LATE_AFTER_S, 400), (draws.LATE_AFTER_S + 2.0, 0), (-1.0, 0)],
+    [(1.0, 690), (LATE_AFTER_S, 400), (LATE_AFTER_S + 2.0, 0), (-1.0, 0)],
     ids=["short", "as long as a lease", "long", "clock set back"],
 )
 def test_left_over_depends_on_the_predecessors_life(life: float, left: int) -> None:
     life -= draw_plans.WALL_CLOCK_MARGIN_S
-    bounds = {WORKSPACE: SpendingBound(200, 400.0 / draws.LATE_AFTER_S, 200.0)}
+    bounds = {WORKSPACE: SpendingBound(200, 400.0 / LATE_AFTER_S, 200.0)}
     record = RouterRecord("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
     death = ClockReading(50.0 + life, 1_000.0 + life)
     given = reclaimable_tokens(record, death).get(WORKSPACE, 0)
@@ -315,7 +316,7 @@
     assert reclaimable_tokens(record, ClockReading(1.0, 1_002.0)) == true
     assert reclaimable_tokens(record, ClockReading(7_000.0, 1_002.0)) == true
     # A record that outlives its lease says that the store stood still.
-    long_ago = ClockReading(1.0, 1_000.1 + draws.LATE_AFTER_S)
+    long_ago = ClockReading(1.0, 1_000.1 + LATE_AFTER_S)
     assert reclaimable_tokens(record, long_ago) == {}
 
 
