--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -18,7 +18,7 @@
 from hawthornstage.platform.store import StoreClient
 
 # Longest timeout of one watch call, in seconds.
-WATCH_WAIT_S = 10.0
+WATCH_WAIT_S = 30.0
 # Timeout of the first watch call after a failed one, in seconds: its response is what
 # shows that the store is back.
 RECOVERY_WAIT_S = 0.05
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -37,6 +37,7 @@
 from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.border.wsgi import StartResponse, send_response
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
@@ -104,6 +105,7 @@
         self.metrics = Metrics()
         self.desired: LatestValue[DesiredState | None] = LatestValue(None)
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
+        self.store_circuit = CircuitBreaker()
         self.stopping = StopSignal()
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
@@ -237,7 +239,12 @@
             if outcome.isdigit():
                 self.metrics.store_answered.set(self.clock.wall())
 
-        return StoreClient(lambda: self.live_settings.value.store, count=count)
+        return StoreClient(
+            lambda: self.live_settings.value.store,
+            count=count,
+            circuit=self.store_circuit,
+            clock=self.clock,
+        )
 
     def watch_settings(self, path: Path, changed: threading.Event) -> None:
         """Reload the settings whenever the file changes or `changed` is set."""
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection
 from dataclasses import dataclass, replace
 
@@ -97,9 +98,12 @@
 
     @property
     def record_interval_s(self) -> float:
-        """Interval of one router's records, in seconds."""
-        interval = self.routers / FLEET_RECORDS_PER_S
-        return min(MAX_RECORD_INTERVAL_S, max(MIN_RECORD_INTERVAL_S, interval))
+        """Interval of one router's records, in seconds.
+
+        It has few values, as a change of it costs a new lease.
+        """
+        steps = math.ceil(self.routers / FLEET_RECORDS_PER_S / MIN_RECORD_INTERVAL_S)
+        return min(MAX_RECORD_INTERVAL_S, max(1, steps) * MIN_RECORD_INTERVAL_S)
 
     @property
     def late_after_s(self) -> float:
--- a/src/hawthornstage/platform/store.py
+++ b/src/hawthornstage/platform/store.py
@@ -14,6 +14,8 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from hawthornstage.clock import Clock
+from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.messages.store import (
     Changes,
     Committed,
@@ -119,6 +121,9 @@
         address: Returns the store's `IP:PORT`, which may change.
         timeout_s: Response timeout in seconds.
         count: Called after each call with its kind and the status or failure.
+        circuit: Shared by all clients of a process, so that an outage is probed by one
+            of them at a time.
+        clock: The runtime's clock.
     """
 
     def __init__(
@@ -127,10 +132,14 @@
         *,
         timeout_s: float = RESPONSE_TIMEOUT_S,
         count: Callable[[str, str], None] | None = None,
+        circuit: CircuitBreaker | None = None,
+        clock: Clock | None = None,
     ) -> None:
         self.address = address
         self.timeout_s = timeout_s
         self.count = count or (lambda kind, outcome: None)
+        self.circuit = circuit or CircuitBreaker()
+        self.clock = clock or Clock()
         self.pool_address = address()
         self.pool = self.connect(self.pool_address)
 
@@ -304,8 +313,11 @@
     ) -> tuple[int, bytes] | StoreFailure:
         """Make one call, count it, and return its status and body.
 
-        Connects anew if the store's address has changed.
+        Connects anew if the store's address has changed. While the circuit is open,
+        the call is refused without being made.
         """
+        if not self.circuit.allows(self.clock.monotonic()):
+            return StoreRefused("the store does not respond at present")
         if self.address() != self.pool_address:
             self.pool_address = self.address()
             self.pool = self.connect(self.pool_address)
@@ -313,8 +325,10 @@
         kind = path.removeprefix("/-/").partition("/")[0]
         match outcome:
             case (status, _):
+                self.circuit.record_success()
                 self.count(kind, str(status))
             case failure:
+                self.circuit.record_failure(self.clock.monotonic())
                 self.count(kind, FAILURE_NAMES[type(failure)])
         return outcome
 
