--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -1,11 +1,12 @@
-"""Tasks that own the connections from callers of forwarded calls."""
+"""The task that owns a caller's connection and serves its forwarded calls."""
 
 from __future__ import annotations
 
 import json
 import socket
 import threading
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -33,22 +34,15 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import CallerLimits, DesiredState
 from hawthornstage.messages.forward import Delivery, ForwardCall, ForwardExchange
-from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import parse_call
 
 log = structlog.get_logger()
 
-# Listen backlog: connections that may wait to be accepted.
-BACKLOG = 512
-# Connections served at once; further ones wait to be accepted.
-MAX_CONNECTIONS = 512
 # Idle connections stay open for this much longer than the idle timeout of callers, in
 # seconds.
 IDLE_MARGIN_S = 1.0
-# Stack of a connection's thread, in bytes.
-STACK_BYTES = 512 * 1024
 
 
 @dataclass(frozen=True)
@@ -101,6 +95,63 @@
         self.trigger.close()
 
 
+class ConnectionCounter:
+    """Counts the open connections of callers and the calls that they serve.
+
+    Args:
+        clock: The runtime's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.condition = threading.Condition()
+        self.connections = 0
+        self.calls = 0
+
+    def add_connection(self) -> None:
+        """Count a connection."""
+        with self.condition:
+            self.connections += 1
+
+    def remove_connection(self) -> None:
+        """Remove a connection that has ended."""
+        with self.condition:
+            self.connections -= 1
+            self.condition.notify_all()
+
+    @contextmanager
+    def active_call(self) -> Iterator[None]:
+        """Count a call for as long as the context lasts."""
+        with self.condition:
+            self.calls += 1
+        try:
+            yield
+        finally:
+            with self.condition:
+                self.calls -= 1
+
+    def wait_until_below(self, limit: int, timeout: float | None) -> bool:
+        """Wait until fewer than `limit` connections are open.
+
+        Args:
+            limit: Number of connections.
+            timeout: Longest wait in seconds, or None to wait without a limit.
+
+        Returns:
+            False after the timeout.
+        """
+        deadline = None if timeout is None else self.clock.monotonic() + timeout
+        with self.condition:
+            while self.connections >= limit:
+                remaining = None
+                if deadline is not None:
+                    remaining = deadline - self.clock.monotonic()
+                    if remaining <= 0:
+                        return False
+                self.clock.wait(self.condition, remaining)
+        return True
+
+
 class CallerTask(threading.Thread):
     """Owns one caller's connection and serves its requests in turn.
 
@@ -108,7 +159,7 @@
         connection: The accepted socket.
         pipe: The filters that serve a request.
         stopping: Signals that the router stops.
-        listener: Counts the active calls, and is notified when the connection ends.
+        counter: Counts the connection and its calls.
     """
 
     def __init__(
@@ -116,12 +167,12 @@
         connection: socket.socket,
         pipe: ForwardPipe,
         stopping: StopSignal,
-        listener: CallerListener,
+        counter: ConnectionCounter,
     ) -> None:
         super().__init__(name="caller", daemon=True)
         self.pipe = pipe
         self.stopping = stopping
-        self.listener = listener
+        self.counter = counter
         self.caller = CallerConnection(
             connection, pipe.clock, header_bytes=pipe.limits().header_bytes
         )
@@ -137,7 +188,7 @@
             log.exception("connection_error")
         finally:
             self.caller.close()
-            self.listener.connection_ended(self)
+            self.counter.remove_connection()
 
     def serve_next(self) -> bool:
         """Receive and serve one request; return whether another one may follow."""
@@ -168,7 +219,7 @@
         if isinstance(call, Failure):
             self.send_error("", call, close=True)
             return False
-        with self.listener.count_active():
+        with self.counter.active_call():
             delivery = Delivery()
             failure = self.forward(call, delivery)
             if failure is not None:
@@ -259,85 +310,3 @@
     if delivery.events:
         fields["pause_ms"] = int(delivery.longest_pause_s * 1000)
     return fields
-
-
-class CallerListener(threading.Thread):
-    """Owns the listening socket, and starts a thread for each caller's connection.
-
-    Args:
-        address: The address to listen on.
-        pipe: The filters that serve a request.
-        stopping: Signals to connections that the router stops.
-    """
-
-    def __init__(
-        self, address: SocketAddress, pipe: ForwardPipe, stopping: StopSignal
-    ) -> None:
-        super().__init__(name="callers", daemon=True)
-        threading.stack_size(STACK_BYTES)
-        self.pipe = pipe
-        self.stopping = stopping
-        self.slots = threading.BoundedSemaphore(MAX_CONNECTIONS)
-        self.condition = threading.Condition()
-        self.at_work = 0
-        self.socket = socket.create_server(
-            (address.host, address.port), backlog=BACKLOG, reuse_port=False
-        )
-
-    @property
-    def port(self) -> int:
-        """The bound port, chosen by the system if the address has port 0."""
-        return self.socket.getsockname()[1]
-
-    def run(self) -> None:
-        """Accept connections until the socket is closed."""
-        while True:
-            self.slots.acquire()
-            try:
-                connection, _ = self.socket.accept()
-            except OSError as error:
-                self.slots.release()
-                if self.socket.fileno() < 0 or self.stopping.closing:
-                    return
-                self.pipe.events.emit("accept_failed", reason=str(error))
-                continue
-            CallerTask(connection, self.pipe, self.stopping, self).start()
-
-    def connection_ended(self, task: CallerTask) -> None:
-        """Free the slot of a connection that has ended."""
-        self.slots.release()
-
-    def count_active(self) -> ActiveCall:
-        """Return a context manager that counts a call as active."""
-        return ActiveCall(self)
-
-    def wait_idle(self, clock: Clock, timeout: float) -> bool:
-        """Wait until no call is active; return False after `timeout` seconds."""
-        deadline = clock.monotonic() + timeout
-        with self.condition:
-            while self.at_work:
-                remaining = deadline - clock.monotonic()
-                if remaining <= 0:
-                    return False
-                clock.wait(self.condition, remaining)
-        return True
-
-    def close(self) -> None:
-        """Stop listening, and accept no further connections."""
-        self.socket.close()
-
-
-@dataclass(frozen=True)
-class ActiveCall:
-    """Context manager that counts one active call."""
-
-    callers: CallerListener
-
-    def __enter__(self) -> None:
-        with self.callers.condition:
-            self.callers.at_work += 1
-
-    def __exit__(self, *_: object) -> None:
-        with self.callers.condition:
-            self.callers.at_work -= 1
-            self.callers.condition.notify_all()
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -12,7 +12,8 @@
 from prometheus_client import generate_latest
 
 from hawthornstage.actors.ask import ask
-from hawthornstage.actors.callers import CallerListener, ForwardPipe, StopSignal
+from hawthornstage.actors.caller_listener import CallerListener
+from hawthornstage.actors.callers import ForwardPipe, StopSignal
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
     DesiredStateWatch,
@@ -78,6 +79,8 @@
 DRAIN_NOTICE_S = 2.6
 # Time by which shutdown finishes before the end of the grace period, in seconds.
 GRACE_MARGIN_S = 0.8
+# Timeout for accepting the last connections at shutdown, in seconds.
+CLOSE_LISTENER_TIMEOUT_S = 0.5
 # Timeout for the return of tokens at shutdown, in seconds.
 RETURN_TOKENS_TIMEOUT_S = 0.6
 
@@ -308,14 +311,14 @@
         """Stop accepting calls, finish those in progress and return the tokens held."""
         grace_s = self.live_settings.value.grace_s
         deadline = self.clock.monotonic() + grace_s - GRACE_MARGIN_S
-        self.events.emit("stopping", at_work=self.callers.at_work)
+        self.events.emit("stopping", at_work=self.callers.counter.calls)
         self.stopping.close_after_response()
         self.token_accounts.tell(StopDrawingAhead())
         sleep(self.clock, DRAIN_NOTICE_S)
-        self.callers.close()
+        self.callers.close(CLOSE_LISTENER_TIMEOUT_S)
         self.stopping.close_idle()
         drain_timeout = deadline - self.clock.monotonic() - RETURN_TOKENS_TIMEOUT_S
-        whole = self.callers.wait_idle(self.clock, drain_timeout)
+        whole = self.callers.wait_ended(drain_timeout)
         returned = ask(
             self.token_accounts,
             ReturnAllTokens(),
--- /dev/null
+++ b/tests/test_caller_listener.py
@@ -0,0 +1,158 @@
+"""A planned stop answers every request that has reached the router."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+from typing import Any
+
+import pytest
+
+from hawthornstage.actors.caller_listener import CallerListener
+from hawthornstage.actors.callers import ForwardPipe, StopSignal
+from hawthornstage.clock import Clock
+from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.forward import ForwardCall
+from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
+from tools.cluster import wait_until
+
+# Longest wait for what must happen at once, in seconds.
+SOON = 10.0
+HEAD = b"POST /orders/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nContent-Length: 2\r\n"
+REQUEST = HEAD + b"\r\nhi"
+Connect = Callable[[], socket.socket]
+
+
+class RefuseEachCall:
+    """Stands for the first filter, and refuses each call.
+
+    Args:
+        released: The filter waits until it is set.
+    """
+
+    def __init__(self) -> None:
+        self.released = threading.Event()
+        self.released.set()
+
+    def begin(self, call: ForwardCall) -> Failure:
+        """Refuse a call."""
+        self.released.wait(SOON)
+        return Failure(ErrorKind.NO_DESIRED_STATE)
+
+
+@pytest.fixture
+def refusing() -> RefuseEachCall:
+    """Return the filter of the listener's pipe."""
+    return RefuseEachCall()
+
+
+@pytest.fixture
+def listener(refusing: RefuseEachCall) -> CallerListener:
+    """Return a listener that is not started."""
+    unused: Any = None
+    first_filter: Any = refusing
+    pipe = ForwardPipe(
+        identify=first_filter,
+        filters=(),
+        reserve=unused,
+        forwarder=unused,
+        desired=LatestValue(None),
+        clock=Clock(),
+        events=EventLog("a", Clock()),
+        metrics=Metrics(),
+    )
+    return CallerListener(SocketAddress("127.0.0.1", 0), pipe, StopSignal())
+
+
+@pytest.fixture
+def connect(listener: CallerListener) -> Iterator[Connect]:
+    """Return a function that connects to the listener."""
+    with ExitStack() as stack:
+
+        def open_connection() -> socket.socket:
+            address = ("127.0.0.1", listener.port)
+            return stack.enter_context(socket.create_connection(address, SOON))
+
+        yield open_connection
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Return what arrives until the connection ends."""
+    received = b""
+    while data := connection.recv(4_096):
+        received += data
+    return received
+
+
+def test_connections_that_wait_to_be_accepted_are_served_at_a_stop(
+    listener: CallerListener, connect: Connect
+) -> None:
+    callers = [connect() for _ in range(5)]
+    for caller in callers:
+        caller.sendall(REQUEST)
+    listener.stopping.close_after_response()
+    listener.close_trigger.close()
+    listener.start()
+    for caller in callers:
+        assert read_all(caller).startswith(b"HTTP/1.1 503")
+    listener.join(SOON)
+    assert not listener.is_alive()
+
+
+def test_closed_listener_accepts_nothing_new(
+    listener: CallerListener, connect: Connect
+) -> None:
+    listener.start()
+    listener.close(SOON)
+    assert not listener.is_alive()
+    with pytest.raises(OSError):
+        connect()
+
+
+def test_stop_waits_for_a_request_that_is_being_read(
+    listener: CallerListener, connect: Connect
+) -> None:
+    listener.start()
+    caller = connect()
+    caller.sendall(HEAD)
+    wait_until(lambda: listener.counter.connections == 1)
+    listener.stopping.close_after_response()
+    listener.close(SOON)
+    listener.stopping.close_idle()
+    assert not listener.wait_ended(0.2)
+    caller.sendall(b"\r\nhi")
+    assert read_all(caller).startswith(b"HTTP/1.1 503")
+    assert listener.wait_ended(SOON)
+
+
+def test_stop_waits_for_a_request_that_is_served(
+    listener: CallerListener, connect: Connect, refusing: RefuseEachCall
+) -> None:
+    refusing.released.clear()
+    listener.start()
+    caller = connect()
+    caller.sendall(REQUEST)
+    wait_until(lambda: listener.counter.calls == 1)
+    listener.stopping.close_idle()
+    listener.close(SOON)
+    assert not listener.wait_ended(0.2)
+    refusing.released.set()
+    assert read_all(caller).startswith(b"HTTP/1.1 503")
+    assert listener.wait_ended(SOON)
+
+
+def test_stop_ends_idle_connections_at_once(
+    listener: CallerListener, connect: Connect
+) -> None:
+    listener.start()
+    caller = connect()
+    wait_until(lambda: listener.counter.connections == 1)
+    listener.close(SOON)
+    listener.stopping.close_idle()
+    assert listener.wait_ended(SOON)
+    assert read_all(caller) == b""
