--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from hawthornstage.border.chunked_body import encode_chunk
 from hawthornstage.border.sockets import (
     READ_BYTES,
     READABLE,
@@ -87,6 +88,7 @@
         self.socket = connection
         self.clock = clock
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+        self.chunked = False
         set_socket_options(connection)
         connection.settimeout(SEND_TIMEOUT_S)
 
@@ -218,9 +220,15 @@
         if close:
             encoded_headers.append(("connection", b"close"))
         self.send(h11.Response(status_code=status, headers=encoded_headers))
+        sized = any(name == "content-length" for name, _ in headers)
+        self.chunked = not sized and self.parser.their_http_version == b"1.1"
 
     def send_data(self, data: bytes) -> None:
         """Send a part of the response body."""
+        if self.chunked:
+            # The parser need not see the parts of a stream, only its end.
+            self.socket.sendall(encode_chunk(data))
+            return
         self.send(h11.Data(data=data))
 
     def send_end(self) -> None:
--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -8,6 +8,7 @@
 import h11
 
 from hawthornstage.border.caller_connection import CallerConnection
+from hawthornstage.border.chunked_body import ChunkedDecoder, ChunkError
 from hawthornstage.border.sockets import (
     READ_BYTES,
     READABLE,
@@ -29,6 +30,8 @@
 
 # Largest head of a server's response, in bytes.
 MAX_RESPONSE_HEAD_BYTES = 65_536
+# Most informational (1xx) responses before a response.
+MAX_INFORMATIONAL_RESPONSES = 16
 
 
 class ServerConnection:
@@ -54,10 +57,11 @@
         )
         set_socket_options(self.socket)
         self.socket.setblocking(False)
-        self.parser = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
-        )
+        self.parser = new_parser()
+        self.chunks: ChunkedDecoder | None = None
+        self.stays_open = False
         self.unsent = memoryview(b"")
+        self.undecoded = b""
         self.watch_caller = True
         self.closed_by_server = False
         self.responded_early = False
@@ -86,6 +90,7 @@
         """
         self.caller = caller
         self.watch_caller = True
+        self.informational_responses = 0
         encoded_headers = [(name, value.encode("latin-1")) for name, value in headers]
         head = h11.Request(method=method, target=target, headers=encoded_headers)
         parts = [self.parser.send(head)]
@@ -101,6 +106,8 @@
             deadline: Monotonic time at which to give up, in seconds.
         """
         while True:
+            if self.chunks is not None:
+                return self.next_chunk(self.chunks, deadline)
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -115,14 +122,11 @@
                     if outcome is not None:
                         return outcome
                 case h11.InformationalResponse():
-                    continue
+                    self.informational_responses += 1
+                    if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                        return ServerFailed("too many informational responses")
                 case h11.Response():
-                    # A server that responds early need not read the rest.
-                    self.responded_early = bool(self.unsent)
-                    self.unsent = memoryview(b"")
-                    head = to_answer_head(event)
-                    self.keep_alive_s = head.keep_alive_s
-                    return head
+                    return self.begin_response(event)
                 case h11.Data(data=data):
                     return ResponseData(bytes(data))
                 case h11.EndOfMessage():
@@ -130,6 +134,44 @@
                 case _:
                     return ServerFailed("the server closed the connection")
 
+    def begin_response(self, response: h11.Response) -> ResponseHead:
+        """Return the head of the response, and prepare to read its body."""
+        # A server that responds early need not read the rest.
+        self.responded_early = bool(self.unsent)
+        self.unsent = memoryview(b"")
+        head = to_answer_head(response)
+        self.keep_alive_s = head.keep_alive_s
+        if is_chunked(response):
+            self.chunks = ChunkedDecoder()
+            self.stays_open = keeps_connection(response)
+            self.undecoded = self.parser.trailing_data[0]
+        return head
+
+    def next_chunk(self, chunks: ChunkedDecoder, deadline: float) -> ExchangeEvent:
+        """Return the next event of a chunked body.
+
+        Args:
+            chunks: The body's decoder.
+            deadline: Monotonic time at which to give up, in seconds.
+        """
+        while True:
+            received, self.undecoded = self.undecoded, b""
+            try:
+                data = chunks.feed(received)
+            except ChunkError as error:
+                return ServerFailed(f"invalid HTTP response: {error}")
+            if data:
+                return ResponseData(data)
+            if chunks.finished:
+                return ResponseEnd(closed=False)
+            if self.closed_by_server:
+                return ServerFailed(
+                    "the server closed the connection before the response ended"
+                )
+            outcome = self.exchange_bytes(deadline)
+            if outcome is not None:
+                return outcome
+
     def exchange_bytes(self, deadline: float) -> ExchangeEvent | None:
         """Wait until a socket is ready, then send and receive without blocking.
 
@@ -162,13 +204,16 @@
         return None
 
     def receive_available(self) -> None:
-        """Pass received bytes to the parser."""
+        """Pass received bytes to the parser or, for a chunked body, to its decoder."""
         try:
             data = self.socket.recv(READ_BYTES)
         except BlockingIOError:
             return
         if not data:
             self.closed_by_server = True
+        if self.chunks is not None:
+            self.undecoded += data
+            return
         self.parser.receive_data(data)
 
     def send_pending(self) -> None:
@@ -190,15 +235,27 @@
         Returns:
             False if the connection must close instead.
         """
-        states = {self.parser.our_state, self.parser.their_state}
-        if states != {h11.DONE} or self.responded_early or not self.is_reusable():
+        if self.responded_early or not self.is_complete() or not self.is_reusable():
             return False
-        self.parser.start_next_cycle()
+        if self.chunks is None:
+            self.parser.start_next_cycle()
+        else:
+            self.parser, self.chunks = new_parser(), None
         return True
 
+    def is_complete(self) -> bool:
+        """Whether the exchange is over and both sides keep the connection."""
+        if self.chunks is not None:
+            sent = self.parser.our_state is h11.DONE
+            return sent and self.chunks.finished and self.stays_open
+        return {self.parser.our_state, self.parser.their_state} == {h11.DONE}
+
     def is_reusable(self) -> bool:
         """Whether no unsolicited bytes and no close have been received."""
-        if self.parser.trailing_data[0]:
+        if self.chunks is not None:
+            if self.chunks.rest or self.undecoded:
+                return False
+        elif self.parser.trailing_data[0]:
             return False
         return not wait_ready([(self.socket, READABLE)], 0.0)
 
@@ -207,6 +264,29 @@
         self.socket.close()
 
 
+def new_parser() -> h11.Connection:
+    """Return the parser of a connection on which nothing has been sent yet."""
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
+
+
+def is_chunked(response: h11.Response) -> bool:
+    """Whether a response has a chunked body, which the parser has validated."""
+    if response.status_code in (204, 304):
+        return False
+    return any(
+        name == b"transfer-encoding" and value.lower() == b"chunked"
+        for name, value in response.headers
+    )
+
+
+def keeps_connection(response: h11.Response) -> bool:
+    """Whether the server keeps the connection open after a response."""
+    if response.http_version != b"1.1":
+        return False
+    options = [v.lower() for n, v in response.headers if n == b"connection"]
+    return not any(b"close" in each for each in options)
+
+
 def to_answer_head(event: h11.Response) -> ResponseHead:
     """Convert the head of an HTTP response to an `ResponseHead`."""
     headers = tuple((n.decode(), v.decode("latin-1")) for n, v in event.headers)
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -26,6 +26,8 @@
     tcp_pair,
 )
 
+CHUNKED = SEALED + b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+
 
 def server_connection(near: socket.socket) -> ServerConnection:
     """Return a connection whose other end the test holds."""
@@ -64,8 +66,21 @@
         (sealed(b"{}"), sealed(b"{}"), False),
         (sealed(b"{}", SEALED + b"Connection: close\r\n"), b"", False),
         (SEALED + b"\r\n{}", b"", False),
+        (CHUNKED, b"", True),
+        (CHUNKED, CHUNKED, False),
+        (CHUNKED + CHUNKED, b"", False),
+        (CHUNKED.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1), b"", False),
+    ],
+    ids=[
+        "whole",
+        "an extra answer",
+        "to be closed",
+        "ended by a close",
+        "chunked",
+        "chunked and an extra answer",
+        "chunked with an extra answer",
+        "chunked and to be closed",
     ],
-    ids=["whole", "an extra answer", "to be closed", "ended by a close"],
 )
 def test_connection_is_used_again_only_after_a_whole_answer(
     pair: CallerPair, answer: bytes, unasked: bytes, usable: bool
@@ -75,7 +90,7 @@
     deadline = Clock().monotonic() + SOON
     connection.start(pair.connection, "GET", "/", [("host", "h")], b"")
     far.sendall(answer)
-    if b"Content-Length" not in answer:
+    if b"Content-Length" not in answer and b"chunked" not in answer:
         far.shutdown(socket.SHUT_WR)
     while not isinstance(connection.next_event(deadline), ResponseEnd):
         pass
@@ -91,6 +106,34 @@
     far.close()
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        CHUNKED.removesuffix(b"0\r\n\r\n"),
+        CHUNKED.replace(b"2\r\n{}", b"z\r\n{}"),
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000,
+        b"HTTP/1.1 200 OK\r\nX: " + b"a" * 200_000,
+    ],
+    ids=["cut off", "no size", "informational without end", "a head without end"],
+)
+def test_broken_answers_are_failures_of_the_server(
+    pair: CallerPair, answer: bytes
+) -> None:
+    near, far = tcp_pair()
+    connection = server_connection(near)
+    deadline = Clock().monotonic() + SOON
+    connection.start(pair.connection, "GET", "/", [("host", "h")], b"")
+    far.sendall(answer)
+    far.shutdown(socket.SHUT_WR)
+    event = connection.next_event(deadline)
+    while isinstance(event, ResponseHead | ResponseData):
+        event = connection.next_event(deadline)
+    assert isinstance(event, ServerFailed)
+    assert not connection.prepare_next_request()
+    connection.close()
+    far.close()
+
+
 @dataclass
 class IdleConnection:
     """Stands for an idle connection."""
