--- a/src/hawthornstage/actors/server_failures.py
+++ b/src/hawthornstage/actors/server_failures.py
@@ -9,7 +9,12 @@
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.peer_links import neighbours
-from hawthornstage.decisions.server_failures import ServerFailures, counting_routers
+from hawthornstage.decisions.server_failures import (
+    BlockedCalls,
+    ServerFailures,
+    counting_routers,
+)
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.budget_messages import Acknowledged
 from hawthornstage.messages.fleet import (
     CallBlocked,
@@ -19,13 +24,6 @@
 from hawthornstage.observe.events import EventLog
 
 
-@dataclass(frozen=True)
-class CheckCallAllowed:
-    """Asks whether a call may be sent; the reply is False if it is blocked."""
-
-    fingerprint: str
-
-
 @dataclass(frozen=True)
 class CallAnswered:
     """Reports that a call was answered, so it does not crash servers."""
@@ -38,16 +36,24 @@
 
     Args:
         node: This router's name.
+        blocked: Where the blocked calls are published for the request pipe.
         peers: Sends messages to other routers.
         clock: The runtime's clock.
         events: The event log.
     """
 
     def __init__(
-        self, node: str, peers: Recipient, clock: Clock, events: EventLog
+        self,
+        node: str,
+        blocked: LatestValue[BlockedCalls],
+        peers: Recipient,
+        *,
+        clock: Clock,
+        events: EventLog,
     ) -> None:
         super().__init__()
         self.node = node
+        self.blocked = blocked
         self.peers = peers
         self.clock = clock
         self.events = events
@@ -58,8 +64,6 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case Ask(message=CheckCallAllowed(fingerprint), reply_to=reply_to):
-                reply_to.put(not self.failures.is_blocked(fingerprint, now))
             case ServerFailedDuringCall():
                 self.record_failure(message, now)
                 for node in counting_routers(message.fingerprint, self.routers):
@@ -71,10 +75,11 @@
             case Ask(message=CallBlocked(fingerprint), reply_to=reply_to):
                 if not self.failures.is_blocked(fingerprint, now):
                     self.failures.block(fingerprint, now)
-                    self.announce_block(fingerprint)
+                    self.announce_block(fingerprint, now)
                 reply_to.put(Acknowledged())
             case CallAnswered(fingerprint):
-                self.failures.clear_failures(fingerprint)
+                if self.failures.clear_failures(fingerprint):
+                    self.blocked.publish(self.failures.blocked_calls(now))
             case KnownRouters(urls):
                 self.routers = (self.node, *urls)
                 self.neighbours = neighbours(self.node, urls)
@@ -87,9 +92,10 @@
             self.events.emit(
                 "call_blocked", fingerprint=failure.fingerprint, server=failure.server
             )
-            self.announce_block(failure.fingerprint)
+            self.announce_block(failure.fingerprint, now)
 
-    def announce_block(self, fingerprint: str) -> None:
-        """Tell the neighbours that a call is blocked; they tell theirs."""
+    def announce_block(self, fingerprint: str, now: float) -> None:
+        """Publish a blocked call and tell the neighbours, which tell theirs."""
+        self.blocked.publish(self.failures.blocked_calls(now))
         for node in self.neighbours:
             self.peers.tell(Send(node, CallBlocked(fingerprint)))
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -40,6 +40,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
+from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
@@ -107,6 +108,7 @@
         self.events = EventLog(settings.node, self.clock)
         self.metrics = Metrics()
         self.desired: LatestValue[DesiredState | None] = LatestValue(None)
+        self.blocked_calls = LatestValue(BlockedCalls())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.store_circuit = CircuitBreaker()
         self.stopping = StopSignal()
@@ -169,7 +171,9 @@
             metrics=self.metrics,
             **shared,
         )
-        self.server_failures = ServerFailuresTask.start(node, self.peers, **shared)
+        self.server_failures = ServerFailuresTask.start(
+            node, self.blocked_calls, self.peers, **shared
+        )
         self.desired_states = DesiredStateTask.start(
             node,
             self.desired,
@@ -260,7 +264,7 @@
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         return ForwardPipe(
             identify=Identify(self.desired),
-            filters=(BlockCrashingCalls(self.server_failures, self.clock), reserve),
+            filters=(BlockCrashingCalls(self.blocked_calls, self.clock), reserve),
             reserve=reserve,
             forwarder=Forwarder(
                 self.server_selection,
--- a/src/hawthornstage/decisions/server_failures.py
+++ b/src/hawthornstage/decisions/server_failures.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from hawthornstage.decisions.membership import rendezvous_order
@@ -25,6 +25,17 @@
 MAX_TRACKED_CALLS = 4_096
 
 
+@dataclass(frozen=True)
+class BlockedCalls:
+    """The times until which calls are blocked, by fingerprint."""
+
+    blocked_until: Mapping[str, float] = field(default_factory=dict)
+
+    def is_blocked(self, fingerprint: str, now: float) -> bool:
+        """Whether a call must not be sent to any server."""
+        return now < self.blocked_until.get(fingerprint, now)
+
+
 @dataclass
 class ServerFailures:
     """Times of the latest server failures known to a router, by fingerprint."""
@@ -43,9 +54,23 @@
         for _ in range(MAX_SERVER_FAILURES):
             self.record_failure(fingerprint, now)
 
-    def clear_failures(self, fingerprint: str) -> None:
-        """Drop the recorded failures of a call that was answered."""
-        self.failure_times.pop(fingerprint, None)
+    def clear_failures(self, fingerprint: str) -> bool:
+        """Drop the recorded failures of a call that was answered.
+
+        Returns:
+            Whether there were any.
+        """
+        return self.failure_times.pop(fingerprint, None) is not None
+
+    def blocked_calls(self, now: float) -> BlockedCalls:
+        """Return the calls that are blocked."""
+        return BlockedCalls(
+            {
+                fingerprint: times[-1] + FAILURE_TTL_S
+                for fingerprint, times in self.failure_times.items()
+                if self.is_blocked(fingerprint, now)
+            }
+        )
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Whether a call must not be sent to any server."""
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -94,12 +94,14 @@
         servers: Registered servers, by id.
         loads: Load of each server, by id.
         sent: Calls in progress, by id.
+        preferred: Cache of the preferred servers, by service and prompt part.
     """
 
     failure_domain: str
     servers: dict[str, BackendServer] = field(default_factory=dict)
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     sent: dict[str, SentCall] = field(default_factory=dict)
+    preferred: dict[tuple[str, str], str] = field(default_factory=dict)
 
     def replace_servers(self, servers: dict[str, BackendServer]) -> None:
         """Replace the registered servers; a restarted one starts with an empty load."""
@@ -110,6 +112,7 @@
         for name in self.loads.keys() - servers.keys():
             del self.loads[name]
         self.servers = dict(servers)
+        self.preferred.clear()
 
     def choose(
         self, want: RequestServer, limit: int, now: float
@@ -142,23 +145,34 @@
                 f"each server has the limit of {limit} calls of this router"
             )
         not_avoided = [s for s in eligible if self.loads[s.id].avoid_until <= now]
-        estimates = {s.id: self.estimate(s, want, now) for s in not_avoided or eligible}
+        preferred = self.preferred_server(want.service, want.prompt)
+        estimates = {
+            s.id: self.estimate(s, want, preferred, now)
+            for s in not_avoided or eligible
+        }
         server = min(not_avoided or eligible, key=lambda each: estimates[each.id])
         load = self.loads[server.id]
         basis = PlacementBasis(
             wait_s=estimates[server.id],
             candidates=len(estimates),
-            uncached_tokens=self.tokens_to_read(server, want.prompt, now)
-            if want.prompt
-            else 0,
+            uncached_tokens=self.tokens_to_read(server, want.prompt, preferred, now),
             running=load.running,
             last_answer_age_s=now - load.lateness_at if load.lateness_at else None,
         )
-        self.record_sent(server, want, now)
+        self.record_sent(server, want, preferred, now)
         return ServerChosen(server, basis)
 
-    def estimate(self, server: BackendServer, want: RequestServer, now: float) -> float:
-        """Return the estimated time to a first byte, in seconds."""
+    def estimate(
+        self, server: BackendServer, want: RequestServer, preferred: str, now: float
+    ) -> float:
+        """Return the estimated time to a first byte, in seconds.
+
+        Args:
+            server: The server.
+            want: The call.
+            preferred: The server that all routers prefer for its prompt.
+            now: Monotonic time in seconds.
+        """
         load = self.loads[server.id]
         wait = max(self.lateness(load, now), self.overdue(load, now))
         wait += sum(load.calls.values()) / PREFILL_TOKENS_PER_S
@@ -167,8 +181,8 @@
             wait += CROSS_DOMAIN_COST_S
         if want.prompt is None:
             return wait + jitter(want.call_id, server.id) * CROSS_DOMAIN_COST_S
-        wait += self.tokens_to_read(server, want.prompt, now) / PREFILL_TOKENS_PER_S
-        return wait
+        tokens = self.tokens_to_read(server, want.prompt, preferred, now)
+        return wait + tokens / PREFILL_TOKENS_PER_S
 
     def lateness(self, load: ServerLoad, now: float) -> float:
         """Return a server's lateness decayed to now, in seconds."""
@@ -179,41 +193,54 @@
         pending = (self.sent[call_id] for call_id in load.calls)
         return max((now - sent.at - sent.expected_s for sent in pending), default=0.0)
 
-    def tokens_to_read(self, server: BackendServer, prompt: Prompt, now: float) -> int:
+    def tokens_to_read(
+        self, server: BackendServer, prompt: Prompt | None, preferred: str, now: float
+    ) -> int:
         """Return the prompt tokens that a server is assumed not to have cached."""
+        if prompt is None:
+            return 0
         load = self.loads[server.id]
-        preferred_server = self.preferred_server(server.service, prompt)
         tokens = prompt.tokens
         for part in prompt.shared_parts:
             sent_at = load.prompt_parts.get(part.id)
             known = sent_at is not None and now - sent_at < PROMPT_CACHE_TTL_S
-            if not known and server.id != preferred_server:
+            if not known and server.id != preferred:
                 break
             tokens -= part.tokens
         return max(0, tokens)
 
-    def preferred_server(self, service: str, prompt: Prompt) -> str:
-        """Return the id of the server that all routers prefer for a prompt's parts."""
-        if not prompt.shared_parts:
+    def preferred_server(self, service: str, prompt: Prompt | None) -> str:
+        """Return the id of the server that all routers prefer for a prompt's parts.
+
+        It is '' for a prompt without shared parts.
+        """
+        if prompt is None or not prompt.shared_parts:
             return ""
-        part = prompt.shared_parts[-1].id
-        staying = (
+        key = (service, prompt.shared_parts[-1].id)
+        known = self.preferred.get(key)
+        if known is None:
+            if len(self.preferred) >= MAX_PROMPT_PARTS:
+                self.preferred.clear()
+            known = self.preferred[key] = rendezvous(key[1], self.staying(service))
+        return known
+
+    def staying(self, service: str) -> list[str]:
+        """Return the ids of a service's servers that are expected to stay."""
+        return [
             server.id
             for server in self.servers.values()
             if server.service == service
             and not server.leaving
             and not self.loads[server.id].address_reused
-        )
-        return rendezvous(part, staying)
+        ]
 
     def record_sent(
-        self, server: BackendServer, want: RequestServer, now: float
+        self, server: BackendServer, want: RequestServer, preferred: str, now: float
     ) -> None:
         """Record a call that is sent to a server."""
         load = self.loads[server.id]
-        tokens = 0
+        tokens = self.tokens_to_read(server, want.prompt, preferred, now)
         if want.prompt is not None:
-            tokens = self.tokens_to_read(server, want.prompt, now)
             for part in want.prompt.shared_parts:
                 load.prompt_parts.pop(part.id, None)
                 load.prompt_parts[part.id] = now
@@ -250,7 +277,9 @@
             return None
         load.calls.pop(ended.call_id, None)
         load.running = max(0, load.running - 1)
-        load.address_reused = load.address_reused or ended.address_reused
+        if ended.address_reused:
+            load.address_reused = True
+            self.preferred.clear()
         if ended.failed or ended.refused:
             load.failures += 1
             pause = INITIAL_AVOIDANCE_S * 2 ** min(load.failures - 1, 6)
--- a/src/hawthornstage/filters/forward.py
+++ b/src/hawthornstage/filters/forward.py
@@ -12,9 +12,9 @@
 import pykka
 
 from hawthornstage.actors.ask import ask
-from hawthornstage.actors.server_failures import CheckCallAllowed
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import resolve_call
+from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import DesiredState
@@ -73,20 +73,17 @@
     """Rejects calls during which too many servers failed.
 
     Args:
-        server_failures: Task that counts server failures by call fingerprint.
-        clock: Source of time and timeouts.
+        blocked: The calls that are blocked now.
+        clock: Source of time.
     """
 
-    server_failures: pykka.ActorRef
+    blocked: LatestValue[BlockedCalls]
     clock: Clock
 
     def apply(self, exchange: ForwardExchange) -> ForwardExchange | Failure:
-        """Check that the call is not blocked; an unanswered check lets it pass."""
-        question = CheckCallAllowed(exchange.fingerprint)
-        if (
-            ask(self.server_failures, question, self.clock, timeout=TASK_TIMEOUT_S)
-            is False
-        ):
+        """Check that the call is not blocked."""
+        now = self.clock.monotonic()
+        if self.blocked.value.is_blocked(exchange.fingerprint, now):
             return Failure(ErrorKind.CALL_BLOCKED, exchange.fingerprint)
         return exchange
 
--- a/tests/test_blocked_calls.py
+++ b/tests/test_blocked_calls.py
@@ -6,13 +6,18 @@
 
 import pytest
 
-from hawthornstage.actors.server_failures import CheckCallAllowed, ServerFailuresTask
+from hawthornstage.actors.server_failures import ServerFailuresTask
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import ManualClock
-from hawthornstage.decisions.server_failures import MAX_SERVER_FAILURES
+from hawthornstage.decisions.server_failures import (
+    FAILURE_TTL_S,
+    MAX_SERVER_FAILURES,
+    BlockedCalls,
+)
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters, ServerFailedDuringCall
 from hawthornstage.observe.events import EventLog
-from tests.draws_world import Inbox, Reply
+from tests.draws_world import Inbox
 
 
 class Fleet:
@@ -22,9 +27,14 @@
         self.names = [f"edge-{number}" for number in range(size)]
         self.inboxes = {name: Inbox() for name in self.names}
         self.tasks: dict[str, Any] = {}
+        self.blocked: dict[str, LatestValue[BlockedCalls]] = {}
+        self.clock = clock
         for name in self.names:
             peers: Any = self.inboxes[name]
-            task = self.tasks[name] = ServerFailuresTask(name, peers, clock, events)
+            blocked = self.blocked[name] = LatestValue(BlockedCalls())
+            task = self.tasks[name] = ServerFailuresTask(
+                name, blocked, peers, clock=clock, events=events
+            )
             others = {other: "" for other in self.names if other != name}
             task.handle(KnownRouters(others))
 
@@ -45,13 +55,12 @@
 
     def allowing(self) -> list[str]:
         """Return the routers that would send the call."""
-        allowing = []
-        for name, task in self.tasks.items():
-            reply = Reply()
-            task.handle(Ask(CheckCallAllowed("call"), reply))
-            if reply.value:
-                allowing.append(name)
-        return allowing
+        now = self.clock.monotonic()
+        return [
+            name
+            for name, blocked in self.blocked.items()
+            if not blocked.value.is_blocked("call", now)
+        ]
 
 
 @pytest.mark.parametrize("size", [1, 8, 24, 195])
@@ -64,6 +73,8 @@
         fleet.fail(fleet.names[-1 - number % size], f"engine-{number}")
         fleet.deliver()
     assert fleet.allowing() == []
+    clock.advance(FAILURE_TTL_S)
+    assert fleet.allowing() == fleet.names
 
 
 def test_one_failure_is_told_to_few_routers(
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -5,7 +5,14 @@
 from dataclasses import replace
 from typing import Any
 
-from hawthornstage.decisions.server_selection import INITIAL_AVOIDANCE_S, ServerSelector
+import pytest
+
+from hawthornstage.decisions import server_selection
+from hawthornstage.decisions.server_selection import (
+    INITIAL_AVOIDANCE_S,
+    ServerSelector,
+    digest,
+)
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import Prompt, PromptPart
 from hawthornstage.messages.server_selection import (
@@ -111,3 +118,24 @@
         assert isinstance(choice, ServerChosen)
         chosen.add(choice.server.id)
     assert len(chosen) == 1
+
+
+@pytest.mark.parametrize("servers", [5, 62, 600])
+def test_cost_of_a_choice_grows_with_the_servers_only(
+    servers: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    hashes: list[str] = []
+
+    def counted(name: str, server: str) -> int:
+        hashes.append(server)
+        return digest(name, server)
+
+    monkeypatch.setattr(server_selection, "digest", counted)
+    serving = ServerSelector("z")
+    serving.replace_servers({f"i-{n}": make_server(f"i-{n}") for n in range(servers)})
+    prompt = Prompt(1_000, 10, (PromptPart("aa", 900), PromptPart("own", 100)))
+    serving.choose(want("c1", prompt=prompt), LIMIT, 0.0)
+    assert len(hashes) <= servers
+    hashes.clear()
+    serving.choose(want("c2", prompt=prompt), LIMIT, 0.1)
+    assert hashes == []
