--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -61,8 +61,10 @@
 from hawthornstage.observe.metrics import Metrics
 
 # Longest time that a call waits for tokens, in seconds: on a router that holds spare
-# tokens of its workspace, and on any other.
-MAX_WAIT_S = 0.07
+# tokens of its workspace, on one that does while the store is unavailable, and on any
+# other.
+MAX_WAIT_S = 0.15
+MAX_OUTAGE_WAIT_S = 0.07
 MAX_HOLDER_WAIT_S = 0.25
 # Time without a holder's reply after which the next one is asked, in seconds.
 HOLDER_TIMEOUT_S = 0.08
@@ -285,7 +287,8 @@
             return
         if self.grant(request, reply_to, now):
             return
-        pending = PendingRequest(request, reply_to, now + MAX_WAIT_S)
+        wait = MAX_OUTAGE_WAIT_S if self.store_unavailable else MAX_WAIT_S
+        pending = PendingRequest(request, reply_to, now + wait)
         self.waiting.append(pending)
         if isinstance(request, RequestReservation) and self.ask_holder(pending, now):
             pending.deadline = now + MAX_HOLDER_WAIT_S
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -71,6 +71,9 @@
 # Spending that a record allows at once: seconds of demand plus calls of average size.
 BOUND_HEADROOM_S = 1.0
 BOUND_HEADROOM_CALLS = 1.2
+# Further headroom until the next record where records are rare, in standard deviations
+# of the demand until then.
+BOUND_HEADROOM_DEVIATIONS = 1.5
 # Lowest fraction to which this headroom and the growth fall as a budget gets scarce.
 BOUND_MIN_FRACTION = 0.2
 # Growth of the bound, as a multiple of the demand.
@@ -115,6 +118,18 @@
         """Spare tokens that a router holds, as seconds of its demand."""
         return self.record_interval_s + OUTAGE_HORIZON_S
 
+    def deviation(self, account: TokenAccount, rate: float) -> float:
+        """Return the standard deviation of the demand until the next record, in tokens.
+
+        Calls come at random. The shortest interval needs no such allowance.
+
+        Args:
+            account: The account, whose calls have some average size.
+            rate: Its demand in tokens per second.
+        """
+        seconds = self.record_interval_s - MIN_RECORD_INTERVAL_S
+        return math.sqrt(rate * account.mean_call_tokens * seconds)
+
 
 def plan_draws(
     token_accounts: TokenAccounts,
@@ -257,9 +272,11 @@
         # draws its own tokens and none are stranded.
         fraction = supply_factor(account, budget)
         fraction = max(BOUND_MIN_FRACTION, fraction) if fraction else 0.0
-        headroom = (
-            rate * BOUND_HEADROOM_S + account.mean_call_tokens * BOUND_HEADROOM_CALLS
-        ) * fraction
+        headroom = fraction * (
+            rate * BOUND_HEADROOM_S
+            + account.mean_call_tokens * BOUND_HEADROOM_CALLS
+            + terms.deviation(account, rate) * BOUND_HEADROOM_DEVIATIONS
+        )
         committed = account.spent + account.open + wanted.get(workspace, 0)
         bounds[workspace] = SpendingBound(
             base=committed + int(headroom),
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -320,6 +320,24 @@
     assert reclaimable_tokens(record, long_ago) == {}
 
 
+def test_rare_records_allow_for_demand_that_comes_in_lumps() -> None:
+    account = draws.TokenAccount(granted=10**6, rate=9_000.0, mean_call_tokens=9_000.0)
+    accounts = draws.TokenAccounts({WORKSPACE: account})
+    bounds = {}
+    for routers in (8, 195):
+        terms = draw_plans.DrawTerms(routers, 8)
+        record = draw_plans.make_record(
+            accounts, {WORKSPACE: 10**7}, terms, wanted={}, mark="m", now=0.0, wall=0.0
+        )
+        until_next = terms.record_interval_s
+        bounds[routers] = draws.bound_at(record, WORKSPACE, until_next)
+        demand = 9_000.0 * until_next
+        # Of calls that come at random, two standard deviations more than the mean.
+        lump = 2 * (demand * 9_000.0) ** 0.5
+        assert bounds[routers] >= demand + lump
+    assert bounds[195] < 10**6
+
+
 class DrawsMachine(RuleBasedStateMachine):
     """Routers draw, spend, die and start anew while the store fails at random."""
 
