--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import pykka
@@ -33,6 +33,11 @@
 )
 from hawthornstage.platform.store import StoreClient
 
+# Time for the store to deliver a version before it is fetched from a router, and time
+# until it is fetched again, in seconds.
+STORE_HEAD_START_S = 0.7
+FETCH_TIMEOUT_S = 3.0
+
 
 @dataclass(frozen=True)
 class DesiredStateReceived:
@@ -52,17 +57,40 @@
     """Triggers the periodic heartbeat to one neighbour."""
 
 
+@dataclass(frozen=True)
+class FetchNewerVersion:
+    """Triggers the check whether a newer version has to be fetched from a router."""
+
+
+@dataclass(frozen=True)
+class NewerVersion:
+    """A version newer than the one in use, of which a heartbeat told.
+
+    Args:
+        node: The router that has it.
+        version: The version.
+        fetch_at: Monotonic time from which it is fetched from there, in seconds.
+    """
+
+    node: str
+    version: int
+    fetch_at: float
+
+
 class DesiredStateTask(Task):
     """Owns the desired state in use, whose version never decreases.
 
     It tells its neighbours of each version at once, and one of them in turn of the
     version in use periodically, so that a router without the store gets it as well.
+    The document itself is fetched from a router only if the store does not deliver it
+    soon, and from one at a time: it may be large, and links slow.
 
     Args:
         node: This router's name.
         in_use: Where the state is published.
         peers: Sends messages to other routers.
         subscribers: Get `DesiredStateInUse`.
+        clock: The runtime's clock.
         events: The event log.
     """
 
@@ -73,10 +101,12 @@
         *,
         peers: Recipient,
         subscribers: tuple[pykka.ActorRef, ...],
+        clock: Clock,
         events: EventLog,
     ) -> None:
         super().__init__()
         self.node = node
+        self.clock = clock
         self.in_use = in_use
         self.peers = peers
         self.subscribers = subscribers
@@ -84,6 +114,7 @@
         self.document = b""
         self.neighbours: tuple[str, ...] = ()
         self.heartbeats = 0
+        self.newer: NewerVersion | None = None
 
     def handle(self, message: Any) -> None:
         match message:
@@ -102,6 +133,8 @@
                 self.heartbeats += 1
                 turn = self.heartbeats % len(self.neighbours)
                 self.send_heartbeat(self.neighbours[turn])
+            case FetchNewerVersion():
+                self.fetch_newer()
             case KnownRouters(urls):
                 self.neighbours = neighbours(self.node, urls)
 
@@ -116,10 +149,22 @@
         self.peers.tell(Send(node, self.heartbeat(), reply_to))
 
     def handle_heartbeat(self, heartbeat: DesiredStateHeartbeat) -> None:
-        """Request the desired state of a router whose version is newer."""
-        if heartbeat.version > self.heartbeat().version:
-            reply_to = ReplyCallback(self.actor_ref.tell)
-            self.peers.tell(Send(heartbeat.node, RequestDesiredState(), reply_to))
+        """Note a router whose version is newer than the newest one heard of."""
+        known = self.newer.version if self.newer else self.heartbeat().version
+        if heartbeat.version > known:
+            fetch_at = self.clock.monotonic() + STORE_HEAD_START_S
+            if self.newer is not None:
+                fetch_at = min(fetch_at, self.newer.fetch_at)
+            self.newer = NewerVersion(heartbeat.node, heartbeat.version, fetch_at)
+
+    def fetch_newer(self) -> None:
+        """Fetch the newer version if the store has had time to deliver it."""
+        now = self.clock.monotonic()
+        if self.newer is None or now < self.newer.fetch_at:
+            return
+        self.newer = replace(self.newer, fetch_at=now + FETCH_TIMEOUT_S)
+        reply_to = ReplyCallback(self.actor_ref.tell)
+        self.peers.tell(Send(self.newer.node, RequestDesiredState(), reply_to))
 
     def adopt_if_newer(self, document: bytes, source: str) -> None:
         """Adopt a document if it is newer than the one in use."""
@@ -137,6 +182,8 @@
             return
         self.in_use.publish(state)
         self.document = document
+        if self.newer is not None and self.newer.version <= state.version:
+            self.newer = None
         self.events.emit(
             "desired_state_adopted",
             version=state.version,
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -17,6 +17,7 @@
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
     DesiredStateWatch,
+    FetchNewerVersion,
     SendVersion,
 )
 from hawthornstage.actors.fleet_members import Deregister, FleetMembers, MembershipTick
@@ -67,6 +68,7 @@
 # Intervals of the messages that trigger the tasks' periodic work, in seconds.
 MEMBERS_INTERVAL_S = 1.0
 HEARTBEAT_INTERVAL_S = 1.0
+FETCH_CHECK_INTERVAL_S = 0.25
 TOKEN_ACCOUNTS_CHECK_INTERVAL_S = 0.1
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
@@ -179,7 +181,7 @@
             self.desired,
             peers=self.peers,
             subscribers=(self.token_accounts,),
-            events=self.events,
+            **shared,
         )
         self.server_selection = ServerSelectionTask.start(
             ServerSelector(self.settings.failure_domain),
@@ -214,6 +216,9 @@
         self.members.tell(MembershipTick())
         self.timers.every(MEMBERS_INTERVAL_S, self.members, MembershipTick())
         self.timers.every(HEARTBEAT_INTERVAL_S, self.desired_states, SendVersion())
+        self.timers.every(
+            FETCH_CHECK_INTERVAL_S, self.desired_states, FetchNewerVersion()
+        )
         self.timers.every(
             TOKEN_ACCOUNTS_CHECK_INTERVAL_S, self.token_accounts, CheckTokenAccounts()
         )
--- a/src/hawthornstage/decisions/forwarding.py
+++ b/src/hawthornstage/decisions/forwarding.py
@@ -48,22 +48,15 @@
 
 def match_route(desired: DesiredState, host: str, path: str) -> ForwardRoute | None:
     """Return the host's route with the longest prefix of the path, or None."""
-    matching = [
-        route
-        for route in desired.routes
-        if route.host == host and path.startswith(route.path_prefix)
-    ]
-    return max(matching, key=lambda route: len(route.path_prefix), default=None)
+    for route in desired.routes_by_host.get(host, ()):
+        if path.startswith(route.path_prefix):
+            return route
+    return None
 
 
 def find_workspace(desired: DesiredState, key: str | None) -> WorkspaceSpec | None:
     """Return the workspace that an API key belongs to, or None."""
-    if key is None:
-        return None
-    for workspace in desired.workspaces:
-        if key in workspace.keys:
-            return workspace
-    return None
+    return None if key is None else desired.workspaces_by_key.get(key)
 
 
 def choose_service(shares: tuple[TrafficShare, ...], call_id: str) -> str:
--- a/src/hawthornstage/messages/desired.py
+++ b/src/hawthornstage/messages/desired.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 
 
 class Idempotency(Enum):
@@ -133,3 +135,18 @@
     workspaces: tuple[WorkspaceSpec, ...]
     limits: CallerLimits
     has_workspaces: bool
+
+    @cached_property
+    def routes_by_host(self) -> Mapping[str, tuple[ForwardRoute, ...]]:
+        """The routes of each host, those with the longest prefix first."""
+        by_host: dict[str, list[ForwardRoute]] = {}
+        for route in sorted(
+            self.routes, key=lambda r: len(r.path_prefix), reverse=True
+        ):
+            by_host.setdefault(route.host, []).append(route)
+        return {host: tuple(routes) for host, routes in by_host.items()}
+
+    @cached_property
+    def workspaces_by_key(self) -> Mapping[str, WorkspaceSpec]:
+        """The workspace of each valid API key."""
+        return {key: each for each in self.workspaces for key in each.keys}
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from hawthornstage.actors.desired_states import DesiredStateReceived, DesiredStateTask
+from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.forwarding import choose_service, is_newer, resolve_call
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_failures import (
@@ -180,7 +181,9 @@
         decode_desired_state(broken)
     in_use: LatestValue[Any] = LatestValue(None)
     peers: Any = Inbox()
-    task = DesiredStateTask("a", in_use, peers=peers, subscribers=(), events=events)
+    task = DesiredStateTask(
+        "a", in_use, peers=peers, subscribers=(), clock=ManualClock(), events=events
+    )
     task.handle(DesiredStateReceived(document(), "store"))
     task.handle(DesiredStateReceived(broken, "store"))
     assert in_use.value.version == 7
