--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -149,13 +149,15 @@
         self.peers.tell(Send(node, self.heartbeat(), reply_to))
 
     def handle_heartbeat(self, heartbeat: DesiredStateHeartbeat) -> None:
-        """Note a router whose version is newer than the newest one heard of."""
-        known = self.newer.version if self.newer else self.heartbeat().version
-        if heartbeat.version > known:
-            fetch_at = self.clock.monotonic() + STORE_HEAD_START_S
-            if self.newer is not None:
-                fetch_at = min(fetch_at, self.newer.fetch_at)
-            self.newer = NewerVersion(heartbeat.node, heartbeat.version, fetch_at)
+        """Note the latest router that told of the newest version."""
+        if heartbeat.version <= self.heartbeat().version:
+            return
+        fetch_at = self.clock.monotonic() + STORE_HEAD_START_S
+        if self.newer is not None:
+            if heartbeat.version < self.newer.version:
+                return
+            fetch_at = min(fetch_at, self.newer.fetch_at)
+        self.newer = NewerVersion(heartbeat.node, heartbeat.version, fetch_at)
 
     def fetch_newer(self) -> None:
         """Fetch the newer version if the store has had time to deliver it."""
