--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -23,6 +23,7 @@
     LEASE_MARGIN_S,
     add_draw_to_record,
     cap_to_budgets,
+    largest,
     reclaimable_tokens,
 )
 from hawthornstage.messages.draws import (
@@ -52,8 +53,10 @@
 # Key prefixes of the drawn tokens by workspace, and of the records by router.
 COUNTS_PREFIX = "hawthornstage/drawn/"
 RECORDS_PREFIX = "hawthornstage/records/"
-# Most counts in one write: the store accepts 32 entries, and one is the record.
-MAX_COUNTS_PER_WRITE = 30
+# Most conditions, puts and removals together that the store accepts in one write.
+MAX_WRITE_ENTRIES = 32
+# Most counts in one write: each count, like the record, is a condition and a put.
+MAX_COUNTS_PER_WRITE = MAX_WRITE_ENTRIES // 2 - 1
 # Ages at which the counts are read again, in seconds: normally, and while calls wait
 # for tokens.
 REFRESH_S = 2.5
@@ -363,9 +366,3 @@
                     self.events.emit("return_failed", reason=reason[:120])
                     return False
         return False
-
-
-def largest(amounts: dict[str, int], count: int) -> dict[str, int]:
-    """Return the `count` largest amounts, with returned (negative) ones first."""
-    ordered = sorted(amounts.items(), key=lambda item: (item[1] >= 0, -abs(item[1])))
-    return dict(ordered[: max(0, count)])
--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -6,6 +6,7 @@
 
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.clock import Clock
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Item, Removal
@@ -18,7 +19,11 @@
 REREGISTRATION_GRACE_S = 2.5
 # Longest time that a removed entry stays in use, in seconds: its server may also have
 # left for good, and then must get nothing new after 2 s.
-MAX_LAPSED_S = 1.9
+MAX_LAPSED_S = 1.7
+# Pause between two watches for each router of the fleet, and the longest, in seconds:
+# the changes of a pause come with one call, and large fleets make many calls.
+PAUSE_PER_ROUTER_S = 1 / 60
+MAX_PAUSE_S = 1.0
 
 
 class ServerRegistry(StoreWatch):
@@ -31,6 +36,7 @@
     Args:
         store: A client used by this thread only.
         subscriber: Gets `RegisteredServers` after each change.
+        routers: Number of routers that watch.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -39,11 +45,13 @@
         self,
         store: StoreClient,
         subscriber: pykka.ActorRef,
+        routers: LatestValue[int],
         clock: Clock,
         events: EventLog,
     ) -> None:
         super().__init__(ENTRIES_PREFIX, store, clock, events)
         self.subscriber = subscriber
+        self.routers = routers
         self.servers: dict[str, BackendServer] = {}
         self.drop_times: dict[str, float] = {}
         self.grace_ends_at = float("-inf")
@@ -54,6 +62,15 @@
         self.drop_lapsed()
         return answered
 
+    def pause(self) -> float:
+        """Return the pause before the next watch, in seconds.
+
+        There is none while lapsed entries may return.
+        """
+        if self.drop_times:
+            return 0.0
+        return min(MAX_PAUSE_S, self.routers.value * PAUSE_PER_ROUTER_S)
+
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch, in seconds.
 
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -50,8 +50,9 @@
     def run(self) -> None:
         """List, then watch from that revision; list again if its history is lost."""
         while True:
-            if not self.step():
-                sleep(self.clock, RETRY_PAUSE_S)
+            pause = self.pause() if self.step() else RETRY_PAUSE_S
+            if pause:
+                sleep(self.clock, pause)
 
     def step(self) -> bool:
         """Make one call to the store; return False if it failed."""
@@ -76,6 +77,10 @@
                 return False
         return True
 
+    def pause(self) -> float:
+        """Return the pause before the next call after a successful one, in seconds."""
+        return 0.0
+
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch call, in seconds."""
         return RECOVERY_WAIT_S if self.unavailable else WATCH_WAIT_S
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -9,12 +9,14 @@
 
 import pykka
 
+from hawthornstage.actors.ledger import MAX_COUNTS_PER_WRITE
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.draw_plans import (
     DrawTerms,
     is_urgent,
+    largest,
     make_record,
     plan_draws,
 )
@@ -22,7 +24,6 @@
     TokenAccounts,
     account_of,
     add_drawn,
-    deduct_free_tokens,
     deduct_returns,
     give_call_tokens,
     record_usage,
@@ -36,7 +37,7 @@
 )
 from hawthornstage.decisions.token_holders import HolderDirectory
 from hawthornstage.latest_value import LatestValue
-from hawthornstage.mailbox import ReplyCallback, ReplyTo
+from hawthornstage.mailbox import DISCARD_REPLY, ReplyCallback, ReplyTo
 from hawthornstage.messages.desired import WorkspaceSpec
 from hawthornstage.messages.draws import (
     CloseAccounts,
@@ -261,16 +262,39 @@
             now: Monotonic time in seconds.
         """
         self.closed = True
-        if not self.store_unavailable or not self.other_routers:
-            self.token_accounts, free = deduct_free_tokens(self.token_accounts)
-            self.ledger.tell(Ask(CloseAccounts(free), reply_to))
+        accounts = self.token_accounts.accounts
+        free = {name: each.free for name, each in accounts.items() if each.free > 0}
+        if self.store_unavailable and self.other_routers:
+            confirm = ReplyCallback(
+                lambda reply: reply_to.put(isinstance(reply, FinalTransferAccepted))
+            )
+            self.hand_over(free, confirm, now)
             return
-        self.token_accounts, amounts = transfer_all(self.token_accounts, now)
+        # One write ends the record, and it returns a limited number of workspaces.
+        returned = largest(free, MAX_COUNTS_PER_WRITE)
+        rest = free.keys() - returned.keys()
+        if rest and self.other_routers:
+            self.hand_over(rest, DISCARD_REPLY, now)
+        self.token_accounts = deduct_returns(
+            self.token_accounts, {name: -tokens for name, tokens in returned.items()}
+        )
+        self.ledger.tell(Ask(CloseAccounts(returned), reply_to))
+
+    def hand_over(
+        self, workspaces: Iterable[str], confirm: ReplyTo, now: float
+    ) -> None:
+        """Transfer the free tokens of some workspaces to another router.
+
+        Args:
+            workspaces: The workspaces.
+            confirm: Gets the other router's reply.
+            now: Monotonic time in seconds.
+        """
+        self.token_accounts, amounts = transfer_all(
+            self.token_accounts, workspaces, now
+        )
         self.router_index += 1
         node = self.other_routers[self.router_index % len(self.other_routers)]
-        confirm = ReplyCallback(
-            lambda reply: reply_to.put(isinstance(reply, FinalTransferAccepted))
-        )
         self.peers.tell(Send(node, FinalTransfer(amounts), confirm))
         self.events.emit("tokens_handed_over", to=node, amounts=amounts)
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -240,7 +240,7 @@
             self.store(), self.desired_states, self.clock, self.events
         ).start()
         ServerRegistry(
-            self.store(), self.server_selection, self.clock, self.events
+            self.store(), self.server_selection, self.routers, self.clock, self.events
         ).start()
 
     def store(self) -> StoreClient:
--- a/src/hawthornstage/decisions/circuit_breaker.py
+++ b/src/hawthornstage/decisions/circuit_breaker.py
@@ -10,7 +10,7 @@
 # Interval of the probes while the circuit is open, doubled with each that fails, in
 # seconds.
 FIRST_PROBE_INTERVAL_S = 0.25
-MAX_PROBE_INTERVAL_S = 1.0
+MAX_PROBE_INTERVAL_S = 0.5
 
 
 @dataclass
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -350,3 +350,9 @@
         elif remaining >= minimum:
             granted[workspace] = min(amount, remaining)
     return granted
+
+
+def largest(amounts: dict[str, int], count: int) -> dict[str, int]:
+    """Return the `count` largest amounts, with returned (negative) ones first."""
+    ordered = sorted(amounts.items(), key=lambda item: (item[1] >= 0, -abs(item[1])))
+    return dict(ordered[: max(0, count)])
--- a/src/hawthornstage/decisions/draws.py
+++ b/src/hawthornstage/decisions/draws.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from hawthornstage.messages.draws import RouterRecord
@@ -227,15 +228,18 @@
 
 
 def transfer_all(
-    token_accounts: TokenAccounts, now: float
+    token_accounts: TokenAccounts, workspaces: Iterable[str], now: float
 ) -> tuple[TokenAccounts, dict[str, int]]:
-    """Transfer all reservable tokens to another router; they count as spent here.
+    """Transfer all reservable tokens of some workspaces to another router.
+
+    They count as spent here.
 
     Returns:
         The new state and the tokens transferred, by workspace.
     """
     amounts: dict[str, int] = {}
-    for workspace, account in token_accounts.accounts.items():
+    for workspace in workspaces:
+        account = account_of(token_accounts, workspace)
         transferable = int(reservable_tokens(token_accounts, workspace, now))
         if transferable > 0:
             amounts[workspace] = transferable
@@ -263,21 +267,3 @@
     """Undo `deduct_returns` after the ledger has not accepted the return."""
     returned = {name: -amount for name, amount in amounts.items() if amount < 0}
     return add_drawn(token_accounts, returned)
-
-
-def deduct_free_tokens(
-    token_accounts: TokenAccounts,
-) -> tuple[TokenAccounts, dict[str, int]]:
-    """Deduct all free tokens, to return them to the ledger.
-
-    Returns:
-        The new state and the deducted tokens, by workspace.
-    """
-    free = {
-        name: each.free
-        for name, each in token_accounts.accounts.items()
-        if each.free > 0
-    }
-    return deduct_returns(
-        token_accounts, {name: -tokens for name, tokens in free.items()}
-    ), free
--- a/src/hawthornstage/platform/store.py
+++ b/src/hawthornstage/platform/store.py
@@ -44,6 +44,8 @@
 MAX_LOST_PROBES = 1
 # Status codes with which the store states that a call had no effect.
 REFUSAL_STATUSES = frozenset({429, 503})
+# Status codes with which the store rejects a call as invalid, so that it had no effect.
+INVALID_STATUSES = frozenset({400, 413})
 # Names of the failures in the metrics.
 FAILURE_NAMES: dict[type, str] = {
     StoreRefused: "StoreRefused",
@@ -377,6 +379,8 @@
 def to_failure(outcome: tuple[int, bytes] | StoreFailure) -> StoreFailure:
     """Return a failure unchanged; an undocumented status counts as no response."""
     match outcome:
+        case (status, body) if status in INVALID_STATUSES:
+            return StoreRefused(f"invalid call, status {status}: {body[:80]!r}")
         case (status, _):
             return StoreNoResponse(f"the store responded with status {status}")
         case failure:
