--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -10,6 +10,11 @@
 from hawthornstage.actors.peers import Send
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.actors.task import Ask, Recipient, Task
+from hawthornstage.border.compression import (
+    CompressionError,
+    compress,
+    decompress,
+)
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import is_newer
 from hawthornstage.decisions.peer_links import neighbours
@@ -17,10 +22,12 @@
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.fleet import (
+    CompressedStateOffered,
     DesiredStateHeartbeat,
     DesiredStateInUse,
     DesiredStateOffered,
     KnownRouters,
+    RequestCompressedState,
     RequestDesiredState,
 )
 from hawthornstage.messages.store import Item, Removal
@@ -35,7 +42,7 @@
 
 # Time for the store to deliver a version before it is fetched from a router, and time
 # until it is fetched again, in seconds.
-STORE_HEAD_START_S = 0.7
+STORE_HEAD_START_S = 0.3
 FETCH_TIMEOUT_S = 3.0
 
 
@@ -112,6 +119,7 @@
         self.subscribers = subscribers
         self.events = events
         self.document = b""
+        self.compressed = b""
         self.neighbours: tuple[str, ...] = ()
         self.heartbeats = 0
         self.newer: NewerVersion | None = None
@@ -124,6 +132,10 @@
                 self.adopt_if_newer(document, "router")
             case Ask(message=RequestDesiredState(), reply_to=reply_to):
                 reply_to.put(DesiredStateOffered(self.document))
+            case CompressedStateOffered(data) if data:
+                self.adopt_compressed(data)
+            case Ask(message=RequestCompressedState(), reply_to=reply_to):
+                reply_to.put(CompressedStateOffered(self.compressed_document()))
             case Ask(message=DesiredStateHeartbeat() as heartbeat, reply_to=reply_to):
                 reply_to.put(self.heartbeat())
                 self.handle_heartbeat(heartbeat)
@@ -166,7 +178,24 @@
             return
         self.newer = replace(self.newer, fetch_at=now + FETCH_TIMEOUT_S)
         reply_to = ReplyCallback(self.actor_ref.tell)
-        self.peers.tell(Send(self.newer.node, RequestDesiredState(), reply_to))
+        self.peers.tell(Send(self.newer.node, RequestCompressedState(), reply_to))
+
+    def compressed_document(self) -> bytes:
+        """Return the compressed document, empty if there is none."""
+        if self.document and not self.compressed:
+            self.compressed = compress(self.document)
+        return self.compressed
+
+    def adopt_compressed(self, data: bytes) -> None:
+        """Adopt a compressed document if it is newer than the one in use."""
+        try:
+            document = decompress(data)
+        except CompressionError as error:
+            self.events.emit(
+                "desired_state_refused", source="router", reason=str(error)
+            )
+            return
+        self.adopt_if_newer(document, "router")
 
     def adopt_if_newer(self, document: bytes, source: str) -> None:
         """Adopt a document if it is newer than the one in use."""
@@ -184,6 +213,7 @@
             return
         self.in_use.publish(state)
         self.document = document
+        self.compressed = b""
         if self.newer is not None and self.newer.version <= state.version:
             self.newer = None
         self.events.emit(
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -54,6 +54,8 @@
     "StateBeat": fleet.DesiredStateHeartbeat,
     "DesiredStateWanted": fleet.RequestDesiredState,
     "DesiredStateOffered": fleet.DesiredStateOffered,
+    "CompressedStateWanted": fleet.RequestCompressedState,
+    "CompressedStateOffered": fleet.CompressedStateOffered,
     "CallBroke": fleet.ServerFailedDuringCall,
     "CallBlocked": fleet.CallBlocked,
 }
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -55,6 +55,7 @@
 from hawthornstage.messages.fleet import (
     CallBlocked,
     DesiredStateHeartbeat,
+    RequestCompressedState,
     RequestDesiredState,
     ServerFailedDuringCall,
 )
@@ -205,7 +206,12 @@
             events=self.events,
         )
         self.dispatcher.register(
-            self.desired_states, (DesiredStateHeartbeat, RequestDesiredState)
+            self.desired_states,
+            (
+                DesiredStateHeartbeat,
+                RequestDesiredState,
+                RequestCompressedState,
+            ),
         )
         self.dispatcher.register(
             self.token_accounts, (RequestCallTokens, RequestTransfer, FinalTransfer)
--- a/src/hawthornstage/messages/fleet.py
+++ b/src/hawthornstage/messages/fleet.py
@@ -37,6 +37,22 @@
     document: bytes
 
 
+@dataclass(frozen=True)
+class RequestCompressedState:
+    """Asks for the desired state; the reply is `CompressedStateOffered`."""
+
+
+@dataclass(frozen=True)
+class CompressedStateOffered:
+    """A desired state as the operators published it, compressed.
+
+    Args:
+        data: The compressed document; empty if the sender has none.
+    """
+
+    data: bytes
+
+
 @dataclass(frozen=True)
 class ServerFailedDuringCall:
     """A server failed during a call; enough of these messages block the call.
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -16,13 +16,15 @@
     SendVersion,
 )
 from hawthornstage.actors.task import Ask
+from hawthornstage.border.compression import MAX_DOCUMENT_BYTES, compress
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.peer_links import MAX_NEIGHBOURS
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import (
+    CompressedStateOffered,
     DesiredStateHeartbeat,
     KnownRouters,
-    RequestDesiredState,
+    RequestCompressedState,
 )
 from hawthornstage.observe.events import EventLog
 from tests.draws_world import Inbox, Reply
@@ -65,7 +67,7 @@
             for name, inbox in self.inboxes.items():
                 messages, inbox.messages = inbox.messages, []
                 for send in messages:
-                    if isinstance(send.message, RequestDesiredState):
+                    if isinstance(send.message, RequestCompressedState):
                         self.fetched.append(name)
                     reply = Reply()
                     self.tasks[send.node].handle(Ask(send.message, reply))
@@ -125,9 +127,27 @@
     clock.advance(STORE_HEAD_START_S)
     for _ in range(4):
         task.handle(FetchNewerVersion())
-    requests = [m for m in inbox.messages if isinstance(m.message, RequestDesiredState)]
+    requests = [
+        m for m in inbox.messages if isinstance(m.message, RequestCompressedState)
+    ]
     assert len(requests) == 1
     clock.advance(FETCH_TIMEOUT_S)
     task.handle(FetchNewerVersion())
-    requests = [m for m in inbox.messages if isinstance(m.message, RequestDesiredState)]
+    requests = [
+        m for m in inbox.messages if isinstance(m.message, RequestCompressedState)
+    ]
     assert len(requests) == 2
+
+
+def test_broken_compressed_document_is_refused(
+    clock: ManualClock, events: EventLog
+) -> None:
+    fleet = Fleet(1, clock, events)
+    fleet.from_store("edge-0", 5)
+    whole = compress(document(9))
+    bomb = compress(b" " * (MAX_DOCUMENT_BYTES + 1))
+    for data in (b"no", whole[:-5], bomb, compress(b"{")):
+        fleet.tasks["edge-0"].handle(CompressedStateOffered(data))
+    assert fleet.versions() == {5}
+    fleet.tasks["edge-0"].handle(CompressedStateOffered(whole))
+    assert fleet.versions() == {9}
