--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -53,16 +53,23 @@
 # Key prefixes of the drawn tokens by workspace, and of the records by router.
 COUNTS_PREFIX = "hawthornstage/drawn/"
 RECORDS_PREFIX = "hawthornstage/records/"
+# Key prefix of the markers that confirm how recent a record is.
+MARKERS_PREFIX = "hawthornstage/markers/"
+# Lease of a record, which a host that is gone for good leaves behind, and the age at
+# which it is renewed, in seconds.
+RECORD_LEASE_S = 600.0
+RECORD_LEASE_RENEWAL_AGE_S = 200.0
 # Most conditions, puts and removals together that the store accepts in one write.
 MAX_WRITE_ENTRIES = 32
-# Most counts in one write: each count, like the record, is a condition and a put.
-MAX_COUNTS_PER_WRITE = MAX_WRITE_ENTRIES // 2 - 1
+# Most counts in one write: each count, like the record, is a condition and a put; the
+# marker is a put or a removal.
+MAX_COUNTS_PER_WRITE = (MAX_WRITE_ENTRIES - 3) // 2
 # Ages at which the counts are read again, in seconds: normally, and while calls wait
 # for tokens.
 REFRESH_S = 2.5
 URGENT_REFRESH_S = 0.3
-# Age at which the record's lease is renewed, in seconds.
-LEASE_RENEWAL_AGE_S = 0.9
+# Age at which the marker's lease is renewed, in seconds.
+MARKER_LEASE_RENEWAL_AGE_S = 0.9
 # Attempts at one write while other routers change the same counts.
 MAX_ATTEMPTS = 8
 
@@ -86,6 +93,23 @@
     counts: dict[str, int]
 
 
+@dataclass
+class HeldLease:
+    """A lease that this task keeps alive.
+
+    Args:
+        ttl_s: Time to live, in seconds.
+        renewal_age_s: Age at which it is renewed, in seconds.
+        id: The lease, or None before it is granted and after it is lost.
+        renewed_at: Monotonic time of the last renewal, in seconds.
+    """
+
+    ttl_s: float
+    renewal_age_s: float
+    id: int | None = None
+    renewed_at: float = float("-inf")
+
+
 class LedgerTask(Task):
     """Draws and returns tokens over its own connection to the store.
 
@@ -105,18 +129,19 @@
     ) -> None:
         super().__init__()
         self.record_key = RECORDS_PREFIX + node
+        self.marker_key = MARKERS_PREFIX + node
         self.store = store
         self.clock = clock
         self.events = events
         self.refreshed_at = float("-inf")
-        self.renewed_at = float("-inf")
         self.started_at = ClockReading(clock.monotonic(), clock.wall())
-        self.lease: int | None = None
-        self.lease_ttl_s = 0.0
+        self.record_lease = HeldLease(RECORD_LEASE_S, RECORD_LEASE_RENEWAL_AGE_S)
+        self.marker_lease = HeldLease(0.0, MARKER_LEASE_RENEWAL_AGE_S)
         self.loaded = False
         self.revisions: dict[str, int] = {}
         self.drawn: dict[str, int] = {}
         self.predecessor: RouterRecord | None = None
+        self.predecessor_marker = ""
         self.mark: str | None = None
         self.mark_in_store: str | None = None
         self.unconfirmed_write: Write | None = None
@@ -150,7 +175,7 @@
             # call waits for the draw.
             failure = self.refresh(
                 max_age, stale=not request.minimum
-            ) or self.renew_lease(lease_ttl_s)
+            ) or self.renew_leases(lease_ttl_s)
             if failure is not None:
                 return self.record_dropped(failure)
             write = self.plan_write(request)
@@ -181,33 +206,39 @@
             case StoreRefused(reason) | StoreNoResponse(reason):
                 return reason
 
-    def renew_lease(self, ttl_s: float) -> str | None:
-        """Renew the record's lease or obtain a new one; return the failure, if any.
+    def renew_leases(self, marker_ttl_s: float) -> str | None:
+        """Renew both leases or obtain new ones; return the failure, if any.
 
         Args:
-            ttl_s: Time to live of the lease, in seconds.
+            marker_ttl_s: Time to live of the marker's lease, in seconds.
         """
+        if marker_ttl_s != self.marker_lease.ttl_s:
+            # The marker moves to the new lease with its next write.
+            self.marker_lease = HeldLease(marker_ttl_s, MARKER_LEASE_RENEWAL_AGE_S)
+        for lease in (self.record_lease, self.marker_lease):
+            failure = self.renew_lease(lease)
+            if failure is not None:
+                return failure
+        return None
+
+    def renew_lease(self, lease: HeldLease) -> str | None:
+        """Renew a lease or obtain a new one, if due; return the failure, if any."""
         now = self.clock.monotonic()
-        if ttl_s != self.lease_ttl_s:
-            # The record moves to the new lease with its next write.
-            self.lease = None
-        if self.lease is not None and now - self.renewed_at < LEASE_RENEWAL_AGE_S:
+        if lease.id is not None and now - lease.renewed_at < lease.renewal_age_s:
             return None
-        if self.lease is not None:
-            match self.store.renew_lease(self.lease):
+        if lease.id is not None:
+            match self.store.renew_lease(lease.id):
                 case LeaseGranted():
-                    self.renewed_at = now
+                    lease.renewed_at = now
                     return None
                 case LeaseLost():
-                    self.events.emit("record_lease_lost", lease=self.lease)
-                    self.lease = None
+                    self.events.emit("record_lease_lost", lease=lease.id)
+                    lease.id = None
                 case StoreRefused(reason) | StoreNoResponse(reason):
                     return reason
-        match self.store.grant_lease(ttl_s):
-            case LeaseGranted(lease, _):
-                self.lease = lease
-                self.lease_ttl_s = ttl_s
-                self.renewed_at = now
+        match self.store.grant_lease(lease.ttl_s):
+            case LeaseGranted(lease_id, _):
+                lease.id, lease.renewed_at = lease_id, now
                 return None
             case StoreRefused(reason) | StoreNoResponse(reason):
                 return reason
@@ -218,6 +249,11 @@
 
     def load(self) -> str | None:
         """Read the counts and a predecessor's record; return the failure, if any."""
+        match self.store.get(self.marker_key):
+            case Item(value=value):
+                self.predecessor_marker = value.decode("ascii", "replace")
+            case StoreRefused(reason) | StoreNoResponse(reason):
+                return reason
         match self.store.get(self.record_key):
             case Item() as item:
                 self.apply_item(item)
@@ -252,10 +288,7 @@
         drawn = dict(self.drawn)
         leftover: dict[str, int] = {}
         if self.predecessor is not None:
-            leftover = largest(
-                reclaimable_tokens(self.predecessor, self.started_at),
-                MAX_COUNTS_PER_WRITE,
-            )
+            leftover = self.leftover(self.predecessor)
             for workspace, tokens in leftover.items():
                 drawn[workspace] = max(0, drawn.get(workspace, 0) - tokens)
         # The counts of the predecessor's tokens go into the same write.
@@ -264,13 +297,21 @@
         for workspace, tokens in granted.items():
             drawn[workspace] = max(0, drawn.get(workspace, 0) + tokens)
         record = add_draw_to_record(request.record, granted)
-        assert self.lease is not None
-        puts = [Put(self.record_key, encode_record(record), self.lease)]
+        assert self.record_lease.id is not None and self.marker_lease.id is not None
+        puts = [Put(self.record_key, encode_record(record), self.record_lease.id)]
         changed = {k: n for k, n in drawn.items() if n != self.drawn.get(k, 0)}
         puts += self.count_puts(changed)
         expected = {put.key: self.revisions.get(put.key, 0) for put in puts}
+        marker = record.mark.encode("ascii")
+        puts.append(Put(self.marker_key, marker, self.marker_lease.id))
         return Write(expected, tuple(puts), record, granted, changed)
 
+    def leftover(self, predecessor: RouterRecord) -> dict[str, int]:
+        """Return the tokens of a predecessor that go back to the ledger."""
+        confirmed = predecessor.mark == self.predecessor_marker
+        tokens = reclaimable_tokens(predecessor, self.started_at, confirmed=confirmed)
+        return largest(tokens, MAX_COUNTS_PER_WRITE)
+
     def count_puts(self, counts: dict[str, int]) -> list[Put]:
         """Return the puts that write drawn counts."""
         return [
@@ -291,7 +332,8 @@
             case Committed(revision):
                 return self.confirm_write(write, revision)
             case LeaseLost():
-                self.unconfirmed_write = self.lease = None
+                self.unconfirmed_write = None
+                self.record_lease.id = self.marker_lease.id = None
                 return None
             case Conflict(items):
                 self.unconfirmed_write = None
@@ -334,12 +376,8 @@
             age_s=round(self.started_at.wall - predecessor.wall, 3),
             steady_age_s=round(self.started_at.monotonic - predecessor.at, 3),
             granted=sum(predecessor.granted.values()),
-            returned=sum(
-                largest(
-                    reclaimable_tokens(predecessor, self.started_at),
-                    MAX_COUNTS_PER_WRITE,
-                ).values()
-            ),
+            confirmed=predecessor.mark == self.predecessor_marker,
+            returned=sum(self.leftover(predecessor).values()),
         )
 
     def close_accounts(self, free: dict[str, int]) -> bool:
@@ -355,7 +393,7 @@
             puts = tuple(self.count_puts({name: drawn[name] for name in free}))
             keys = (self.record_key, *(put.key for put in puts))
             expected = {key: self.revisions.get(key, 0) for key in keys}
-            removes = (self.record_key,)
+            removes = (self.record_key, self.marker_key)
             match self.store.transact(expected, puts=puts, removes=removes):
                 case Committed():
                     self.events.emit("tokens_returned", free=free)
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -9,8 +9,9 @@
 host returns the tokens above the bound, if it knows an upper limit of its dead
 predecessor's lifetime. That limit comes from the host's time of day, and from its
 monotonic clock if the host has not rebooted. As the time of day may have been set back,
-the record's lease confirms it: the store ends the lease before the record is late,
-unless the store itself was stopped.
+it needs a confirmation: a marker in the store, written with the record under a lease
+that ends before the record is late unless the store itself was stopped, or a monotonic
+clock that agrees.
 """
 
 from __future__ import annotations
@@ -65,6 +66,8 @@
 URGENT_FRACTION = 0.5
 # Margin added to a predecessor's estimated lifetime, in seconds.
 WALL_CLOCK_MARGIN_S = 0.2
+# Largest difference between two clocks that agree on a lifetime, in seconds.
+MAX_CLOCK_DIFFERENCE_S = 0.5
 # If the monotonic clock differs from a record by more than this, the host is assumed
 # to have rebooted, in seconds.
 SAME_BOOT_MAX_S = 60.0
@@ -296,17 +299,21 @@
     return replace(record, granted=totals)
 
 
-def reclaimable_tokens(record: RouterRecord, death: ClockReading) -> dict[str, int]:
+def reclaimable_tokens(
+    record: RouterRecord, death: ClockReading, *, confirmed: bool
+) -> dict[str, int]:
     """Return the tokens that a dead predecessor on this host cannot have spent.
 
     The time of day may have been set back, so the longer lifetime of the two clocks is
     used. The monotonic clock restarts when the host boots; a reading far from the
-    record shows only that. Then the record's lease must confirm the time of day, and
-    nothing is reclaimed if the store has kept the lease beyond its time.
+    record shows only that. Then the marker must confirm the time of day, and nothing is
+    reclaimed if the store has kept the marker beyond its time. Without the marker, both
+    clocks must agree.
 
     Args:
-        record: The predecessor's last record, whose lease had not ended.
+        record: The predecessor's last record.
         death: A moment at which the predecessor was certainly dead.
+        confirmed: Whether the record's marker was still in the store.
 
     Returns:
         Tokens to return to the ledger, by workspace.
@@ -315,6 +322,9 @@
     if lifetime_s < 0:
         return {}
     monotonic = death.monotonic - record.at
+    agree = abs(monotonic - lifetime_s) <= MAX_CLOCK_DIFFERENCE_S
+    if not confirmed and not (agree and monotonic < SAME_BOOT_MAX_S):
+        return {}
     if 0 <= monotonic < SAME_BOOT_MAX_S:
         lifetime_s = max(lifetime_s, monotonic)
     elif lifetime_s >= record.late_after_s:
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -256,7 +256,8 @@
     assert len(write.puts) + len(write.expected) <= MAX_WRITE_ENTRIES
     assert len(write.granted) == MAX_COUNTS_PER_WRITE
     # Returns come first, the largest before the others.
-    assert all(write.granted[f"shop-{number}"] < 0 for number in range(15))
+    returned = range(MAX_COUNTS_PER_WRITE)
+    assert all(write.granted[f"shop-{number}"] < 0 for number in returned)
 
 
 def test_stopping_router_with_many_workspaces_returns_all_it_can(
@@ -334,7 +335,7 @@
     bounds = {WORKSPACE: SpendingBound(200, 400.0 / LATE_AFTER_S, 200.0)}
     record = RouterRecord("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
     death = ClockReading(50.0 + life, 1_000.0 + life)
-    given = reclaimable_tokens(record, death).get(WORKSPACE, 0)
+    given = reclaimable_tokens(record, death, confirmed=True).get(WORKSPACE, 0)
     assert given == pytest.approx(left, abs=5)
     assert given <= 1_000 - draws.bound_at(record, WORKSPACE, 50.0 + life)
 
@@ -342,19 +343,26 @@
 def test_clock_set_back_does_not_shorten_a_predecessors_life() -> None:
     bounds = {WORKSPACE: SpendingBound(200, 100.0, 100.0)}
     record = RouterRecord("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
-    true = reclaimable_tokens(record, ClockReading(53.0, 1_003.0))
-    assert reclaimable_tokens(record, ClockReading(53.0, 1_000.5)) == true
+    true = reclaimable_tokens(record, ClockReading(53.0, 1_003.0), confirmed=True)
+    assert (
+        reclaimable_tokens(record, ClockReading(53.0, 1_000.5), confirmed=True) == true
+    )
 
 
 def test_clock_that_starts_anew_says_nothing_of_a_predecessors_life() -> None:
     bounds = {WORKSPACE: SpendingBound(200, 100.0, 100.0)}
     record = RouterRecord("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
-    true = reclaimable_tokens(record, ClockReading(52.0, 1_002.0))
-    assert reclaimable_tokens(record, ClockReading(1.0, 1_002.0)) == true
-    assert reclaimable_tokens(record, ClockReading(7_000.0, 1_002.0)) == true
+    true = reclaimable_tokens(record, ClockReading(52.0, 1_002.0), confirmed=True)
+    assert (
+        reclaimable_tokens(record, ClockReading(1.0, 1_002.0), confirmed=True) == true
+    )
+    assert (
+        reclaimable_tokens(record, ClockReading(7_000.0, 1_002.0), confirmed=True)
+        == true
+    )
     # A record that outlives its lease says that the store stood still.
     long_ago = ClockReading(1.0, 1_000.1 + LATE_AFTER_S)
-    assert reclaimable_tokens(record, long_ago) == {}
+    assert reclaimable_tokens(record, long_ago, confirmed=True) == {}
 
 
 def test_rare_records_allow_for_demand_that_comes_in_lumps() -> None:
@@ -375,6 +383,54 @@
     assert bounds[195] < 10**6
 
 
+def test_unconfirmed_record_needs_two_clocks_that_agree() -> None:
+    bounds = {WORKSPACE: SpendingBound(200, 100.0, 100.0)}
+    record = RouterRecord("m", 50.0, 1_000.0, {WORKSPACE: 1_000}, {}, bounds)
+
+    def left(monotonic: float, wall: float) -> dict[str, int]:
+        death = ClockReading(monotonic, wall)
+        return reclaimable_tokens(record, death, confirmed=False)
+
+    agreeing = ClockReading(53.0, 1_003.0)
+    assert left(53.0, 1_003.0) == reclaimable_tokens(record, agreeing, confirmed=True)
+    # A time of day that was set back, a host that started anew, and both.
+    assert left(53.0, 1_001.0) == {}
+    assert left(1.0, 1_003.0) == {}
+    assert left(7_000.0, 1_003.0) == {}
+    assert left(51.0, 1_003.0) == {}
+    # Its own time of life is too long for any clock.
+    assert left(50.0 + 100.0, 1_000.0 + 100.0) == {}
+
+
+def test_death_while_writes_get_no_answer_strands_a_part_only(
+    world: DrawsWorld,
+) -> None:
+    for _ in range(8):
+        for host in world.hosts.values():
+            assert host.ask(2_000)
+            host.end_call(1.0)
+            world.clock.advance(0.1)
+            host.check()
+    held = sum(world.free(name) for name in world.names)
+    drawn = world.store.counts()[WORKSPACE]
+    world.store.mood = "deaf"
+    for _ in range(36):
+        world.clock.advance(0.1)
+        world.store.settle()
+        for host in world.hosts.values():
+            host.check()
+    for name in world.names:
+        world.hosts[name].die()
+    world.store.mood = "well"
+    world.clock.advance(0.5)
+    for name in world.names:
+        world.hosts[name].start()
+        world.hosts[name].pump()
+    again = sum(world.free(name) for name in world.names)
+    returned = drawn - (world.store.counts()[WORKSPACE] - again)
+    assert returned > held * 0.25
+
+
 class DrawsMachine(RuleBasedStateMachine):
     """Routers draw, spend, die and start anew while the store fails at random."""
 
