--- a/src/hawthornstage/decisions/retry_share.py
+++ b/src/hawthornstage/decisions/retry_share.py
@@ -1,4 +1,9 @@
-"""A router's share of the fleet's retries, limited over a sliding window."""
+"""A router's share of the fleet's retries, limited over a sliding window.
+
+Retries are counted over the whole window, but requests only over its last half. A
+window that ends later still holds these retries but no longer all requests before them;
+of the last half it holds all, or the window half a window before it does.
+"""
 
 from __future__ import annotations
 
@@ -36,7 +41,7 @@
 
     def count_request(self, service: str, now: float) -> None:
         """Count a caller's request."""
-        since = now - self.limits().window_s
+        since = now - self.limits().window_s / 2
         recent_times(self.requests, service, since).append(now)
 
     def take(self, service: str, routers: int, now: float) -> bool:
@@ -51,9 +56,10 @@
             False if this router's share is used up.
         """
         limits = self.limits()
-        since = now - limits.window_s
-        recent_retries = recent_times(self.retries, service, since)
-        recent_requests = recent_times(self.requests, service, since)
+        recent_retries = recent_times(self.retries, service, now - limits.window_s)
+        recent_requests = recent_times(
+            self.requests, service, now - limits.window_s / 2
+        )
         if len(recent_retries) + 1 > limits.ratio * len(
             recent_requests
         ) + limits.slack / max(1, routers):
