--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -7,7 +7,7 @@
 
 import pykka
 
-from hawthornstage.actors.peers import Send
+from hawthornstage.actors.peer_messages import Send
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.border.compression import (
--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -7,7 +7,7 @@
 
 import pykka
 
-from hawthornstage.actors.peers import PeersChanged
+from hawthornstage.actors.peer_messages import PeersChanged
 from hawthornstage.actors.task import Recipient, Task
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -10,7 +10,7 @@
 import pykka
 
 from hawthornstage.actors.ledger import MAX_COUNTS_PER_WRITE
-from hawthornstage.actors.peers import Send
+from hawthornstage.actors.peer_messages import Send
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.draw_plans import (
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,17 +10,18 @@
 
 import pytest
 
-from hawthornstage.actors.peers import (
-    HANDSHAKE_TIMEOUT_S,
+from hawthornstage.actors.incoming_connections import (
     MAX_FRAMES_PER_S,
     MAX_INCOMING_IDLE_S,
+)
+from hawthornstage.actors.outgoing_links import (
+    HANDSHAKE_TIMEOUT_S,
     MAX_PENDING,
     RECONNECT_PAUSE_S,
     REPLY_TIMEOUT_S,
-    Peers,
-    PeersChanged,
-    Send,
 )
+from hawthornstage.actors.peer_messages import PeersChanged, Send
+from hawthornstage.actors.peers import Peers
 from hawthornstage.actors.task import Ask, MessageDispatcher
 from hawthornstage.border.frames import Frame, encode_frame
 from hawthornstage.border.peer_connection import PeerIdentity, connect_to_peer
@@ -168,14 +169,14 @@
     fleet.wait_until(lambda: all(each.values for each in replies))
     assert [each.values for each in replies] == [[Acknowledged()]] * 5
     assert fleet.responders["b"].messages == [FAILURE] * 5
-    assert len(fleet.peers["b"].incoming) == 1
+    assert len(fleet.peers["b"].incoming.connections) == 1
 
 
 def test_message_to_itself_needs_no_connection(fleet: Fleet) -> None:
     reply = fleet.send("a", "a", FAILURE)
     fleet.wait_until(lambda: reply.values)
     assert fleet.responders["a"].messages == [FAILURE]
-    assert not fleet.peers["a"].links
+    assert not fleet.peers["a"].outgoing.links
 
 
 def test_unknown_router_is_unreachable(fleet: Fleet) -> None:
@@ -205,7 +206,7 @@
 def test_connection_that_goes_silent_is_replaced(fleet: Fleet) -> None:
     first = fleet.send("a", "b", FAILURE)
     fleet.wait_until(lambda: first.values)
-    silent_link = fleet.peers["a"].links["b"]
+    silent_link = fleet.peers["a"].outgoing.links["b"]
     frozen = fleet.peers.pop("b")
     unanswered = fleet.send("a", "b", FAILURE)
     fleet.step()
@@ -216,13 +217,13 @@
     again = fleet.send("a", "b", FAILURE)
     fleet.wait_until(lambda: again.values)
     assert again.values == [Acknowledged()]
-    assert fleet.peers["a"].links["b"] is not silent_link
+    assert fleet.peers["a"].outgoing.links["b"] is not silent_link
 
 
 def test_slow_reply_does_not_cost_the_connection(fleet: Fleet) -> None:
     first = fleet.send("a", "b", FAILURE)
     fleet.wait_until(lambda: first.values)
-    link = fleet.peers["a"].links["b"]
+    link = fleet.peers["a"].outgoing.links["b"]
     fleet.responders["b"].tell = lambda message: None  # type: ignore[method-assign]
     late = fleet.send("a", "b", FAILURE)
     fleet.step()
@@ -232,7 +233,7 @@
     fleet.wait_until(lambda: other.values)
     fleet.advance(REPLY_TIMEOUT_S / 2)
     assert isinstance(late.values[0], PeerUnreachable)
-    assert fleet.peers["a"].links["b"] is link
+    assert fleet.peers["a"].outgoing.links["b"] is link
 
 
 def test_router_that_sends_without_end_is_paused(fleet: Fleet) -> None:
@@ -278,14 +279,14 @@
             break
         fleet.step()
     assert ended
-    assert not fleet.peers["b"].incoming
+    assert not fleet.peers["b"].incoming.connections
 
 
 def test_handshake_that_does_not_end_is_cut_off(fleet: Fleet) -> None:
     fleet.connect("b").send(b"GET / HTTP/1.1\r\n")
-    fleet.wait_until(lambda: fleet.peers["b"].incoming)
+    fleet.wait_until(lambda: fleet.peers["b"].incoming.connections)
     fleet.advance(HANDSHAKE_TIMEOUT_S)
-    assert not fleet.peers["b"].incoming
+    assert not fleet.peers["b"].incoming.connections
 
 
 def test_router_that_does_not_read_replies_is_cut_off(fleet: Fleet) -> None:
@@ -299,13 +300,13 @@
     stamp = Stamp(0, 0, "deaf")
     for number in range(20):
         deaf.send(encode_frame(Frame(number, False, stamp, RequestDesiredState())))
-    fleet.wait_until(lambda: fleet.peers["b"].incoming)
+    fleet.wait_until(lambda: fleet.peers["b"].incoming.connections)
 
     def cut_off() -> bool:
         if not deaf.is_open:
             deaf.flush()
             deaf.receive(fleet.clock.monotonic())
-        return not fleet.peers["b"].incoming
+        return not fleet.peers["b"].incoming.connections
 
     fleet.wait_until(cut_off)
 
@@ -323,8 +324,8 @@
     first = fleet.send("a", "b", FAILURE)
     fleet.wait_until(lambda: first.values)
     fleet.advance(MAX_IDLE_S)
-    assert not fleet.peers["a"].links
-    fleet.wait_until(lambda: not fleet.peers["b"].incoming)
+    assert not fleet.peers["a"].outgoing.links
+    fleet.wait_until(lambda: not fleet.peers["b"].incoming.connections)
     again = fleet.send("a", "b", FAILURE)
     fleet.wait_until(lambda: again.values)
     assert again.values == [Acknowledged()]
@@ -335,7 +336,7 @@
     fleet.wait_until(lambda: first.values)
     del fleet.peers["a"]
     fleet.advance(MAX_INCOMING_IDLE_S)
-    assert not fleet.peers["b"].incoming
+    assert not fleet.peers["b"].incoming.connections
 
 
 def test_router_that_moved_is_reached_at_its_new_address(fleet: Fleet) -> None:
