--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from hawthornstage.actors.held_lease import HeldLease, renew_lease
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.border.stored_values import (
     decode_count,
@@ -40,7 +41,6 @@
     Committed,
     Conflict,
     Item,
-    LeaseGranted,
     LeaseLost,
     Listing,
     Put,
@@ -93,23 +93,6 @@
     counts: dict[str, int]
 
 
-@dataclass
-class HeldLease:
-    """A lease that this task keeps alive.
-
-    Args:
-        ttl_s: Time to live, in seconds.
-        renewal_age_s: Age at which it is renewed, in seconds.
-        id: The lease, or None before it is granted and after it is lost.
-        renewed_at: Monotonic time of the last renewal, in seconds.
-    """
-
-    ttl_s: float
-    renewal_age_s: float
-    id: int | None = None
-    renewed_at: float = float("-inf")
-
-
 class LedgerTask(Task):
     """Draws and returns tokens over its own connection to the store.
 
@@ -216,33 +199,11 @@
             # The marker moves to the new lease with its next write.
             self.marker_lease = HeldLease(marker_ttl_s, MARKER_LEASE_RENEWAL_AGE_S)
         for lease in (self.record_lease, self.marker_lease):
-            failure = self.renew_lease(lease)
+            failure = renew_lease(lease, self.store, self.clock, self.events)
             if failure is not None:
                 return failure
         return None
 
-    def renew_lease(self, lease: HeldLease) -> str | None:
-        """Renew a lease or obtain a new one, if due; return the failure, if any."""
-        now = self.clock.monotonic()
-        if lease.id is not None and now - lease.renewed_at < lease.renewal_age_s:
-            return None
-        if lease.id is not None:
-            match self.store.renew_lease(lease.id):
-                case LeaseGranted():
-                    lease.renewed_at = now
-                    return None
-                case LeaseLost():
-                    self.events.emit("record_lease_lost", lease=lease.id)
-                    lease.id = None
-                case StoreRefused(reason) | StoreNoResponse(reason):
-                    return reason
-        match self.store.grant_lease(lease.ttl_s):
-            case LeaseGranted(lease_id, _):
-                lease.id, lease.renewed_at = lease_id, now
-                return None
-            case StoreRefused(reason) | StoreNoResponse(reason):
-                return reason
-
     def record_dropped(self, reason: str) -> RecordNotStored:
         """Return the reply for a record that was not stored."""
         return RecordNotStored(reason, self.drawn)
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -12,6 +12,14 @@
 from hawthornstage.actors.ledger import MAX_COUNTS_PER_WRITE
 from hawthornstage.actors.peer_messages import Send
 from hawthornstage.actors.task import Ask, Recipient, Task
+from hawthornstage.actors.waiting_requests import (
+    HolderReplied,
+    PendingRequest,
+    TokenRequest,
+    is_limited_by_record,
+    smallest_shortfalls,
+    wanted_tokens,
+)
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.draw_plans import (
     DrawTerms,
@@ -100,46 +108,6 @@
     """
 
 
-TokenRequest = RequestReservation | RequestCallTokens
-
-
-@dataclass(eq=False)
-class PendingRequest:
-    """A request that waits for tokens.
-
-    Args:
-        request: The request.
-        reply_to: Gets the outcome.
-        deadline: Monotonic time at which the request is refused, in seconds.
-        holder: The holder that is asked for the tokens; without one, this router draws
-            them.
-        asked: Holders asked so far.
-        asked_at: Monotonic time of the last question, in seconds.
-    """
-
-    request: TokenRequest
-    reply_to: ReplyTo
-    deadline: float
-    holder: str | None = None
-    asked: int = 0
-    asked_at: float = float("-inf")
-
-
-@dataclass(frozen=True)
-class HolderReplied:
-    """A holder's reply to the question for the tokens of a call.
-
-    Args:
-        pending: The request that waits for them.
-        holder: The holder.
-        reply: `TokensTransferred` or `PeerUnreachable`.
-    """
-
-    pending: PendingRequest
-    holder: str
-    reply: Any
-
-
 class TokenAccountsTask(Task):
     """Owns this router's token accounts, one for each workspace with a budget.
 
@@ -419,7 +387,7 @@
         ):
             return
         terms = DrawTerms(self.routers.value, self.holders.holder_count)
-        wanted = self.wanted()
+        wanted = wanted_tokens(self.waiting)
         amounts: dict[str, int] = {}
         if self.token_accounts.sent is None:
             # Nothing is drawn ahead until the first stored record has returned how much
@@ -457,7 +425,7 @@
             record=record,
             amounts=amounts,
             budgets=dict(self.budgets),
-            minimum=self.smallest_shortfalls(),
+            minimum=smallest_shortfalls(self.waiting, self.token_accounts),
             required=required,
         )
         self.ledger.tell(Ask(request, ReplyCallback(self.actor_ref.tell)))
@@ -472,7 +440,11 @@
         A router that holds no spare tokens has nothing that a record would save.
         """
         stored = self.token_accounts.stored
-        if stored is None or self.token_accounts.sent or self.limited_by_record():
+        if (
+            stored is None
+            or self.token_accounts.sent
+            or is_limited_by_record(self.waiting, self.token_accounts)
+        ):
             return True
         if now - stored.at < terms.record_interval_s:
             return False
@@ -481,38 +453,6 @@
             for name in self.held_workspaces()
         )
 
-    def limited_by_record(self) -> bool:
-        """Return whether a call waits only for a record with a higher bound."""
-        return any(
-            account_of(self.token_accounts, each.request.workspace).free
-            >= each.request.tokens
-            for each in self.waiting
-            if each.holder is None
-        )
-
-    def wanted(self) -> dict[str, int]:
-        """Return the tokens to draw for waiting calls, by workspace."""
-        amounts: dict[str, int] = {}
-        for each in self.waiting:
-            if each.holder is not None:
-                continue
-            name = each.request.workspace
-            amounts[name] = amounts.get(name, 0) + each.request.tokens
-        return amounts
-
-    def smallest_shortfalls(self) -> dict[str, int]:
-        """Return the smallest shortfall of a waiting call, by workspace."""
-        minimum: dict[str, int] = {}
-        for each in self.waiting:
-            if each.holder is not None:
-                continue
-            name = each.request.workspace
-            shortfall = max(
-                1, each.request.tokens - account_of(self.token_accounts, name).free
-            )
-            minimum[name] = min(shortfall, minimum.get(name, shortfall))
-        return minimum
-
     def handle_write_outcome(
         self,
         outcome: RecordStored | RecordNotStored | RecordOutcomeUnknown | NothingDrawn,
