--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -319,13 +319,24 @@
             return False
         pending.asked += 1
         pending.asked_at = now
-        request = RequestCallTokens(workspace, pending.request.tokens)
+        request = RequestCallTokens(workspace, self.missing_tokens(pending, now))
         reply_to = ReplyCallback(
             lambda reply: self.actor_ref.tell(HolderReplied(pending, holder, reply))
         )
         self.peers.tell(Send(holder, request, reply_to))
         return True
 
+    def missing_tokens(self, pending: PendingRequest, now: float) -> int:
+        """Return what a call lacks; free tokens count if no other call waits."""
+        request = pending.request
+        if any(
+            each is not pending and each.request.workspace == request.workspace
+            for each in self.waiting
+        ):
+            return request.tokens
+        free = reservable_tokens(self.token_accounts, request.workspace, now)
+        return max(1, request.tokens - max(0, int(free)))
+
     def handle_holder_reply(self, message: HolderReplied, now: float) -> None:
         """Take the tokens of a holder, or ask the next one."""
         match message.reply:
@@ -399,6 +410,7 @@
                 terms,
                 wanted=wanted,
                 held=self.held_workspaces() if ahead else (),
+                keep_rests=ahead,
                 now=now,
             )
         required = self.record_due(terms, now) or (self.stopping and bool(amounts))
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -141,6 +141,7 @@
     *,
     wanted: dict[str, int],
     held: Collection[str],
+    keep_rests: bool,
     now: float,
 ) -> dict[str, int]:
     """Return the tokens to draw now, by workspace; negative amounts are returned.
@@ -151,6 +152,9 @@
         terms: How the budgets are shared.
         wanted: Tokens that waiting calls need, by workspace.
         held: Workspaces of which this router holds spare tokens beyond that.
+        keep_rests: Whether the rests of calls, which are less than a call, are kept for
+            the next one where this router holds no spare tokens. Returning each would
+            cost a write that races with the holders'.
         now: Monotonic time in seconds.
     """
     amounts: dict[str, int] = {}
@@ -162,11 +166,11 @@
         waiting_tokens = wanted.get(workspace, 0)
         needed = waiting_tokens - account.free
         surplus = account.free - max(target_free, waiting_tokens)
-        allowed_surplus = (
-            target_free * SURPLUS_FRACTION + account.mean_call_tokens
-            if target_free
-            else 0
-        )
+        allowed_surplus = 0.0
+        if target_free:
+            allowed_surplus = target_free * SURPLUS_FRACTION + account.mean_call_tokens
+        elif keep_rests and not ahead:
+            allowed_surplus = account.mean_call_tokens
         if needed > 0 or account.free < target_free * LOW_WATER_FRACTION:
             fair_amount = int(
                 left * MAX_DRAW_FRACTION / terms.holders + account.mean_call_tokens
--- /dev/null
+++ b/tests/test_token_holders.py
@@ -0,0 +1,148 @@
+"""Routers that hold a workspace's tokens, and those that ask them."""
+
+from __future__ import annotations
+
+import pytest
+
+from hawthornstage.actors.task import Ask
+from hawthornstage.actors.token_accounts import HOLDER_TIMEOUT_S
+from hawthornstage.decisions.token_holders import (
+    HOLDERS_PER_WORKSPACE,
+    MAX_HOLDERS_ASKED,
+    HolderDirectory,
+)
+from hawthornstage.messages.draws import (
+    RequestCallTokens,
+    RequestReservation,
+    TokensUsed,
+)
+from hawthornstage.messages.members import PeerUnreachable
+from tests.draws_world import WORKSPACE, DrawsWorld, Host, Reply
+
+NAMES = tuple(f"edge-{number}" for number in range(24))
+
+
+def directory(node: str, names: tuple[str, ...] = NAMES) -> HolderDirectory:
+    """Return a router's view of the holders."""
+    return HolderDirectory(node, frozenset(names))
+
+
+@pytest.fixture
+def world() -> DrawsWorld:
+    """Return 24 routers, of which eight hold the workspace's tokens."""
+    return DrawsWorld(NAMES)
+
+
+def asker(world: DrawsWorld) -> Host:
+    """Return a router that holds no tokens of the workspace."""
+    return next(
+        host
+        for host in world.hosts.values()
+        if not host.token_accounts.holders.is_holder(WORKSPACE)
+    )
+
+
+def questions(host: Host) -> list[tuple[str, int]]:
+    """Return the holders that a router has asked, and for how much."""
+    return [
+        (send.node, send.message.tokens)
+        for send in host.peer_inbox.messages
+        if isinstance(send.message, RequestCallTokens)
+    ]
+
+
+def deliver(world: DrawsWorld, host: Host) -> None:
+    """Let the holders answer a router's questions."""
+    messages, host.peer_inbox.messages = host.peer_inbox.messages, []
+    for send in messages:
+        holder = world.hosts[send.node]
+        reply = Reply()
+        holder.token_accounts.handle(Ask(send.message, reply))
+        holder.pump()
+        send.reply_to.put(reply.value)
+    host.pump()
+
+
+def test_routers_agree_on_a_few_holders() -> None:
+    for workspace in ("shop-a", "shop-b"):
+        views = {directory(name).holders(workspace) for name in NAMES}
+        assert len(views) == 1
+        assert len(views.pop()) == HOLDERS_PER_WORKSPACE
+
+
+def test_small_fleet_has_only_holders() -> None:
+    small = NAMES[:HOLDERS_PER_WORKSPACE]
+    assert all(directory(name, small).is_holder("shop-a") for name in small)
+    assert directory(small[0], small).holder_to_ask("shop-a", 0) is None
+
+
+def test_askers_spread_over_the_holders() -> None:
+    first = {directory(name).holder_to_ask("shop-a", 0) for name in NAMES}
+    assert len(first - {None}) >= HOLDERS_PER_WORKSPACE / 2
+
+
+def test_only_holders_draw_ahead(world: DrawsWorld) -> None:
+    for _ in range(3):
+        world.clock.advance(3.0)
+        for host in world.hosts.values():
+            host.check()
+    holding = {
+        name
+        for name, host in world.hosts.items()
+        if host.token_accounts.held_workspaces()
+    }
+    accounts = {
+        name: host.token_accounts.token_accounts.accounts.get(WORKSPACE)
+        for name, host in world.hosts.items()
+    }
+    free = {name for name, account in accounts.items() if account and account.free}
+    assert free == holding
+    assert len(free) == HOLDERS_PER_WORKSPACE
+
+
+def test_call_gets_its_tokens_from_a_holder(world: DrawsWorld) -> None:
+    host = asker(world)
+    reply = Reply()
+    before = world.store.counts().get(WORKSPACE, 0)
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 700), reply))
+    assert [tokens for _, tokens in questions(host)] == [700]
+    deliver(world, host)
+    assert reply.value is not None
+    assert reply.value.tokens == 700
+    # The asker has drawn nothing itself.
+    assert world.store.counts().get(WORKSPACE, 0) >= before
+    assert host.token_accounts.token_accounts.accounts[WORKSPACE].gifted == 700
+
+
+def test_rest_of_a_call_serves_the_next_one(world: DrawsWorld) -> None:
+    host = asker(world)
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 700), Reply()))
+    deliver(world, host)
+    account = host.token_accounts.token_accounts.accounts[WORKSPACE]
+    assert account.open == 700
+    host.token_accounts.handle(TokensUsed(WORKSPACE, 700, 500))
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 900), Reply()))
+    assert [tokens for _, tokens in questions(host)] == [700]
+
+
+def test_silent_and_unreachable_holders_are_passed_over(world: DrawsWorld) -> None:
+    host = asker(world)
+    reply = Reply()
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 700), reply))
+    [silent] = host.peer_inbox.messages
+    host.peer_inbox.messages = []
+    world.clock.advance(HOLDER_TIMEOUT_S)
+    host.check()
+    [second] = host.peer_inbox.messages
+    assert second.node != silent.node
+    host.peer_inbox.messages = []
+    second.reply_to.put(PeerUnreachable(second.node, "gone"))
+    host.pump()
+    [third] = host.peer_inbox.messages
+    assert len({silent.node, second.node, third.node}) == MAX_HOLDERS_ASKED
+    # After the last one it draws for itself.
+    third.reply_to.put(PeerUnreachable(third.node, "gone"))
+    host.peer_inbox.messages = []
+    host.pump()
+    assert reply.value is not None
+    assert reply.value.tokens == 700
