--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 
 import pytest
 import yaml
+from hypothesis import settings
 
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.clock import Clock, ManualClock
@@ -16,6 +17,10 @@
 from tests.connection_pair import CallerPair, tcp_pair
 from tools.cluster import Cluster, Process
 
+# The same verdict every time, also on a busy machine.
+settings.register_profile("same", derandomize=True, deadline=None, max_examples=200)
+settings.load_profile("same")
+
 WORKSPACES = ("shop-a", "shop-b")
 # Times of test clusters: silent routers are cleaned up after soon.
 FAST = {
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from hawthornstage.border.documents import TABLES_CODEC
@@ -26,9 +26,6 @@
 from hawthornstage.messages.request import ResponseProgress
 from hawthornstage.messages.tables import EMPTY_TABLES, Pool, PoolKind, Server
 
-settings.register_profile("same", derandomize=True, deadline=None, max_examples=200)
-settings.load_profile("same")
-
 attempts = st.sampled_from(["a1", "a2", "a3", "a4"])
 moves = st.sampled_from(["claim", "claim_answer_lost", "run", "finish", "abandon"])
 
