--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -18,6 +19,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import is_newer
 from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.decisions.store_news import longest_watch
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
@@ -30,6 +32,7 @@
     RequestCompressedState,
     RequestDesiredState,
 )
+from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.store import Item, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.desired_state import (
@@ -235,14 +238,23 @@
     Args:
         store: A client used by this thread only.
         task: Gets `DesiredStateReceived`.
+        bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
     """
 
     def __init__(
-        self, store: StoreClient, task: pykka.ActorRef, clock: Clock, events: EventLog
+        self,
+        store: StoreClient,
+        task: pykka.ActorRef,
+        bounds: Callable[[], StoreBounds],
+        clock: Clock,
+        events: EventLog,
     ) -> None:
-        super().__init__(DESIRED_STATE_PREFIX, store, clock, events)
+        def longest_wait_s() -> float:
+            return longest_watch(bounds().settled_s, bounds().desired_state_s)
+
+        super().__init__(DESIRED_STATE_PREFIX, store, longest_wait_s, clock, events)
         self.task = task
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pykka
 
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.store_news import (
+    earliest_removal,
+    longest_lapse,
+    longest_watch,
+)
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Item, Removal
 from hawthornstage.observe.events import EventLog
@@ -17,9 +25,6 @@
 # Time after an outage of the store within which servers register again whose entries
 # expired during the outage, in seconds.
 REREGISTRATION_GRACE_S = 2.5
-# Longest time that a removed entry stays in use, in seconds: its server may also have
-# left for good, and then must get nothing new after 2 s.
-MAX_LAPSED_S = 1.7
 # Pause between two watches for each router of the fleet, and the longest, in seconds:
 # the changes of a pause come with one call, and large fleets make many calls.
 PAUSE_PER_ROUTER_S = 1 / 60
@@ -30,13 +35,14 @@
     """Owns the watch for servers' entries, and the registered servers.
 
     Entries removed within `REREGISTRATION_GRACE_S` after an outage of the store stay in
-    use until that time is over, but for `MAX_LAPSED_S` at most, because their servers
-    may only have to register again.
+    use until that time is over, because their servers may only have to register again,
+    but never beyond the time at which a server that left must get nothing new.
 
     Args:
         store: A client used by this thread only.
         subscriber: Gets `RegisteredServers` after each change.
         routers: Number of routers that watch.
+        bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -46,12 +52,17 @@
         store: StoreClient,
         subscriber: pykka.ActorRef,
         routers: LatestValue[int],
+        bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
     ) -> None:
-        super().__init__(ENTRIES_PREFIX, store, clock, events)
+        def longest_wait_s() -> float:
+            return longest_watch(bounds().settled_s, bounds().drain_s)
+
+        super().__init__(ENTRIES_PREFIX, store, longest_wait_s, clock, events)
         self.subscriber = subscriber
         self.routers = routers
+        self.bounds = bounds
         self.servers: dict[str, BackendServer] = {}
         self.drop_times: dict[str, float] = {}
         self.grace_ends_at = float("-inf")
@@ -69,6 +80,10 @@
         """
         if self.drop_times:
             return 0.0
+        return self.longest_pause()
+
+    def longest_pause(self) -> float:
+        """Return the longest pause between two watches, in seconds."""
         return min(MAX_PAUSE_S, self.routers.value * PAUSE_PER_ROUTER_S)
 
     def watch_timeout(self) -> float:
@@ -139,15 +154,26 @@
         """
         if name not in self.servers:
             return False
-        now = self.clock.monotonic()
-        if now < self.grace_ends_at:
-            drop_at = min(self.grace_ends_at, now + MAX_LAPSED_S)
+        drop_at = self.drop_time()
+        if self.clock.monotonic() < drop_at:
             self.drop_times.setdefault(name, drop_at)
             return False
         del self.servers[name]
         self.events.emit("server_gone", server=name)
         return True
 
+    def drop_time(self) -> float:
+        """Return the monotonic time until which an entry removed now stays in use."""
+        bounds = self.bounds()
+        removed_at = earliest_removal(
+            self.clock.monotonic(),
+            heard_at=self.heard_at,
+            down_at=self.down_at,
+            settled_s=bounds.settled_s,
+        )
+        lapse_s = longest_lapse(bounds.drain_s, self.longest_pause())
+        return min(self.grace_ends_at, removed_at + lapse_s)
+
     def drop_lapsed(self) -> None:
         """Remove lapsed entries that did not return in time."""
         now = self.clock.monotonic()
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 from hawthornstage.clock import Clock
 from hawthornstage.messages.store import (
@@ -17,8 +18,6 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
 
-# Longest timeout of one watch call, in seconds.
-WATCH_WAIT_S = 30.0
 # Timeout of the first watch call after a failed one, in seconds: its response is what
 # shows that the store is back.
 RECOVERY_WAIT_S = 0.05
@@ -32,20 +31,30 @@
     Args:
         prefix: The key prefix.
         store: A client used by this thread only.
+        longest_wait_s: Returns the longest wait of one watch, in seconds.
         clock: The runtime's clock.
         events: The event log.
     """
 
     def __init__(
-        self, prefix: str, store: StoreClient, clock: Clock, events: EventLog
+        self,
+        prefix: str,
+        store: StoreClient,
+        longest_wait_s: Callable[[], float],
+        clock: Clock,
+        events: EventLog,
     ) -> None:
         super().__init__(name=f"watch {prefix}", daemon=True)
         self.prefix = prefix
         self.store = store
+        self.longest_wait_s = longest_wait_s
         self.clock = clock
         self.events = events
         self.revision: int | None = None
         self.unavailable = False
+        # Times of the store's last response, and of the start of the last failed call.
+        self.heard_at = float("-inf")
+        self.down_at = float("-inf")
 
     def run(self) -> None:
         """List, then watch from that revision; list again if its history is lost."""
@@ -56,6 +65,7 @@
 
     def step(self) -> bool:
         """Make one call to the store; return False if it failed."""
+        began_at = self.clock.monotonic()
         if self.revision is None:
             outcome = self.store.list(self.prefix)
         else:
@@ -73,8 +83,10 @@
                 self.events.emit("watch_restarted", prefix=self.prefix)
                 self.revision = None
             case StoreRefused(reason) | StoreNoResponse(reason):
+                self.down_at = began_at
                 self.record_failure(reason)
                 return False
+        self.heard_at = self.clock.monotonic()
         return True
 
     def pause(self) -> float:
@@ -83,7 +95,7 @@
 
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch call, in seconds."""
-        return RECOVERY_WAIT_S if self.unavailable else WATCH_WAIT_S
+        return RECOVERY_WAIT_S if self.unavailable else self.longest_wait_s()
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
         """Handle all items below the prefix; implemented by subclasses."""
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -59,7 +59,11 @@
     RequestDesiredState,
     ServerFailedDuringCall,
 )
-from hawthornstage.messages.host_settings import HostSettings, SocketAddress
+from hawthornstage.messages.host_settings import (
+    HostSettings,
+    SocketAddress,
+    StoreBounds,
+)
 from hawthornstage.messages.store import Committed, Conflict, Item, Put
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
@@ -243,12 +247,25 @@
     def watch_store(self) -> None:
         """Start the watches of the store, each with its own connection."""
         DesiredStateWatch(
-            self.store(), self.desired_states, self.clock, self.events
+            self.store(),
+            self.desired_states,
+            self.store_bounds,
+            self.clock,
+            self.events,
         ).start()
         ServerRegistry(
-            self.store(), self.server_selection, self.routers, self.clock, self.events
+            self.store(),
+            self.server_selection,
+            self.routers,
+            self.store_bounds,
+            self.clock,
+            self.events,
         ).start()
 
+    def store_bounds(self) -> StoreBounds:
+        """Return the current times within which changes in the store take effect."""
+        return self.live_settings.value.store_bounds
+
     def store(self) -> StoreClient:
         """Return a new client of the store that counts its calls in the metrics."""
 
--- a/src/hawthornstage/messages/host_settings.py
+++ b/src/hawthornstage/messages/host_settings.py
@@ -13,6 +13,23 @@
     port: int
 
 
+@dataclass(frozen=True)
+class StoreBounds:
+    """Times within which changes in the store must take effect on a router.
+
+    Args:
+        settled_s: Time after an outage of the store from which the others apply again,
+            in seconds.
+        drain_s: Time from a server's leaving until it gets nothing new, in seconds.
+        desired_state_s: Time from a version of the desired state until it is in force,
+            in seconds.
+    """
+
+    settled_s: float = 3.0
+    drain_s: float = 2.0
+    desired_state_s: float = 2.0
+
+
 @dataclass(frozen=True)
 class HostSettings:
     """The settings of a router on the users' platform.
@@ -24,6 +41,7 @@
         readiness: Listen address for the load balancer's readiness checks.
         peers: Listen address for other routers.
         store: The key-value store's `IP:PORT`.
+        store_bounds: Times within which changes in the store must take effect.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
         retry_ratio: Fleet-wide retries allowed for each request to a service.
         retry_slack: Fleet-wide retries allowed in addition.
@@ -36,6 +54,7 @@
     readiness: SocketAddress
     peers: SocketAddress
     store: str
+    store_bounds: StoreBounds
     grace_s: float
     retry_ratio: float
     retry_slack: float
--- a/src/hawthornstage/platform/settings.py
+++ b/src/hawthornstage/platform/settings.py
@@ -7,7 +7,11 @@
 
 from pydantic import BaseModel, Field, ValidationError
 
-from hawthornstage.messages.host_settings import HostSettings, SocketAddress
+from hawthornstage.messages.host_settings import (
+    HostSettings,
+    SocketAddress,
+    StoreBounds,
+)
 from hawthornstage.settings_errors import SettingsError, format_validation_errors
 
 # Environment variable with the path of the settings file.
@@ -28,6 +32,17 @@
     retry_ratio: float = Field(alias="retry-ratio", default=0.2)
     retry_slack: float = Field(alias="retry-slack", default=50.0)
     budget_window_s: float = Field(alias="budget-window-s", default=10.0)
+    stable_window_ms: float = Field(alias="stable-window-ms", default=3_000.0)
+    drain_ms: float = Field(alias="drain-ms", default=2_000.0)
+    config_ms: float = Field(alias="config-ms", default=2_000.0)
+
+    def to_store_bounds(self) -> StoreBounds:
+        """Convert the bounds that concern changes in the store."""
+        return StoreBounds(
+            settled_s=self.stable_window_ms / 1000,
+            drain_s=self.drain_ms / 1000,
+            desired_state_s=self.config_ms / 1000,
+        )
 
 
 class StoreModel(BaseModel):
@@ -56,6 +71,7 @@
             readiness=to_address(self.listen.ready),
             peers=SocketAddress(self.ip, self.port_range[0]),
             store=self.platform.address,
+            store_bounds=self.bounds.to_store_bounds(),
             grace_s=self.bounds.grace_s,
             retry_ratio=self.bounds.retry_ratio,
             retry_slack=self.bounds.retry_slack,
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -8,13 +8,15 @@
 import pytest
 
 from hawthornstage.actors.server_registry import (
-    MAX_LAPSED_S,
     MAX_PAUSE_S,
     REREGISTRATION_GRACE_S,
     ServerRegistry,
 )
+from hawthornstage.actors.store_watch import RETRY_PAUSE_S
 from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.store_news import SEND_MARGIN_S, longest_lapse
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.store import (
     Changes,
     HistoryCompacted,
@@ -24,8 +26,11 @@
     StoreNoResponse,
 )
 from hawthornstage.observe.events import EventLog
+from hawthornstage.platform.store import RESPONSE_TIMEOUT_S
 from tests.draws_world import Inbox
 
+BOUNDS = StoreBounds()
+
 
 class ScriptedStore:
     """Gives prepared outcomes to a watch."""
@@ -42,6 +47,33 @@
         return self.outcomes.pop(0)
 
 
+class SilentStore:
+    """A store that loses the response of one watch, and then answers each at once.
+
+    Args:
+        clock: The clock that the lost watch advances.
+        event: The change of which the second watch tells, or None.
+    """
+
+    def __init__(self, clock: ManualClock, event: Any = None) -> None:
+        self.clock = clock
+        self.event = event
+        self.lost = False
+
+    def list(self, prefix: str) -> Any:
+        """Return two servers."""
+        return Listing((entry_item("a", 1), entry_item("b", 2)), 2)
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> Any:
+        """Lose the first response; the client waits a little longer than asked for."""
+        if not self.lost:
+            self.lost = True
+            self.clock.advance(wait_s + RESPONSE_TIMEOUT_S)
+            return StoreNoResponse("read timed out")
+        event, self.event = self.event, None
+        return Changes((event,) if event else (), after + 1)
+
+
 class TimedStore:
     """A store whose watches pass time: they wait for the next event or their timeout.
 
@@ -84,7 +116,13 @@
 def make_registry(clock: ManualClock, events: EventLog, *outcomes: Any) -> Any:
     """Return a registry on prepared outcomes."""
     store: Any = ScriptedStore(*outcomes)
-    return ServerRegistry(store, Inbox(), LatestValue(8), clock, events)  # type: ignore[arg-type]
+    return registry_of(store, clock, events)
+
+
+def registry_of(store: Any, clock: ManualClock, events: EventLog) -> Any:
+    """Return a registry of one of eight routers on a store."""
+    inbox: Any = Inbox()
+    return ServerRegistry(store, inbox, LatestValue(8), StoreBounds, clock, events)
 
 
 def test_registry_follows_changes(clock: ManualClock, events: EventLog) -> None:
@@ -125,7 +163,7 @@
     left_at = start + 1.0 + REREGISTRATION_GRACE_S + 0.8
     removal = Removal("servers/a", 3)
     store: Any = TimedStore(clock, start + 1.0, {left_at: removal})
-    registry = ServerRegistry(store, Inbox(), LatestValue(8), clock, events)  # type: ignore[arg-type]
+    registry = registry_of(store, clock, events)
     while clock.monotonic() < left_at:
         registry.step()
     assert set(registry.servers) == {"b"}
@@ -138,12 +176,27 @@
     left_at = start + 1.1
     removal = Removal("servers/a", 3)
     store: Any = TimedStore(clock, start + 1.0, {left_at: removal})
-    registry = ServerRegistry(store, Inbox(), LatestValue(8), clock, events)  # type: ignore[arg-type]
+    registry = registry_of(store, clock, events)
     registry.step()
     assert "a" in registry.servers
     while "a" in registry.servers:
         registry.step()
-    assert clock.monotonic() <= left_at + MAX_LAPSED_S + 0.1
+    assert clock.monotonic() <= left_at + BOUNDS.drain_s - SEND_MARGIN_S
+
+
+def test_server_that_leaves_after_a_lost_response_is_dropped_in_time(
+    clock: ManualClock, events: EventLog
+) -> None:
+    registry = registry_of(SilentStore(clock, Removal("servers/a", 3)), clock, events)
+    registry.step()
+    store_back_at = clock.monotonic()
+    registry.step()
+    while "a" in registry.servers:
+        clock.advance(RETRY_PAUSE_S)
+        registry.step()
+    # The bound holds for what happens once the store has been back for a while.
+    bound = store_back_at + BOUNDS.settled_s + BOUNDS.drain_s
+    assert clock.monotonic() <= bound - SEND_MARGIN_S
 
 
 @pytest.mark.parametrize(("routers", "most"), [(1, 0.05), (8, 0.2), (195, MAX_PAUSE_S)])
@@ -154,8 +207,9 @@
     registry.step()
     registry.routers.publish(routers)
     assert 0.0 < registry.pause() <= most
-    # A server that left is dropped 2 s later at the latest, whatever the fleet's size.
-    assert min(most, 0.2) + MAX_LAPSED_S < 2.0
+    # A server that left is dropped in time, whatever the fleet's size.
+    lapse_s = longest_lapse(BOUNDS.drain_s, registry.longest_pause())
+    assert registry.longest_pause() + lapse_s <= BOUNDS.drain_s - SEND_MARGIN_S
     registry.drop_times["a"] = clock.monotonic()
     assert registry.pause() == 0.0
 
