Check right before a send that the server has not left, by its time and not by the thread

Change: the registry publishes with the servers the time from which a lapsed one gets nothing new; the choice reads it, and the forwarder again between connect and send. Such a call has not been sent, so another server gets it and no retry is used. Tests: test_call_is_not_sent_to_a_server_that_left_after_it_was_chosen (3 cases), test_lapsed_server_gets_nothing_new_in_time_though_the_store_is_silent_again and test_lapsed_server_gets_nothing_from_its_drop_time_on; the first two fail with the check or the times taken out, the third needs the new field.

--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -41,6 +41,7 @@
     Args:
         store: A client used by this thread only.
         subscriber: Gets `RegisteredServers` after each change.
+        registered: Where they are published for the request pipe.
         routers: Number of routers that watch.
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
@@ -51,6 +52,7 @@
         self,
         store: StoreClient,
         subscriber: pykka.ActorRef,
+        registered: LatestValue[RegisteredServers],
         routers: LatestValue[int],
         bounds: Callable[[], StoreBounds],
         clock: Clock,
@@ -61,6 +63,7 @@
 
         super().__init__(ENTRIES_PREFIX, store, longest_wait_s, clock, events)
         self.subscriber = subscriber
+        self.registered = registered
         self.routers = routers
         self.bounds = bounds
         self.servers: dict[str, BackendServer] = {}
@@ -127,14 +130,14 @@
             Whether the registered servers have changed.
         """
         name = item.key.removeprefix(ENTRIES_PREFIX)
-        self.drop_times.pop(name, None)
+        returned = self.drop_times.pop(name, None) is not None
         entry = decode_entry(item.key, item.value)
         if isinstance(entry, str):
             self.events.emit("entry_refused", server=name, reason=entry[:160])
             return self.servers.pop(name, None) is not None
         known = self.servers.get(name)
         if known == entry:
-            return False
+            return returned
         self.servers[name] = entry
         if known is None or known.leaving != entry.leaving:
             self.events.emit(
@@ -157,7 +160,7 @@
         drop_at = self.drop_time()
         if self.clock.monotonic() < drop_at:
             self.drop_times.setdefault(name, drop_at)
-            return False
+            return True
         del self.servers[name]
         self.events.emit("server_gone", server=name)
         return True
@@ -186,8 +189,10 @@
             self.publish()
 
     def publish(self) -> None:
-        """Send the registered servers to the subscriber."""
-        self.subscriber.tell(RegisteredServers(dict(self.servers)))
+        """Publish the registered servers and send them to the subscriber."""
+        registered = RegisteredServers(dict(self.servers), dict(self.drop_times))
+        self.registered.publish(registered)
+        self.subscriber.tell(registered)
 
     def on_store_recovered(self) -> None:
         """Start the grace time in which lapsed entries may return."""
--- a/src/hawthornstage/actors/server_selection.py
+++ b/src/hawthornstage/actors/server_selection.py
@@ -71,7 +71,7 @@
                 server = self.serving.record_end(message, now)
                 self.pool_connection(server, message, now)
             case RegisteredServers(servers):
-                self.serving.replace_servers(dict(servers))
+                self.serving.replace_servers(message)
                 self.metrics.forget_servers(servers)
                 self.max_pooled = {
                     name: most
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -64,6 +64,7 @@
     SocketAddress,
     StoreBounds,
 )
+from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Committed, Conflict, Item, Put
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
@@ -116,6 +117,7 @@
         self.metrics = Metrics()
         self.desired: LatestValue[DesiredState | None] = LatestValue(None)
         self.blocked_calls = LatestValue(BlockedCalls())
+        self.registered_servers = LatestValue(RegisteredServers({}))
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.store_circuit = CircuitBreaker()
         self.stopping = StopSignal()
@@ -256,6 +258,7 @@
         ServerRegistry(
             self.store(),
             self.server_selection,
+            self.registered_servers,
             self.routers,
             self.store_bounds,
             self.clock,
@@ -297,6 +300,7 @@
             forwarder=Forwarder(
                 self.server_selection,
                 self.server_failures,
+                self.registered_servers,
                 self.clock,
                 self.events,
                 self.metrics,
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -11,7 +11,7 @@
 
 import hashlib
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from hawthornstage.messages.backends import BackendServer
@@ -19,6 +19,7 @@
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
+    RegisteredServers,
     RequestServer,
     ServerChosen,
 )
@@ -91,27 +92,33 @@
 
     Args:
         failure_domain: This router's failure domain.
-        servers: Registered servers, by id.
+        registered: Registered servers.
         loads: Load of each server, by id.
         sent: Calls in progress, by id.
         preferred: Cache of the preferred servers, by service and prompt part.
     """
 
     failure_domain: str
-    servers: dict[str, BackendServer] = field(default_factory=dict)
+    registered: RegisteredServers = RegisteredServers({})
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     sent: dict[str, SentCall] = field(default_factory=dict)
     preferred: dict[tuple[str, str], str] = field(default_factory=dict)
 
-    def replace_servers(self, servers: dict[str, BackendServer]) -> None:
+    @property
+    def servers(self) -> Mapping[str, BackendServer]:
+        """The registered servers, by id."""
+        return self.registered.servers
+
+    def replace_servers(self, registered: RegisteredServers) -> None:
         """Replace the registered servers; a restarted one starts with an empty load."""
+        servers = registered.servers
         for name, server in servers.items():
             known = self.servers.get(name)
             if known is None or known.started_ms != server.started_ms:
                 self.loads[name] = ServerLoad()
         for name in self.loads.keys() - servers.keys():
             del self.loads[name]
-        self.servers = dict(servers)
+        self.registered = registered
         self.preferred.clear()
 
     def choose(
@@ -128,7 +135,7 @@
             server
             for server in self.servers.values()
             if server.service == want.service
-            and not server.leaving
+            and self.registered.accepts_calls(server.id, now)
             and not self.loads[server.id].address_reused
             and server.id not in want.excluded
         ]
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -22,6 +22,7 @@
     Refused,
     ResponseRelay,
 )
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import Idempotency
 from hawthornstage.messages.fleet import ServerFailedDuringCall
 from hawthornstage.messages.forward import (
@@ -40,6 +41,7 @@
     CallEnded,
     FirstByteReceived,
     NoServerAvailable,
+    RegisteredServers,
     RequestServer,
     ServerChosen,
 )
@@ -58,6 +60,7 @@
     Args:
         serving: Task that chooses servers.
         server_failures: Task that counts server failures by call fingerprint.
+        registered: The servers that may get calls, read right before each send.
         clock: Source of time and timeouts.
         events: Structured event log.
         metrics: Counts attempts and records errors of the wait estimate.
@@ -65,6 +68,7 @@
 
     serving: pykka.ActorRef
     server_failures: pykka.ActorRef
+    registered: LatestValue[RegisteredServers]
     clock: Clock
     events: EventLog
     metrics: Metrics
@@ -182,6 +186,11 @@
             connection = self.connect(choice)
         except OSError as error:
             return NotSent(f"no connection to {choice.server.id}: {error}")
+        # It may have left while the connection was opened.
+        now = self.clock.monotonic()
+        if not self.registered.value.accepts_calls(choice.server.id, now):
+            connection.close()
+            return NotSent(f"{choice.server.id} has left since it was chosen")
         delivery.attempts += 1
         ran_before, delivery.may_have_run = delivery.may_have_run, True
         pooled = False
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
@@ -16,9 +17,23 @@
 
 @dataclass(frozen=True)
 class RegisteredServers:
-    """All registered servers, by id."""
+    """All registered servers, by id.
+
+    Args:
+        servers: The servers, including those whose entries were removed and that may
+            register again.
+        drop_times: Monotonic time from which such a server gets nothing new, by id.
+    """
 
     servers: Mapping[str, BackendServer]
+    drop_times: Mapping[str, float] = field(default_factory=dict)
+
+    def accepts_calls(self, server: str, now: float) -> bool:
+        """Whether new calls may be sent to a server, given by its id."""
+        known = self.servers.get(server)
+        if known is None or known.leaving:
+            return False
+        return now < self.drop_times.get(server, math.inf)
 
 
 @dataclass(frozen=True)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -20,6 +20,7 @@
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters import forward_attempt
 from hawthornstage.filters.forward_attempt import Forwarder
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
     CallerDisconnected,
@@ -31,6 +32,7 @@
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
+    RegisteredServers,
     ServerChosen,
 )
 from hawthornstage.observe.events import EventLog
@@ -88,11 +90,25 @@
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def server_id(address: SocketAddress) -> str:
+    """Return the id of the server at an address."""
+    return f"i-{address.port}"
+
+
+def server_at(address: SocketAddress, *, leaving: bool = False) -> BackendServer:
+    """Return the server at an address."""
+    return BackendServer(
+        server_id(address), "models", address.host, address.port, "z", 1, leaving, 1
+    )
+
+
 class Tasks:
     """Stands for the tasks that choose servers and count breaks."""
 
     def __init__(self, addresses: list[SocketAddress]) -> None:
         self.addresses = addresses
+        servers = {server_id(each): server_at(each) for each in addresses}
+        self.registered = LatestValue(RegisteredServers(servers))
         self.told: list[Any] = []
 
     def tell(self, message: Any) -> None:
@@ -104,14 +120,16 @@
         if not self.addresses:
             reply_to.put(NoServerAvailable("none is left"))
             return
-        address = self.addresses.pop(0)
-        name = f"i-{address.port}"
-        server = BackendServer(
-            name, "models", address.host, address.port, "z", 1, False, 1
-        )
+        server = server_at(self.addresses.pop(0))
         reply_to.put(ServerChosen(server, PlacementBasis()))
 
 
+def make_forwarder(tasks: Any, clock: Clock) -> Forwarder:
+    """Return a forwarder whose tasks are all stood for by one object."""
+    log = EventLog("a", clock)
+    return Forwarder(tasks, tasks, tasks.registered, clock, log, Metrics())
+
+
 DeliverToHolder = Callable[..., tuple[Failure | None, Delivery]]
 
 
@@ -133,7 +151,7 @@
         assert isinstance(pair.receive(), RawRequest)
         tasks: Any = Tasks([server.start() for server in servers])
         clock = ManualClock(start=10.0)
-        forwarder = Forwarder(tasks, tasks, clock, EventLog("a", clock), Metrics())
+        forwarder = make_forwarder(tasks, clock)
         delivery = Delivery()
         failure = forwarder.deliver(exchange_for(target), pair.connection, delivery)
         return failure, delivery
@@ -270,12 +288,35 @@
     monkeypatch.setattr(forward_attempt, "TASK_TIMEOUT_S", 0.01)
     tasks: Any = Slow([])
     clock = Clock()
-    forwarder = Forwarder(tasks, tasks, clock, EventLog("a", clock), Metrics())
+    forwarder = make_forwarder(tasks, clock)
     failure = forwarder.deliver(exchange_for("/letters/x"), pair.connection, Delivery())
     assert isinstance(failure, Failure)
     assert [type(each) for each in tasks.told] == [Ask, CallEnded]
 
 
+@pytest.mark.parametrize("how", ["draining", "removed", "lapsed"])
+def test_call_is_not_sent_to_a_server_that_left_after_it_was_chosen(
+    pair: CallerPair, how: str
+) -> None:
+    clock = ManualClock(start=10.0)
+    address = ScriptedServer([sealed(EVENTS)]).start()
+    tasks: Any = Tasks([address])
+    servers = {server_id(address): server_at(address, leaving=how == "draining")}
+    news = {
+        "draining": RegisteredServers(servers),
+        "removed": RegisteredServers({}),
+        "lapsed": RegisteredServers(servers, {server_id(address): clock.now}),
+    }
+    tasks.registered.publish(news[how])
+    delivery = Delivery()
+    failure = make_forwarder(tasks, clock).deliver(
+        exchange_for("/letters/x"), pair.connection, delivery
+    )
+    assert isinstance(failure, Failure)
+    assert failure.kind is ErrorKind.SERVERS_BUSY
+    assert (delivery.attempts, delivery.may_have_run) == (0, False)
+
+
 def test_leaving_caller_ends_the_call_at_the_server(
     deliver: DeliverToHolder, pair: CallerPair
 ) -> None:
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -17,6 +17,7 @@
 from hawthornstage.decisions.store_news import SEND_MARGIN_S, longest_lapse
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.host_settings import StoreBounds
+from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import (
     Changes,
     HistoryCompacted,
@@ -122,7 +123,9 @@
 def registry_of(store: Any, clock: ManualClock, events: EventLog) -> Any:
     """Return a registry of one of eight routers on a store."""
     inbox: Any = Inbox()
-    return ServerRegistry(store, inbox, LatestValue(8), StoreBounds, clock, events)
+    registered = LatestValue(RegisteredServers({}))
+    routers = LatestValue(8)
+    return ServerRegistry(store, inbox, registered, routers, StoreBounds, clock, events)
 
 
 def test_registry_follows_changes(clock: ManualClock, events: EventLog) -> None:
@@ -199,6 +202,24 @@
     assert clock.monotonic() <= bound - SEND_MARGIN_S
 
 
+def test_lapsed_server_gets_nothing_new_in_time_though_the_store_is_silent_again(
+    clock: ManualClock, events: EventLog
+) -> None:
+    registry = make_registry(
+        clock,
+        events,
+        Listing((entry_item("a", 1),), 2),
+        StoreNoResponse("no answer"),
+        Changes((Removal("servers/a", 3),), 3),
+    )
+    for _ in range(3):
+        registry.step()
+    # The next watch gets no response, so that the registry cannot act meanwhile.
+    assert registry.registered.value.accepts_calls("a", clock.monotonic())
+    in_time = clock.monotonic() + BOUNDS.drain_s - SEND_MARGIN_S
+    assert not registry.registered.value.accepts_calls("a", in_time)
+
+
 @pytest.mark.parametrize(("routers", "most"), [(1, 0.05), (8, 0.2), (195, MAX_PAUSE_S)])
 def test_large_fleets_pause_between_watches(
     clock: ManualClock, events: EventLog, routers: int, most: float
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -18,6 +18,7 @@
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
+    RegisteredServers,
     RequestServer,
     ServerChosen,
 )
@@ -38,10 +39,19 @@
     return replace(asked, **changes)
 
 
+def test_lapsed_server_gets_nothing_from_its_drop_time_on() -> None:
+    serving = ServerSelector("z")
+    serving.replace_servers(RegisteredServers({"a": make_server("a")}, {"a": 2.0}))
+    assert isinstance(serving.choose(want(), LIMIT, 1.9), ServerChosen)
+    assert isinstance(serving.choose(want(), LIMIT, 2.0), NoServerAvailable)
+
+
 def test_leaving_and_tried_servers_get_nothing() -> None:
     serving = ServerSelector("z")
     servers = [make_server("a", leaving=True), make_server("b"), make_server("c")]
-    serving.replace_servers({server.id: server for server in servers})
+    serving.replace_servers(
+        RegisteredServers({server.id: server for server in servers})
+    )
     for number in range(10):
         asked = want(f"r{number}", excluded=frozenset({"b"}))
         choice = serving.choose(asked, LIMIT, 1.0)
@@ -53,7 +63,7 @@
 
 def test_failing_server_is_avoided_for_a_while() -> None:
     serving = ServerSelector("z")
-    serving.replace_servers({n: make_server(n) for n in ("a", "b")})
+    serving.replace_servers(RegisteredServers({n: make_server(n) for n in ("a", "b")}))
     choice = serving.choose(want(), LIMIT, 1.0)
     assert isinstance(choice, ServerChosen)
     serving.record_end(CallEnded("r1", failed=True, refused=False), 1.0)
@@ -65,7 +75,7 @@
 
 def test_silent_server_is_passed_over_as_its_answer_gets_overdue() -> None:
     serving = ServerSelector("z")
-    serving.replace_servers({n: make_server(n) for n in ("a", "b")})
+    serving.replace_servers(RegisteredServers({n: make_server(n) for n in ("a", "b")}))
     silent = serving.choose(want("r1"), LIMIT, 1.0)
     assert isinstance(silent, ServerChosen)
     for number in range(20):
@@ -78,7 +88,7 @@
 
 def test_calls_on_a_server_stay_within_the_routers_share() -> None:
     serving = ServerSelector("z")
-    serving.replace_servers({n: make_server(n) for n in ("a", "b")})
+    serving.replace_servers(RegisteredServers({n: make_server(n) for n in ("a", "b")}))
     choices = [serving.choose(want(f"r{number}"), 2, 1.0) for number in range(5)]
     assert [isinstance(choice, ServerChosen) for choice in choices] == [True] * 4 + [
         False
@@ -89,21 +99,21 @@
 
 def test_server_whose_address_another_one_has_gets_nothing() -> None:
     serving = ServerSelector("z")
-    serving.replace_servers({"a": make_server("a")})
+    serving.replace_servers(RegisteredServers({"a": make_server("a")}))
     serving.choose(want(), LIMIT, 1.0)
     serving.record_end(
         CallEnded("r1", failed=False, refused=False, address_reused=True), 1.0
     )
     assert isinstance(serving.choose(want("r2"), LIMIT, 60.0), NoServerAvailable)
-    serving.replace_servers({"a": make_server("a", started_ms=2)})
+    serving.replace_servers(RegisteredServers({"a": make_server("a", started_ms=2)}))
     assert isinstance(serving.choose(want("r3"), LIMIT, 60.0), ServerChosen)
 
 
 def test_new_start_of_a_server_is_a_clean_slate() -> None:
     serving = ServerSelector("z")
-    serving.replace_servers({"a": make_server("a")})
+    serving.replace_servers(RegisteredServers({"a": make_server("a")}))
     serving.choose(want(), LIMIT, 1.0)
-    serving.replace_servers({"a": make_server("a", started_ms=2)})
+    serving.replace_servers(RegisteredServers({"a": make_server("a", started_ms=2)}))
     assert serving.loads["a"].running == 0
     serving.record_end(CallEnded("r1", failed=False, refused=False), 1.0)
 
@@ -113,7 +123,9 @@
     chosen = set()
     for number in range(5):
         serving = ServerSelector(f"zone-{number}")
-        serving.replace_servers({n: make_server(n) for n in ("a", "b", "c", "d")})
+        serving.replace_servers(
+            RegisteredServers({n: make_server(n) for n in ("a", "b", "c", "d")})
+        )
         choice = serving.choose(want(f"r{number}", prompt=prompt), LIMIT, 1.0)
         assert isinstance(choice, ServerChosen)
         chosen.add(choice.server.id)
@@ -132,7 +144,9 @@
 
     monkeypatch.setattr(server_selection, "digest", counted)
     serving = ServerSelector("z")
-    serving.replace_servers({f"i-{n}": make_server(f"i-{n}") for n in range(servers)})
+    serving.replace_servers(
+        RegisteredServers({f"i-{n}": make_server(f"i-{n}") for n in range(servers)})
+    )
     prompt = Prompt(1_000, 10, (PromptPart("aa", 900), PromptPart("own", 100)))
     serving.choose(want("c1", prompt=prompt), LIMIT, 0.0)
     assert len(hashes) <= servers
