--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -292,10 +292,13 @@
             case Delivered():
                 self.server_failures.tell(CallAnswered(exchange.fingerprint))
         if not isinstance(outcome, Delivered):
+            parts = call.prompt.shared_parts if call.prompt else ()
             self.events.emit(
                 "attempt_failed",
                 request_id=call.id,
                 server=choice.server.id,
+                events=delivery.events,
+                parts=",".join(part.id for part in parts),
                 wait_ms=int(choice.basis.wait_s * 1000),
                 outcome=kind,
                 reason=getattr(outcome, "reason", ""),
