Block a prompt part that crashes servers, counted on all routers through the store

Cause: server failures were counted by a hash of the whole call. Calls that differ and share only a part never added up. Class of fault: an identity that is too narrow. Change: a connection that breaks before a prompt's answer has begun is a crash under each of its shared parts, an answer that begins refutes it. Three servers without an answer (six if one is known from the last 60 s) block one part of the call. Each router keeps a short log of its crashes, of answers that speak for suspected parts and of blocks in the store, and watches all logs: a router that reaches no other one, or has just started, knows what the others know. A call is also checked again before each attempt. Crashes at one moment count once, so servers that die together block nothing. Tests: test_crashing_parts.py and two in test_delivery.py.

--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -12,6 +12,7 @@
     earliest_removal,
     longest_lapse,
     longest_watch,
+    watch_pause,
 )
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
@@ -25,10 +26,6 @@
 # Time after an outage of the store within which servers register again whose entries
 # expired during the outage, in seconds.
 REREGISTRATION_GRACE_S = 2.5
-# Pause between two watches for each router of the fleet, and the longest, in seconds:
-# the changes of a pause come with one call, and large fleets make many calls.
-PAUSE_PER_ROUTER_S = 1 / 60
-MAX_PAUSE_S = 1.0
 
 
 class ServerRegistry(StoreWatch):
@@ -83,11 +80,7 @@
         """
         if self.drop_times:
             return 0.0
-        return self.longest_pause()
-
-    def longest_pause(self) -> float:
-        """Return the longest pause between two watches, in seconds."""
-        return min(MAX_PAUSE_S, self.routers.value * PAUSE_PER_ROUTER_S)
+        return watch_pause(self.routers.value)
 
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch, in seconds.
@@ -174,7 +167,7 @@
             down_at=self.down_at,
             settled_s=bounds.settled_s,
         )
-        lapse_s = longest_lapse(bounds.drain_s, self.longest_pause())
+        lapse_s = longest_lapse(bounds.drain_s, watch_pause(self.routers.value))
         return min(self.grace_ends_at, removed_at + lapse_s)
 
     def drop_lapsed(self) -> None:
--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -112,9 +112,7 @@
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
                 if self.closed_by_server:
-                    return ServerFailed(
-                        "the server closed the connection before the response ended"
-                    )
+                    return closed_too_early()
                 return ServerFailed(f"invalid HTTP response: {error}")
             match event:
                 case h11.NEED_DATA:
@@ -132,7 +130,7 @@
                 case h11.EndOfMessage():
                     return ResponseEnd(self.closed_by_server)
                 case _:
-                    return ServerFailed("the server closed the connection")
+                    return closed_too_early()
 
     def begin_response(self, response: h11.Response) -> ResponseHead:
         """Return the head of the response, and prepare to read its body."""
@@ -165,9 +163,7 @@
             if chunks.finished:
                 return ResponseEnd(closed=False)
             if self.closed_by_server:
-                return ServerFailed(
-                    "the server closed the connection before the response ended"
-                )
+                return closed_too_early()
             outcome = self.exchange_bytes(deadline)
             if outcome is not None:
                 return outcome
@@ -200,7 +196,8 @@
             self.receive_available()
             self.send_pending()
         except OSError as error:
-            return ServerFailed(f"{type(error).__name__}: {error.strerror}")
+            reason = f"{type(error).__name__}: {error.strerror}"
+            return ServerFailed(reason, connection_lost=True)
         return None
 
     def receive_available(self) -> None:
@@ -264,6 +261,12 @@
         self.socket.close()
 
 
+def closed_too_early() -> ServerFailed:
+    """Return the failure of a server that closed before its response was complete."""
+    reason = "the server closed the connection before the response ended"
+    return ServerFailed(reason, connection_lost=True)
+
+
 def new_parser() -> h11.Connection:
     """Return the parser of a connection on which nothing has been sent yet."""
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
--- a/src/hawthornstage/border/stored_values.py
+++ b/src/hawthornstage/border/stored_values.py
@@ -1,4 +1,4 @@
-"""Values in the store, as CBOR: drawn-token counts and the routers' records."""
+"""Values in the store, as CBOR: drawn-token counts, and routers' records and logs."""
 
 from __future__ import annotations
 
@@ -7,10 +7,12 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
+from hawthornstage.messages.crashing_parts import CrashLog
 from hawthornstage.messages.draws import RouterRecord
 
 COUNT_ADAPTER = TypeAdapter(int)
 RECORD_ADAPTER = TypeAdapter(RouterRecord)
+CRASH_LOG_ADAPTER = TypeAdapter(CrashLog)
 
 
 class StoredValueError(Exception):
@@ -46,6 +48,20 @@
     return _decode(RECORD_ADAPTER, data)
 
 
+def encode_crash_log(log: CrashLog) -> bytes:
+    """Encode a router's log of crashes."""
+    return cbor2.dumps(CRASH_LOG_ADAPTER.dump_python(log, mode="python"))
+
+
+def decode_crash_log(data: bytes) -> CrashLog:
+    """Decode a router's log of crashes.
+
+    Raises:
+        StoredValueError: The bytes are not a valid log.
+    """
+    return _decode(CRASH_LOG_ADAPTER, data)
+
+
 def _decode(adapter: TypeAdapter[Any], data: bytes) -> Any:
     try:
         return adapter.validate_python(cbor2.loads(data))
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -14,6 +14,8 @@
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
+from hawthornstage.actors.crash_logs import CrashLogsWatch, CrashLogWriter
+from hawthornstage.actors.crashing_parts import CheckCrashLog, CrashingPartsTask
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
     DesiredStateWatch,
@@ -40,6 +42,7 @@
 from hawthornstage.border.wsgi import StartResponse, send_response
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
+from hawthornstage.decisions.crashing_parts import BlockedParts
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
@@ -76,6 +79,7 @@
 HEARTBEAT_INTERVAL_S = 1.0
 FETCH_CHECK_INTERVAL_S = 0.25
 TOKEN_ACCOUNTS_CHECK_INTERVAL_S = 0.1
+CRASH_LOG_CHECK_INTERVAL_S = 0.1
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -117,6 +121,7 @@
         self.metrics = Metrics()
         self.desired: LatestValue[DesiredState | None] = LatestValue(None)
         self.blocked_calls = LatestValue(BlockedCalls())
+        self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.store_circuit = CircuitBreaker()
@@ -183,6 +188,10 @@
         self.server_failures = ServerFailuresTask.start(
             node, self.blocked_calls, self.peers, **shared
         )
+        crash_log_writer = CrashLogWriter.start(node, self.store(), **shared)
+        self.crashing_parts = CrashingPartsTask.start(
+            node, self.blocked_parts, crash_log_writer, self.routers, **shared
+        )
         self.desired_states = DesiredStateTask.start(
             node,
             self.desired,
@@ -234,6 +243,9 @@
         self.timers.every(
             TOKEN_ACCOUNTS_CHECK_INTERVAL_S, self.token_accounts, CheckTokenAccounts()
         )
+        self.timers.every(
+            CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog()
+        )
         self.callers = CallerListener(
             self.settings.callers, self.make_pipe(), self.stopping
         )
@@ -264,6 +276,14 @@
             self.clock,
             self.events,
         ).start()
+        CrashLogsWatch(
+            self.store(),
+            self.crashing_parts,
+            self.routers,
+            self.store_bounds,
+            self.clock,
+            self.events,
+        ).start()
 
     def store_bounds(self) -> StoreBounds:
         """Return the current times within which changes in the store take effect."""
@@ -292,14 +312,17 @@
 
     def make_pipe(self) -> ForwardPipe:
         """Create the pipe of filters for forwarded calls."""
+        block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         return ForwardPipe(
             identify=Identify(self.desired),
-            filters=(BlockCrashingCalls(self.blocked_calls, self.clock), reserve),
+            filters=(block, reserve),
             reserve=reserve,
             forwarder=Forwarder(
                 self.server_selection,
                 self.server_failures,
+                self.crashing_parts,
+                block,
                 self.registered_servers,
                 self.clock,
                 self.events,
--- a/src/hawthornstage/decisions/store_news.py
+++ b/src/hawthornstage/decisions/store_news.py
@@ -12,6 +12,10 @@
 DETECTION_S = 3.0
 # Shortest wait of a watch, in seconds: the store charges for each call.
 MIN_WATCH_S = 0.5
+# Pause between two watches for each router of the fleet, and the longest, in seconds:
+# the changes of a pause come with one call, and large fleets make many calls.
+PAUSE_PER_ROUTER_S = 1 / 60
+MAX_PAUSE_S = 1.0
 # Time in which a call that was just given a server reaches it, in seconds.
 SEND_MARGIN_S = 0.2
 
@@ -26,6 +30,11 @@
     return max(MIN_WATCH_S, settled_s + bound_s - DETECTION_S)
 
 
+def watch_pause(routers: int) -> float:
+    """Return the pause between two watches in a fleet of routers, in seconds."""
+    return min(MAX_PAUSE_S, routers * PAUSE_PER_ROUTER_S)
+
+
 def earliest_removal(
     now: float, *, heard_at: float, down_at: float, settled_s: float
 ) -> float:
--- a/src/hawthornstage/filters/forward.py
+++ b/src/hawthornstage/filters/forward.py
@@ -13,6 +13,7 @@
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.crashing_parts import BlockedParts
 from hawthornstage.decisions.forwarding import resolve_call
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.errors import ErrorKind, Failure
@@ -70,22 +71,31 @@
 
 @dataclass(frozen=True)
 class BlockCrashingCalls:
-    """Rejects calls during which too many servers failed.
+    """Rejects calls under which too many servers failed.
 
     Args:
         blocked: The calls that are blocked now.
+        blocked_parts: The prompt parts that are blocked now.
         clock: Source of time.
     """
 
     blocked: LatestValue[BlockedCalls]
+    blocked_parts: LatestValue[BlockedParts]
     clock: Clock
 
     def apply(self, exchange: ForwardExchange) -> ForwardExchange | Failure:
-        """Check that the call is not blocked."""
+        """Check that neither the call nor a part of its prompt is blocked."""
+        return self.check(exchange) or exchange
+
+    def check(self, exchange: ForwardExchange) -> Failure | None:
+        """Return the failure of a call that is blocked, or None."""
         now = self.clock.monotonic()
         if self.blocked.value.is_blocked(exchange.fingerprint, now):
-            return Failure(ErrorKind.CALL_BLOCKED, exchange.fingerprint)
-        return exchange
+            return Failure(ErrorKind.CALL_BLOCKED, f"call {exchange.fingerprint}")
+        part = self.blocked_parts.value.find(exchange.shared_ids, now)
+        if part is not None:
+            return Failure(ErrorKind.CALL_BLOCKED, f"prompt part {part!r}")
+        return None
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -12,7 +12,7 @@
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
-from hawthornstage.filters.forward import TASK_TIMEOUT_S
+from hawthornstage.filters.forward import TASK_TIMEOUT_S, BlockCrashingCalls
 from hawthornstage.filters.forward_relay import (
     DEADLINE_GRACE_S,
     OUTCOME_NAMES,
@@ -23,6 +23,7 @@
     ResponseRelay,
 )
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.crashing_parts import AnswerBegan, CrashDuringCall
 from hawthornstage.messages.desired import Idempotency
 from hawthornstage.messages.fleet import ServerFailedDuringCall
 from hawthornstage.messages.forward import (
@@ -60,6 +61,8 @@
     Args:
         serving: Task that chooses servers.
         server_failures: Task that counts server failures by call fingerprint.
+        crashing_parts: Task that finds prompt parts which crash servers.
+        block: Rejects calls that crash servers, also between two attempts.
         registered: The servers that may get calls, read right before each send.
         clock: Source of time and timeouts.
         events: Structured event log.
@@ -68,6 +71,8 @@
 
     serving: pykka.ActorRef
     server_failures: pykka.ActorRef
+    crashing_parts: pykka.ActorRef
+    block: BlockCrashingCalls
     registered: LatestValue[RegisteredServers]
     clock: Clock
     events: EventLog
@@ -88,6 +93,9 @@
             response, complete or partial, or has disconnected.
         """
         while True:
+            blocked = self.block.check(exchange)
+            if blocked is not None:
+                return self.blocked_failure(delivery, blocked)
             choice = self.choose_server(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
                 return self.final_failure(delivery, choice.reason)
@@ -134,6 +142,12 @@
         )
         return Failure(kind, reason)
 
+    def blocked_failure(self, delivery: Delivery, blocked: Failure) -> Failure | None:
+        """Return the failure of a call that was blocked, maybe after an attempt."""
+        if delivery.attempts == 0:
+            return blocked
+        return self.final_failure(delivery, blocked.detail)
+
     def deadline_failure(self, delivery: Delivery) -> Failure | None:
         """Return the failure after the deadline; None if part of a response was sent.
 
@@ -234,6 +248,7 @@
         """Send the request over a connection and relay the response."""
         sent_at = self.clock.monotonic()
         delivery.basis, delivery.first_byte_s = choice.basis, None
+        delivery.answer_began = False
         call = exchange.call
         workspace = exchange.workspace.name if exchange.workspace else None
         headers = request_headers(
@@ -258,7 +273,15 @@
                 return end
         idempotent = exchange.route.idempotency is Idempotency.IDEMPOTENT
         retryable = idempotent and self.can_retry(exchange, delivery)
-        return ResponseRelay(exchange, connection, delivery, retryable).relay(head)
+
+        def on_answer_began() -> None:
+            if exchange.shared_ids:
+                self.crashing_parts.tell(AnswerBegan(exchange.shared_ids))
+
+        relay = ResponseRelay(
+            exchange, connection, delivery, retryable, on_answer_began
+        )
+        return relay.relay(head)
 
     def report_attempt(
         self,
@@ -285,20 +308,23 @@
             )
         )
         match outcome:
-            case ServerFailed():
+            case ServerFailed(_, connection_lost):
                 self.server_failures.tell(
                     ServerFailedDuringCall(exchange.fingerprint, choice.server.id)
                 )
+                parts = exchange.shared_ids
+                if parts and connection_lost and not delivery.answer_began:
+                    crash = CrashDuringCall(choice.server.lifetime, parts)
+                    self.crashing_parts.tell(crash)
             case Delivered():
                 self.server_failures.tell(CallAnswered(exchange.fingerprint))
         if not isinstance(outcome, Delivered):
-            parts = call.prompt.shared_parts if call.prompt else ()
             self.events.emit(
                 "attempt_failed",
                 request_id=call.id,
                 server=choice.server.id,
                 events=delivery.events,
-                parts=",".join(part.id for part in parts),
+                parts=",".join(exchange.shared_ids),
                 wait_ms=int(choice.basis.wait_s * 1000),
                 outcome=kind,
                 reason=getattr(outcome, "reason", ""),
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hawthornstage.border.caller_connection import CallerConnection
@@ -83,12 +84,14 @@
         connection: Connection to the server.
         delivery: What the caller has received, including parts from earlier servers.
         retryable: Whether the call may still be sent to another server.
+        on_answer_began: Called once a success has more than its head.
     """
 
     exchange: ForwardExchange
     connection: ServerConnection
     delivery: Delivery
     retryable: bool
+    on_answer_began: Callable[[], None]
 
     @property
     def caller(self) -> CallerConnection:
@@ -138,6 +141,8 @@
                     return ServerFailed("the response has a second head")
                 case end:
                     return end
+        if head.is_success:
+            self.note_answer_began()
         failed = head.status >= 500
         if self.delivery.head_sent or (failed and self.retryable):
             return ServerFailed(f"status {head.status}")
@@ -159,6 +164,7 @@
                     events = splitter.feed(data)
                     now = clock.monotonic()
                     if events:
+                        self.note_answer_began()
                         pause = max(self.delivery.longest_pause_s, now - last_event_at)
                         self.delivery.longest_pause_s = pause
                         last_event_at = now
@@ -173,6 +179,12 @@
                 case end:
                     return end
 
+    def note_answer_began(self) -> None:
+        """Report the first time in this attempt that a server began its answer."""
+        if not self.delivery.answer_began:
+            self.delivery.answer_began = True
+            self.on_answer_began()
+
     def send_events(self, head: ResponseHead, events: list[bytes]) -> None:
         """Send events to the caller, count them, and record the last event id."""
         if not events:
--- a/src/hawthornstage/messages/backends.py
+++ b/src/hawthornstage/messages/backends.py
@@ -29,3 +29,8 @@
     slots: int
     leaving: bool
     started_ms: int
+
+    @property
+    def lifetime(self) -> str:
+        """Identifies the server's process, also if a restart keeps the id."""
+        return f"{self.id}@{self.started_ms}"
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -45,6 +45,11 @@
         """The parts that other calls may share."""
         return self.parts[:-1]
 
+    @property
+    def shared_ids(self) -> tuple[str, ...]:
+        """The ids of the parts that other calls may share."""
+        return tuple(part.id for part in self.shared_parts)
+
 
 @dataclass(frozen=True)
 class ForwardCall:
@@ -104,6 +109,11 @@
     fingerprint: str
     reserved: int = 0
 
+    @property
+    def shared_ids(self) -> tuple[str, ...]:
+        """The ids of the prompt's shared parts; empty without a prompt."""
+        return self.call.prompt.shared_ids if self.call.prompt else ()
+
     @property
     def deadline(self) -> float:
         """Monotonic time by which the response must be complete, in seconds."""
@@ -194,9 +204,15 @@
 
 @dataclass(frozen=True)
 class ServerFailed:
-    """The server failed during the call and may have run the request."""
+    """The server failed during the call and may have run the request.
+
+    Args:
+        reason: What happened, for the log.
+        connection_lost: Whether the connection broke, as it does in a crash.
+    """
 
     reason: str
+    connection_lost: bool = False
 
 
 @dataclass(frozen=True)
@@ -269,6 +285,7 @@
         pooled: The last server connection, if another call may reuse it.
         basis: The data on which the last server was chosen.
         first_byte_s: Time from the last send to the first byte, in seconds.
+        answer_began: Whether the last server began the body of a success.
         longest_pause_s: Longest time between two events of the response, in seconds.
     """
 
@@ -284,4 +301,5 @@
     pooled: PooledConnection | None = None
     basis: PlacementBasis | None = None
     first_byte_s: float | None = None
+    answer_began: bool = False
     longest_pause_s: float = 0.0
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import threading
 from collections.abc import Callable
@@ -16,12 +17,16 @@
 )
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock, ManualClock
+from hawthornstage.decisions.crashing_parts import BlockedParts
 from hawthornstage.decisions.forwarding import resolve_call
+from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters import forward_attempt
+from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.crashing_parts import AnswerBegan, CrashDuringCall
 from hawthornstage.messages.forward import (
     CallerDisconnected,
     Delivery,
@@ -109,6 +114,8 @@
         self.addresses = addresses
         servers = {server_id(each): server_at(each) for each in addresses}
         self.registered = LatestValue(RegisteredServers(servers))
+        self.blocked_calls = LatestValue(BlockedCalls())
+        self.blocked_parts = LatestValue(BlockedParts())
         self.told: list[Any] = []
 
     def tell(self, message: Any) -> None:
@@ -126,8 +133,17 @@
 
 def make_forwarder(tasks: Any, clock: Clock) -> Forwarder:
     """Return a forwarder whose tasks are all stood for by one object."""
-    log = EventLog("a", clock)
-    return Forwarder(tasks, tasks, tasks.registered, clock, log, Metrics())
+    block = BlockCrashingCalls(tasks.blocked_calls, tasks.blocked_parts, clock)
+    return Forwarder(
+        tasks,
+        tasks,
+        tasks,
+        block,
+        tasks.registered,
+        clock,
+        EventLog("a", clock),
+        Metrics(),
+    )
 
 
 DeliverToHolder = Callable[..., tuple[Failure | None, Delivery]]
@@ -317,6 +333,74 @@
     assert (delivery.attempts, delivery.may_have_run) == (0, False)
 
 
+SERVER_ERROR = SEALED.replace(b"200 OK", b"500 Failed") + b"Content-Length: 0\r\n\r\n"
+REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "told"),
+    [
+        (b"", [CrashDuringCall]),
+        (SEALED[:20], [CrashDuringCall]),
+        (SEALED + b"Transfer-Encoding: chunked\r\n\r\n", [CrashDuringCall]),
+        (sealed(EVENTS)[:-9], [AnswerBegan]),
+        (sealed(EVENTS), [AnswerBegan]),
+        (SERVER_ERROR, []),
+        (REFUSAL, []),
+    ],
+    ids=[
+        "nothing",
+        "half a head",
+        "a head",
+        "events",
+        "whole",
+        "status 500",
+        "not run",
+    ],
+)
+def test_only_a_break_before_the_answer_is_told_as_a_crash(
+    pair: CallerPair, answer: bytes, told: list[type]
+) -> None:
+    tasks: Any = Tasks([ScriptedServer([answer]).start()])
+    forwarder = make_forwarder(tasks, ManualClock(start=10.0))
+    forwarder.deliver(exchange_for("/letters/x"), pair.connection, Delivery())
+    news = [m for m in tasks.told if isinstance(m, CrashDuringCall | AnswerBegan)]
+    assert [type(each) for each in news] == told
+    for each in news:
+        match each:
+            case CrashDuringCall(server, parts):
+                assert server.endswith("@1") and parts == ("aa", "bb")
+            case AnswerBegan(parts):
+                assert parts == ("aa", "bb")
+
+
+def test_call_whose_part_is_blocked_after_a_crash_is_not_sent_again(
+    pair: CallerPair,
+) -> None:
+    class Blocking(Tasks):
+        """Tasks that block a part at its first crash."""
+
+        def tell(self, message: Any) -> None:
+            super().tell(message)
+            if isinstance(message, CrashDuringCall):
+                self.blocked_parts.publish(BlockedParts({"bb": math.inf}))
+
+    second = ScriptedServer([sealed(EVENTS)])
+    tasks: Any = Blocking([ScriptedServer([b""]).start(), second.start()])
+    forwarder = make_forwarder(tasks, ManualClock(start=10.0))
+    delivery = Delivery()
+    failure = forwarder.deliver(
+        exchange_for("/letters/long/x"), pair.connection, delivery
+    )
+    assert isinstance(failure, Failure)
+    # The first server may have run it, so "not run" would not be true.
+    assert failure.kind is ErrorKind.SERVER_FAILED
+    assert (delivery.attempts, second.seen) == (1, [])
+    again = forwarder.deliver(exchange_for("/letters/x"), pair.connection, Delivery())
+    assert isinstance(again, Failure)
+    assert again.kind is ErrorKind.CALL_BLOCKED
+
+
 def test_leaving_caller_ends_the_call_at_the_server(
     deliver: DeliverToHolder, pair: CallerPair
 ) -> None:
--- a/tests/test_encoded_names.py
+++ b/tests/test_encoded_names.py
@@ -21,8 +21,10 @@
 from hawthornstage.border.frames import FRAME_MESSAGES, decode_frame, encode_frame
 from hawthornstage.border.stored_values import (
     decode_count,
+    decode_crash_log,
     decode_record,
     encode_count,
+    encode_crash_log,
     encode_record,
 )
 from hawthornstage.filters.forward_relay import OUTCOME_NAMES, AttemptOutcome
@@ -61,6 +63,8 @@
     assert encode_record(decode_record(record)) == record
     count = bytes.fromhex(SAMPLES["records"]["count"])
     assert encode_count(decode_count(count)) == count
+    crash_log = bytes.fromhex(SAMPLES["records"]["crash_log"])
+    assert encode_crash_log(decode_crash_log(crash_log)) == crash_log
 
 
 def test_outcomes_keep_their_names_in_logs_and_metrics() -> None:
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -8,13 +8,17 @@
 import pytest
 
 from hawthornstage.actors.server_registry import (
-    MAX_PAUSE_S,
     REREGISTRATION_GRACE_S,
     ServerRegistry,
 )
 from hawthornstage.actors.store_watch import RETRY_PAUSE_S
 from hawthornstage.clock import ManualClock
-from hawthornstage.decisions.store_news import SEND_MARGIN_S, longest_lapse
+from hawthornstage.decisions.store_news import (
+    MAX_PAUSE_S,
+    SEND_MARGIN_S,
+    longest_lapse,
+    watch_pause,
+)
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.server_selection import RegisteredServers
@@ -229,8 +233,8 @@
     registry.routers.publish(routers)
     assert 0.0 < registry.pause() <= most
     # A server that left is dropped in time, whatever the fleet's size.
-    lapse_s = longest_lapse(BOUNDS.drain_s, registry.longest_pause())
-    assert registry.longest_pause() + lapse_s <= BOUNDS.drain_s - SEND_MARGIN_S
+    lapse_s = longest_lapse(BOUNDS.drain_s, watch_pause(routers))
+    assert watch_pause(routers) + lapse_s <= BOUNDS.drain_s - SEND_MARGIN_S
     registry.drop_times["a"] = clock.monotonic()
     assert registry.pause() == 0.0
 
