--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -58,6 +58,7 @@
         set_socket_options(self.socket)
         self.socket.setblocking(False)
         self.parser = new_parser()
+        self.requests = 0
         self.chunks: ChunkedDecoder | None = None
         self.stays_open = False
         self.unsent = memoryview(b"")
@@ -89,6 +90,7 @@
                 valid request.
         """
         self.caller = caller
+        self.requests += 1
         self.watch_caller = True
         self.informational_responses = 0
         encoded_headers = [(name, value.encode("latin-1")) for name, value in headers]
@@ -99,6 +101,11 @@
         parts.append(self.parser.send(h11.EndOfMessage()))
         self.unsent = memoryview(b"".join(part for part in parts if part))
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection has carried another request before this one."""
+        return self.requests > 1
+
     def next_event(self, deadline: float) -> ExchangeEvent:
         """Send pending request bytes and return the next event of the exchange.
 
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -100,15 +100,15 @@
 
     def relay(self, head: ResponseHead) -> AttemptOutcome:
         """Validate the head of a response and relay its body."""
+        call_id = self.exchange.call.id
+        if not belongs_to_call(head, call_id, reused=self.connection.is_reused):
+            return ServerFailed(
+                f"response for request {head.request_id!r} instead of {call_id!r}"
+            )
         if head.misdirected:
             return Misdirected()
         if head.not_executed:
             return Refused(f"status {head.status}, not run", head.status == 503)
-        if head.request_id != self.exchange.call.id:
-            return ServerFailed(
-                f"response for request {head.request_id!r} instead of"
-                f" {self.exchange.call.id!r}"
-            )
         if head.is_success and (not head.sealed or head.content_encoded):
             return ServerFailed(
                 "the response lacks the server's digest or is re-encoded"
@@ -217,6 +217,20 @@
         self.caller.send_head(head.status, head.headers, close=False)
 
 
+def belongs_to_call(head: ResponseHead, call_id: str, *, reused: bool) -> bool:
+    """Whether a response belongs to a call.
+
+    Args:
+        head: The head of the response.
+        call_id: Id of the call.
+        reused: Whether the connection has carried another call, to which a response
+            without an id may belong.
+    """
+    if head.request_id:
+        return head.request_id == call_id
+    return head.not_executed and not reused
+
+
 def event_id(event: bytes) -> str | None:
     """Return the id of a server-sent event, or None if it has none."""
     for line in event.split(b"\n"):
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -24,6 +24,7 @@
 from hawthornstage.filters import forward_attempt
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_attempt import Forwarder
+from hawthornstage.filters.forward_relay import belongs_to_call
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.crashing_parts import AnswerBegan, CrashDuringCall
@@ -43,6 +44,7 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.desired_state import decode_desired_state
+from hawthornstage.platform.headers import parse_response_head
 from tests.connection_pair import (
     EVENTS,
     REQUEST,
@@ -53,6 +55,10 @@
 )
 from tests.test_forwarding import document, make_call
 
+SERVER_ERROR = SEALED.replace(b"200 OK", b"500 Failed") + b"Content-Length: 0\r\n\r\n"
+REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+
 
 @dataclass
 class ScriptedServer:
@@ -228,8 +234,20 @@
         sealed(EVENTS, SEALED + b"Content-Encoding: gzip\r\n"),
         b"no answer at all\r\n\r\n",
         b"",
+        SEALED[:-9],
+        REFUSAL.replace(b"X-Not", b"X-Request-Id: r0\r\nX-Not"),
+        MISDIRECTED.replace(b"Content", b"X-Request-Id: r0\r\nContent"),
+    ],
+    ids=[
+        "another request's",
+        "no seal",
+        "encoded",
+        "not HTTP",
+        "nothing",
+        "half a head",
+        "another request's refusal",
+        "another request's status 421",
     ],
-    ids=["another request's", "no seal", "encoded", "not HTTP", "nothing"],
 )
 def test_wrong_answers_are_not_passed_on(
     deliver: DeliverToHolder, pair: CallerPair, answer: bytes
@@ -258,11 +276,38 @@
     assert not answer.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    ("request_id", "reused", "belongs"),
+    [("r1", True, True), ("r0", False, False), ("", False, True), ("", True, False)],
+)
+def test_refusal_on_a_kept_connection_counts_only_with_the_calls_id(
+    request_id: str, reused: bool, belongs: bool
+) -> None:
+    headers = (("x-request-id", request_id), ("x-not-executed", "1"))
+    head = parse_response_head(503, headers if request_id else headers[1:])
+    assert belongs_to_call(head, "r1", reused=reused) is belongs
+
+
+@pytest.mark.parametrize("answer", [SERVER_ERROR, SERVER_ERROR.replace(b"500", b"404")])
+def test_error_after_a_stream_broke_off_does_not_reach_its_caller(
+    deliver: DeliverToHolder, pair: CallerPair, answer: bytes
+) -> None:
+    error = answer.replace(b"Length: 0\r\n\r\n", b"Length: 4\r\n\r\noops")
+    first = ScriptedServer([sealed(EVENTS + b"id: 3\ndata: c\n\n")[:-9]])
+    failure, delivery = deliver(
+        first, ScriptedServer([error]), target="/letters/long/x"
+    )
+    assert failure is None
+    assert (delivery.attempts, delivery.events) == (2, 2)
+    answer = read_all(pair)
+    assert answer.count(b"HTTP/1.1") == 1 and b"oops" not in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
 def test_call_that_was_not_run_is_refused_truthfully(
     deliver: DeliverToHolder, pair: CallerPair
 ) -> None:
-    refusal = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-    failure, delivery = deliver(ScriptedServer([refusal]))
+    failure, delivery = deliver(ScriptedServer([REFUSAL]))
     assert isinstance(failure, Failure)
     assert failure.kind is ErrorKind.SERVERS_BUSY
     assert not delivery.may_have_run
@@ -271,9 +316,8 @@
 def test_call_goes_on_when_another_server_has_the_address(
     deliver: DeliverToHolder, pair: CallerPair
 ) -> None:
-    other = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
     failure, delivery = deliver(
-        ScriptedServer([other]), ScriptedServer([sealed(EVENTS)])
+        ScriptedServer([MISDIRECTED]), ScriptedServer([sealed(EVENTS)])
     )
     assert failure is None
     assert (delivery.attempts, delivery.misdirected) == (2, 1)
@@ -283,9 +327,8 @@
 def test_call_that_may_have_run_is_never_called_not_run(
     deliver: DeliverToHolder, pair: CallerPair
 ) -> None:
-    refusal = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
     failure, delivery = deliver(
-        ScriptedServer([b""]), ScriptedServer([refusal]), target="/letters/long/x"
+        ScriptedServer([b""]), ScriptedServer([REFUSAL]), target="/letters/long/x"
     )
     assert isinstance(failure, Failure)
     assert failure.kind is ErrorKind.SERVER_FAILED
@@ -333,10 +376,6 @@
     assert (delivery.attempts, delivery.may_have_run) == (0, False)
 
 
-SERVER_ERROR = SEALED.replace(b"200 OK", b"500 Failed") + b"Content-Length: 0\r\n\r\n"
-REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-
-
 @pytest.mark.parametrize(
     ("answer", "told"),
     [
