--- a/src/hawthornstage/actors/crashing_parts.py
+++ b/src/hawthornstage/actors/crashing_parts.py
@@ -32,7 +32,7 @@
 
 # Most entries of a log; the oldest are dropped first.
 MAX_LOG_ENTRIES = 64
-# Most entries for one lifetime of a server, which may break connections without end.
+# Most entries for one incarnation of a server, which may break connections without end.
 MAX_ENTRIES_PER_SERVER = 8
 # Interval between two writes of the log for each router of the fleet, in seconds: all
 # routers that have calls on a server that crashes write at that moment.
--- a/src/hawthornstage/decisions/crashing_parts.py
+++ b/src/hawthornstage/decisions/crashing_parts.py
@@ -51,7 +51,7 @@
     """Crashes and answers of one part.
 
     Args:
-        crashes: Time of each crash since the last answer, by the server's lifetime.
+        crashes: Time of each crash since the last answer, by the server's incarnation.
         answered_at: Time of the last answer of which this router knows.
         told_at: Time of the last answer of which all routers know.
         blocked: Whether it was blocked and not answered since.
@@ -121,7 +121,7 @@
         """Record a crash, and block a part of the call if it explains many.
 
         Args:
-            server: The lifetime of the server, which had not begun to answer.
+            server: The incarnation of the server, which had not begun to answer.
             parts: The prompt's shared parts.
             at: Time of the crash.
         """
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -314,7 +314,7 @@
                 )
                 parts = exchange.shared_ids
                 if parts and connection_lost and not delivery.answer_began:
-                    crash = CrashDuringCall(choice.server.lifetime, parts)
+                    crash = CrashDuringCall(choice.server.incarnation, parts)
                     self.crashing_parts.tell(crash)
             case Delivered():
                 self.server_failures.tell(CallAnswered(exchange.fingerprint))
--- a/src/hawthornstage/messages/backends.py
+++ b/src/hawthornstage/messages/backends.py
@@ -31,6 +31,6 @@
     started_ms: int
 
     @property
-    def lifetime(self) -> str:
+    def incarnation(self) -> str:
         """Identifies the server's process, also if a restart keeps the id."""
         return f"{self.id}@{self.started_ms}"
--- a/src/hawthornstage/messages/crashing_parts.py
+++ b/src/hawthornstage/messages/crashing_parts.py
@@ -10,7 +10,7 @@
     """A server's connection broke before it had begun to answer a call.
 
     Args:
-        server: The lifetime of the server; a restart begins another one.
+        server: The incarnation of the server; a restart begins another one.
         parts: Ids of the prompt's shared parts.
     """
 
