Give the probe servers a module of their own, and split the start of the tasks

The pages for probes and metrics are WSGI applications of their own now, as the wiring is not the place for them; the wait of a watch follows from its bound in one place instead of three. No change of behaviour; test_fleet.py and the tests of registry and crash logs pass.

--- a/src/hawthornstage/actors/crash_logs.py
+++ b/src/hawthornstage/actors/crash_logs.py
@@ -16,7 +16,7 @@
     encode_crash_log,
 )
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.store_news import longest_watch, watch_pause
+from hawthornstage.decisions.store_news import watch_pause
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.crashing_parts import (
     CrashLog,
@@ -98,13 +98,14 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        def longest_wait_s() -> float:
-            return longest_watch(bounds().settled_s, bounds().settled_s)
-
-        super().__init__(CRASH_LOGS_PREFIX, store, longest_wait_s, clock, events)
+        super().__init__(CRASH_LOGS_PREFIX, store, bounds, clock, events)
         self.task = task
         self.routers = routers
 
+    def effect_bound(self) -> float:
+        """Return the time from a crash until all routers know of it, in seconds."""
+        return self.bounds().settled_s
+
     def pause(self) -> float:
         """Return the pause before the next watch, in seconds."""
         return watch_pause(self.routers.value)
--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -19,7 +19,6 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import is_newer
 from hawthornstage.decisions.peer_links import neighbours
-from hawthornstage.decisions.store_news import longest_watch
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
@@ -251,12 +250,13 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        def longest_wait_s() -> float:
-            return longest_watch(bounds().settled_s, bounds().desired_state_s)
-
-        super().__init__(DESIRED_STATE_PREFIX, store, longest_wait_s, clock, events)
+        super().__init__(DESIRED_STATE_PREFIX, store, bounds, clock, events)
         self.task = task
 
+    def effect_bound(self) -> float:
+        """Return the time from a version until it is in force, in seconds."""
+        return self.bounds().desired_state_s
+
     def apply_listing(self, items: tuple[Item, ...]) -> None:
         """Pass the listed desired state to the task."""
         self.apply_changes(items)
--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -11,7 +11,6 @@
 from hawthornstage.decisions.store_news import (
     earliest_removal,
     longest_lapse,
-    longest_watch,
     watch_pause,
 )
 from hawthornstage.latest_value import LatestValue
@@ -55,14 +54,10 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        def longest_wait_s() -> float:
-            return longest_watch(bounds().settled_s, bounds().drain_s)
-
-        super().__init__(ENTRIES_PREFIX, store, longest_wait_s, clock, events)
+        super().__init__(ENTRIES_PREFIX, store, bounds, clock, events)
         self.subscriber = subscriber
         self.registered = registered
         self.routers = routers
-        self.bounds = bounds
         self.servers: dict[str, BackendServer] = {}
         self.drop_times: dict[str, float] = {}
         self.grace_ends_at = float("-inf")
@@ -82,6 +77,10 @@
             return 0.0
         return watch_pause(self.routers.value)
 
+    def effect_bound(self) -> float:
+        """Return the time from a server's leaving until it gets nothing new."""
+        return self.bounds().drain_s
+
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch, in seconds.
 
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.store_news import longest_watch
+from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.store import (
     Changes,
     HistoryCompacted,
@@ -31,7 +33,7 @@
     Args:
         prefix: The key prefix.
         store: A client used by this thread only.
-        longest_wait_s: Returns the longest wait of one watch, in seconds.
+        bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -40,14 +42,14 @@
         self,
         prefix: str,
         store: StoreClient,
-        longest_wait_s: Callable[[], float],
+        bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
     ) -> None:
         super().__init__(name=f"watch {prefix}", daemon=True)
         self.prefix = prefix
         self.store = store
-        self.longest_wait_s = longest_wait_s
+        self.bounds = bounds
         self.clock = clock
         self.events = events
         self.revision: int | None = None
@@ -95,7 +97,16 @@
 
     def watch_timeout(self) -> float:
         """Return the timeout of the next watch call, in seconds."""
-        return RECOVERY_WAIT_S if self.unavailable else self.longest_wait_s()
+        if self.unavailable:
+            return RECOVERY_WAIT_S
+        return longest_watch(self.bounds().settled_s, self.effect_bound())
+
+    def effect_bound(self) -> float:
+        """Return the time from a change until it must have taken effect, in seconds.
+
+        Implemented by subclasses.
+        """
+        raise NotImplementedError
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
         """Handle all items below the prefix; implemented by subclasses."""
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -4,13 +4,9 @@
 
 import secrets
 import threading
-from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
-from cheroot import wsgi
-from prometheus_client import generate_latest
-
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
@@ -25,6 +21,7 @@
 from hawthornstage.actors.fleet_members import Deregister, FleetMembers, MembershipTick
 from hawthornstage.actors.ledger import LedgerTask
 from hawthornstage.actors.peers import Peers
+from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
 from hawthornstage.actors.server_failures import ServerFailuresTask
 from hawthornstage.actors.server_registry import ServerRegistry
 from hawthornstage.actors.server_selection import ServerSelectionTask
@@ -39,7 +36,6 @@
     TokenAccountsTask,
 )
 from hawthornstage.border.peer_connection import PeerIdentity
-from hawthornstage.border.wsgi import StartResponse, send_response
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.decisions.crashing_parts import BlockedParts
@@ -128,20 +124,24 @@
         self.stopping = StopSignal()
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
-        self.readiness = self.make_http(settings.readiness, self.serve_readiness)
+        self.readiness = ProbeServer(
+            settings.readiness, ReadinessPage(self.stopping, self.desired)
+        )
         metrics = SocketAddress(settings.callers.host, metrics_port)
-        self.metrics_http = self.make_http(metrics, self.serve_metrics)
+        self.metrics_http = ProbeServer(
+            metrics, MetricsPage(self.metrics, self.desired, self.routers)
+        )
 
     def start(self) -> None:
         """Start serving; blocks until the shared secret is read from the store."""
-        serve(self.readiness, "readiness")
-        serve(self.metrics_http, "metrics")
+        self.readiness.start()
+        self.metrics_http.start()
         self.timers.start()
         secret = self.load_shared_secret()
         self.start_tasks(secret)
         self.peers.start()
         self.watch_store()
-        self.events.emit("router_started", metrics_port=self.metrics_http.bind_addr[1])
+        self.events.emit("router_started", metrics_port=self.metrics_http.port)
 
     def load_shared_secret(self) -> str:
         """Read the shared secret from the store; the first router creates it."""
@@ -166,7 +166,6 @@
         Args:
             secret: The routers' shared secret.
         """
-        shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
         node = self.settings.node
         self.peers = Peers(
             PeerIdentity(node, secret),
@@ -174,41 +173,66 @@
             secrets=(secret,),
             dispatcher=self.dispatcher,
             metrics=self.metrics,
-            **shared,
-        )
-        ledger = LedgerTask.start(node, self.store(), self.clock, self.events)
-        self.token_accounts = TokenAccountsTask.start(
-            node=node,
-            ledger=ledger,
-            peers=self.peers,
-            routers=self.routers,
-            metrics=self.metrics,
-            **shared,
-        )
-        self.server_failures = ServerFailuresTask.start(
-            node, self.blocked_calls, self.peers, **shared
-        )
-        crash_log_writer = CrashLogWriter.start(node, self.store(), **shared)
-        self.crashing_parts = CrashingPartsTask.start(
-            node, self.blocked_parts, crash_log_writer, self.routers, **shared
+            **self.shared,
         )
+        self.start_token_accounts()
+        self.start_failure_tasks()
         self.desired_states = DesiredStateTask.start(
             node,
             self.desired,
             peers=self.peers,
             subscribers=(self.token_accounts,),
-            **shared,
+            **self.shared,
         )
         self.server_selection = ServerSelectionTask.start(
             ServerSelector(self.settings.failure_domain),
             RetryShare(self.retry_terms),
             self.routers,
             metrics=self.metrics,
-            **shared,
+            **self.shared,
+        )
+        self.start_members()
+        self.register_messages()
+        self.schedule_periodic_work()
+        self.callers = CallerListener(
+            self.settings.callers, self.make_pipe(), self.stopping
+        )
+        self.callers.start()
+
+    @property
+    def shared(self) -> dict[str, Any]:
+        """The arguments that all tasks share."""
+        return {"clock": self.clock, "events": self.events}
+
+    def start_token_accounts(self) -> None:
+        """Start the tasks that hold and draw tokens."""
+        node = self.settings.node
+        ledger = LedgerTask.start(node, self.store(), **self.shared)
+        self.token_accounts = TokenAccountsTask.start(
+            node=node,
+            ledger=ledger,
+            peers=self.peers,
+            routers=self.routers,
+            metrics=self.metrics,
+            **self.shared,
         )
+
+    def start_failure_tasks(self) -> None:
+        """Start the tasks that find calls and prompt parts which crash servers."""
+        node = self.settings.node
+        self.server_failures = ServerFailuresTask.start(
+            node, self.blocked_calls, self.peers, **self.shared
+        )
+        writer = CrashLogWriter.start(node, self.store(), **self.shared)
+        self.crashing_parts = CrashingPartsTask.start(
+            node, self.blocked_parts, writer, self.routers, **self.shared
+        )
+
+    def start_members(self) -> None:
+        """Start the task that registers this router and finds the others."""
         peers = self.settings.peers
         self.members = FleetMembers.start(
-            node,
+            self.settings.node,
             f"ws://{peers.host}:{peers.port}",
             store=self.store(),
             peers=self.peers,
@@ -220,36 +244,30 @@
             ),
             events=self.events,
         )
-        self.dispatcher.register(
+
+    def register_messages(self) -> None:
+        """Register the tasks for the messages of other routers."""
+        register = self.dispatcher.register
+        register(
             self.desired_states,
-            (
-                DesiredStateHeartbeat,
-                RequestDesiredState,
-                RequestCompressedState,
-            ),
+            (DesiredStateHeartbeat, RequestDesiredState, RequestCompressedState),
         )
-        self.dispatcher.register(
+        register(
             self.token_accounts, (RequestCallTokens, RequestTransfer, FinalTransfer)
         )
-        self.dispatcher.register(
-            self.server_failures, (ServerFailedDuringCall, CallBlocked)
-        )
+        register(self.server_failures, (ServerFailedDuringCall, CallBlocked))
+
+    def schedule_periodic_work(self) -> None:
+        """Schedule the messages that trigger the tasks' periodic work."""
         self.members.tell(MembershipTick())
-        self.timers.every(MEMBERS_INTERVAL_S, self.members, MembershipTick())
-        self.timers.every(HEARTBEAT_INTERVAL_S, self.desired_states, SendVersion())
-        self.timers.every(
-            FETCH_CHECK_INTERVAL_S, self.desired_states, FetchNewerVersion()
-        )
-        self.timers.every(
+        every = self.timers.every
+        every(MEMBERS_INTERVAL_S, self.members, MembershipTick())
+        every(HEARTBEAT_INTERVAL_S, self.desired_states, SendVersion())
+        every(FETCH_CHECK_INTERVAL_S, self.desired_states, FetchNewerVersion())
+        every(
             TOKEN_ACCOUNTS_CHECK_INTERVAL_S, self.token_accounts, CheckTokenAccounts()
         )
-        self.timers.every(
-            CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog()
-        )
-        self.callers = CallerListener(
-            self.settings.callers, self.make_pipe(), self.stopping
-        )
-        self.callers.start()
+        every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
 
     def retry_terms(self) -> RetryLimits:
         """Return the current settings of the fleet's retries."""
@@ -334,38 +352,6 @@
             metrics=self.metrics,
         )
 
-    def make_http(
-        self, address: SocketAddress, application: Callable[..., Iterable[bytes]]
-    ) -> wsgi.Server:
-        """Create a small HTTP server for the platform's probes and metrics."""
-        server = wsgi.Server(
-            (address.host, address.port), application, numthreads=2, timeout=5
-        )
-        server.prepare()
-        return server
-
-    def serve_readiness(
-        self, environ: dict[str, Any], start_response: StartResponse
-    ) -> Iterable[bytes]:
-        """Respond with 200 if the load balancer may open connections, else with 503."""
-        if self.stopping.closing:
-            return send_response(start_response, 503, "text/plain", b"stopping\n")
-        if self.desired.value is None:
-            return send_response(
-                start_response, 503, "text/plain", b"no desired state yet\n"
-            )
-        return send_response(start_response, 200, "text/plain", b"ready\n")
-
-    def serve_metrics(
-        self, environ: dict[str, Any], start_response: StartResponse
-    ) -> Iterable[bytes]:
-        """Serve the metrics in the Prometheus text format."""
-        state = self.desired.value
-        self.metrics.desired_version.set(state.version if state else 0)
-        self.metrics.known_routers.set(self.routers.value)
-        body = generate_latest(self.metrics.registry)
-        return send_response(start_response, 200, "text/plain; version=0.0.4", body)
-
     def shut_down(self) -> None:
         """Stop accepting calls, finish those in progress and return the tokens held."""
         grace_s = self.live_settings.value.grace_s
@@ -389,8 +375,3 @@
         self.peers.stop()
         self.readiness.stop()
         self.metrics_http.stop()
-
-
-def serve(server: wsgi.Server, name: str) -> None:
-    """Run an HTTP server in its own daemon thread."""
-    threading.Thread(target=server.serve, name=name, daemon=True).start()
