Count a removal from when the entry was last known, and bound the size of a crash log

Found by reading the change. (1) After lost history the time of the last response was that of the status 410, which tells nothing of the entries, so a removal in that gap stayed in use up to a second too long: test_removal_in_lost_history_counts_from_when_the_entry_was_ last_known fails on the code before. (2) Callers choose the number and the length of a prompt's parts, so a log could outgrow what the store takes and never be stored: test_log_stays_small_whatever_parts_callers_name.

--- a/src/hawthornstage/actors/crashing_parts.py
+++ b/src/hawthornstage/actors/crashing_parts.py
@@ -34,6 +34,10 @@
 MAX_LOG_ENTRIES = 64
 # Most entries for one incarnation of a server, which may break connections without end.
 MAX_ENTRIES_PER_SERVER = 8
+# Most parts of one crash that are told, and the longest id of a part, in characters:
+# callers choose both, and the store limits the size of a log.
+MAX_PARTS_PER_ENTRY = 32
+MAX_PART_ID_LENGTH = 64
 # Interval between two writes of the log for each router of the fleet, in seconds: all
 # routers that have calls on a server that crashes write at that moment.
 WRITE_INTERVAL_PER_ROUTER_S = 0.01
@@ -107,11 +111,12 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case CrashDuringCall():
-                self.add_crash(message, now)
-                self.record_crash(message, now)
-            case AnswerBegan():
-                self.record_answer(message, now)
+            case CrashDuringCall(server, parts):
+                crash = CrashDuringCall(server, limit_parts(parts))
+                self.add_crash(crash, now)
+                self.record_crash(crash, now)
+            case AnswerBegan(parts):
+                self.record_answer(AnswerBegan(limit_parts(parts)), now)
             case CrashLogRead(node, log):
                 if log.process != self.process:
                     self.apply_log(node, log, now)
@@ -230,3 +235,9 @@
         if stored and self.writing_number is not None:
             self.written_number = self.writing_number
         self.writing_number = None
+
+
+def limit_parts(parts: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the parts that count: the last ones of a prompt with very many."""
+    counted = (part for part in parts if len(part) <= MAX_PART_ID_LENGTH)
+    return tuple(counted)[-MAX_PARTS_PER_ENTRY:]
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -54,7 +54,8 @@
         self.events = events
         self.revision: int | None = None
         self.unavailable = False
-        # Times of the store's last response, and of the start of the last failed call.
+        # Times at which the state below the prefix was last heard of, and at which the
+        # last failed call began.
         self.heard_at = float("-inf")
         self.down_at = float("-inf")
 
@@ -77,10 +78,12 @@
                 self.record_success()
                 self.revision = revision
                 self.apply_listing(items)
+                self.heard_at = self.clock.monotonic()
             case Changes(changes, revision):
                 self.record_success()
                 self.revision = revision
                 self.apply_changes(changes)
+                self.heard_at = self.clock.monotonic()
             case HistoryCompacted():
                 self.events.emit("watch_restarted", prefix=self.prefix)
                 self.revision = None
@@ -88,7 +91,6 @@
                 self.down_at = began_at
                 self.record_failure(reason)
                 return False
-        self.heard_at = self.clock.monotonic()
         return True
 
     def pause(self) -> float:
--- a/src/hawthornstage/decisions/store_news.py
+++ b/src/hawthornstage/decisions/store_news.py
@@ -42,7 +42,7 @@
 
     Args:
         now: Time at which the removal was read.
-        heard_at: Time of the store's last response before that.
+        heard_at: Time at which the entry was last known to be there.
         down_at: Last time at which the store may have been down.
         settled_s: Time after an outage before which no removal is binding.
     """
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -15,6 +15,7 @@
 )
 from hawthornstage.actors.crashing_parts import (
     MAX_ENTRIES_PER_SERVER,
+    MAX_LOG_ENTRIES,
     CheckCrashLog,
     CrashingPartsTask,
 )
@@ -219,6 +220,21 @@
     assert writes <= 2 * MAX_ENTRIES_PER_SERVER
 
 
+def test_log_stays_small_whatever_parts_callers_name(
+    clock: ManualClock, events: EventLog
+) -> None:
+    fleet = Fleet(1, clock, events)
+    for number in range(2 * MAX_LOG_ENTRIES):
+        parts = [f"{number}-{n}-{'x' * 40}" for n in range(1_000)]
+        fleet.crash(0, f"engine-{number}", "y" * 10_000, *parts, DEADLY)
+    fleet.exchange()
+    fleet.crash(0, "engine-last", DEADLY)
+    fleet.exchange()
+    # The store takes values of up to a mebibyte, in base64.
+    assert len(fleet.stored["edge-0"]) < 2**20 / 4
+    assert fleet.blocking("y" * 10_000) == 0
+
+
 def test_restarted_router_knows_the_blocked_parts(
     clock: ManualClock, events: EventLog
 ) -> None:
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -224,6 +224,28 @@
     assert not registry.registered.value.accepts_calls("a", in_time)
 
 
+def test_removal_in_lost_history_counts_from_when_the_entry_was_last_known(
+    clock: ManualClock, events: EventLog
+) -> None:
+    registry = make_registry(
+        clock,
+        events,
+        Listing((entry_item("a", 1),), 2),
+        StoreNoResponse("cut"),
+        HistoryCompacted(),
+        Listing((), 9),
+    )
+    registry.step()
+    known_at = clock.monotonic()
+    clock.advance(0.1)
+    registry.step()
+    clock.advance(BOUNDS.settled_s + 1.0)
+    for _ in range(2):
+        registry.step()
+    in_time = known_at + BOUNDS.settled_s + BOUNDS.drain_s - SEND_MARGIN_S
+    assert not registry.registered.value.accepts_calls("a", in_time)
+
+
 @pytest.mark.parametrize(("routers", "most"), [(1, 0.05), (8, 0.2), (195, MAX_PAUSE_S)])
 def test_large_fleets_pause_between_watches(
     clock: ManualClock, events: EventLog, routers: int, most: float
