Log the limits that servers name, and that they cannot be read

The header is decoded in the adapter into a ServerNotice, a type that has room for the rest of what servers say; the forwarder logs it.

Ruled out: bursts near the restart (no change there).

--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -38,6 +38,7 @@
     ServerFailed,
 )
 from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.server_notices import ServerNotice
 from hawthornstage.messages.server_selection import (
     CallEnded,
     FirstByteReceived,
@@ -267,6 +268,7 @@
                 delivery.first_byte_s = self.clock.monotonic() - sent_at
                 error_s = delivery.first_byte_s - choice.basis.wait_s
                 self.metrics.estimate_error.observe(error_s)
+                self.log_notice(call.id, choice.server.id, head.notice)
             case ResponseData() | ResponseEnd():
                 return ServerFailed("the response has no head")
             case end:
@@ -283,6 +285,19 @@
         )
         return relay.relay(head)
 
+    def log_notice(self, call_id: str, server: str, notice: ServerNotice) -> None:
+        """Log what a server said of itself."""
+        if notice.calls_per_s is not None:
+            self.events.emit(
+                "server_limit_named",
+                request_id=call_id,
+                routine=True,
+                server=server,
+                calls_per_s=notice.calls_per_s,
+            )
+        for reason in notice.invalid:
+            self.events.emit("server_notice_refused", server=server, reason=reason)
+
     def report_attempt(
         self,
         exchange: ForwardExchange,
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -12,6 +12,7 @@
     ServiceSpec,
     WorkspaceSpec,
 )
+from hawthornstage.messages.server_notices import SILENT_NOTICE, ServerNotice
 
 Headers = tuple[tuple[str, str], ...]
 # Connections that a server accepts if the desired state sets no limit.
@@ -164,6 +165,7 @@
         content_encoded: Whether a content encoding changed the server's own bytes.
         keep_alive_s: Time for which the server keeps an idle connection open, in
             seconds, or None if it does not state one.
+        notice: What the server says of itself.
     """
 
     status: int
@@ -174,6 +176,7 @@
     misdirected: bool
     content_encoded: bool
     keep_alive_s: float | None = None
+    notice: ServerNotice = SILENT_NOTICE
 
     @property
     def is_success(self) -> bool:
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from hawthornstage.errors import ErrorKind, Failure
@@ -12,6 +13,7 @@
     PromptPart,
     ResponseHead,
 )
+from hawthornstage.messages.server_notices import ServerNotice
 
 REQUEST_ID = "x-request-id"
 # In a caller's request the caller's timeout, in a request to a server the time that
@@ -29,6 +31,11 @@
 RESPONSE_SEAL = "x-response-seal"
 NOT_EXECUTED = "x-not-executed"
 WRONG_SERVER_STATUS = 421
+# Calls per second that a server accepts from all routers together.
+RATE_LIMIT = "server-limit"
+# Range of rates that a router acts on, in calls per second: with fewer, too few calls
+# would reach the server to learn when its limit ends.
+MIN_CALLS_PER_S, MAX_CALLS_PER_S = 0.1, 1_000_000.0
 # Range of urgencies that the servers accept; 0 is the most urgent.
 MOST_URGENT, LEAST_URGENT = 0, 9
 
@@ -209,9 +216,28 @@
         misdirected=status == WRONG_SERVER_STATUS,
         content_encoded="content-encoding" in by_name,
         keep_alive_s=parse_keep_alive(by_name.get("keep-alive", "")),
+        notice=parse_notice(by_name),
     )
 
 
+def parse_notice(headers: dict[str, str]) -> ServerNotice:
+    """Return what a server says of itself in a response.
+
+    Args:
+        headers: Names in lower case, and values.
+    """
+    limit = headers.get(RATE_LIMIT)
+    if limit is None:
+        return ServerNotice()
+    try:
+        calls_per_s = float(limit)
+    except ValueError:
+        calls_per_s = math.nan
+    if not math.isfinite(calls_per_s) or calls_per_s < 0:
+        return ServerNotice(invalid=(f"{RATE_LIMIT}: {limit[:40]!r}",))
+    return ServerNotice(min(max(calls_per_s, MIN_CALLS_PER_S), MAX_CALLS_PER_S))
+
+
 def parse_keep_alive(value: str) -> float | None:
     """Return the timeout of a Keep-Alive header in seconds, or None."""
     for entry in value.split(","):
