--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,8 +2,8 @@
 
 It responds to a call with `done:` and the call's body, streams events if the call has
 the header X-Token-Counts, and refuses calls that target another server.
-`POST /standin/behave` sets `full` (refuses all calls) and `event_s` (interval between
-events, in seconds).
+`POST /standin/behave` sets `full` (refuses all calls), `event_s` (interval between
+events, in seconds) and `calls_per_s` (the limit that its responses name, or None).
 """
 
 from __future__ import annotations
@@ -35,6 +35,8 @@
         self.name = name
         self.full = False
         self.event_s = 0.0
+        self.calls_per_s: float | None = None
+        self.arrivals: list[float] = []
         self.runs: Counter[str] = Counter()
         self.owners: dict[str, str] = {}
         self.tokens: Counter[str] = Counter()
@@ -58,7 +60,10 @@
         request_id = environ["HTTP_X_REQUEST_ID"]
         owner = environ.get("HTTP_X_TENANT", "")
         headers = [("X-Request-Id", request_id), ("X-Response-Seal", f"s-{request_id}")]
+        if self.calls_per_s is not None:
+            headers.append(("Server-Limit", str(self.calls_per_s)))
         with self.lock:
+            self.arrivals.append(time.monotonic())
             self.runs[request_id] += 1
             self.owners[request_id] = owner
         counts = environ.get("HTTP_X_TOKEN_COUNTS")
@@ -92,6 +97,7 @@
                 start,
                 {
                     "runs": dict(self.runs),
+                    "arrivals": self.arrivals,
                     "owners": self.owners,
                     "tokens": dict(self.tokens),
                 },
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,6 +16,9 @@
 from hawthornstage.observe.events import EventLog
 from tests.connection_pair import CallerPair, tcp_pair
 from tools.cluster import Cluster, Process
+from tools.fleet import Fleet
+
+StartFleet = Callable[..., Fleet]
 
 # The same verdict every time, also on a busy machine.
 settings.register_profile("same", derandomize=True, deadline=None, max_examples=200)
@@ -120,6 +123,25 @@
                 assert "bill_refused" not in log
 
 
+@pytest.fixture
+def start_fleet() -> Iterator[StartFleet]:
+    """Return a function that starts a fleet, ended with the test."""
+    with ExitStack() as stack:
+        fleets: list[Fleet] = []
+
+        def start(**options: Any) -> Fleet:
+            fleets.append(stack.enter_context(Fleet(**options)))
+            return fleets[-1]
+
+        yield start
+        for fleet in fleets:
+            for name in fleet.names:
+                log = fleet.read_log(name)
+                assert "task_error" not in log
+                assert "connection_error" not in log
+                assert "Traceback" not in log
+
+
 @pytest.fixture
 def pair() -> Iterator[CallerPair]:
     """Return a connected caller."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,12 +4,10 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack
+from collections.abc import Callable
 from typing import Any
 
-import pytest
-
+from tests.conftest import StartFleet
 from tools.cluster import wait_until
 from tools.fleet import (
     IDEMPOTENT_PATH,
@@ -21,29 +19,9 @@
     desired_state,
 )
 
-StartFleet = Callable[..., Fleet]
 EVENT = "id: {0}\ndata: t{0}\n\n"
 
 
-@pytest.fixture
-def start_fleet() -> Iterator[StartFleet]:
-    """Return a function that starts a fleet, ended with the test."""
-    with ExitStack() as stack:
-        fleets: list[Fleet] = []
-
-        def start(**options: Any) -> Fleet:
-            fleets.append(stack.enter_context(Fleet(**options)))
-            return fleets[-1]
-
-        yield start
-        for fleet in fleets:
-            for name in fleet.names:
-                log = fleet.read_log(name)
-                assert "task_error" not in log
-                assert "connection_error" not in log
-                assert "Traceback" not in log
-
-
 def events(count: int) -> bytes:
     """Return a whole stream."""
     return "".join(EVENT.format(n) for n in range(1, count + 1)).encode()
