Keep all routers together to the limits that servers name

What was seen: servers that named a limit got up to half more than the tolerance allows; callers saw nothing. Cause: nothing under src/ read the limit. Class of fault: a bound on the whole fleet that no router can keep by its own count.

For each server with a limit one router, the first by rendezvous hashing, issues permits at the limit's rate; any other asks it for each call (one message), and the second one, at a fifth of the rate, while it is silent. A router that became the first issues a fifth until all lists of routers agree, so two never issue the whole limit. A router that learns of a limit tells its neighbours, which tell theirs; the newest word of the server counts, and an answer without a limit ends it. A server without room is passed over until it may have some; prompt parts move to servers without a limit; when no server has room the call is refused at once, with the time until one has. A call that was chosen a server before the limit was known gets a permit before it is sent, or goes elsewhere. A permit that was denied to an urgent call is kept for its like for a moment.

Ruled out: equal shares (calls of two routers differ tenfold on one server) and counts in the store (a priced call for each permit).

--- a/src/hawthornstage/actors/server_selection.py
+++ b/src/hawthornstage/actors/server_selection.py
@@ -11,12 +11,14 @@
 from hawthornstage.decisions.retry_share import RetryShare
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.server_limits import ServerLimits
 from hawthornstage.messages.server_selection import (
     CallEnded,
     FirstByteReceived,
     NoServerAvailable,
     RegisteredServers,
     RequestServer,
+    ServerAtLimit,
     ServerChosen,
 )
 from hawthornstage.observe.events import EventLog
@@ -70,6 +72,10 @@
             case CallEnded():
                 server = self.serving.record_end(message, now)
                 self.pool_connection(server, message, now)
+            case ServerLimits():
+                self.serving.replace_limits(message)
+            case ServerAtLimit():
+                self.serving.record_no_room(message, now)
             case RegisteredServers(servers):
                 self.serving.replace_servers(message)
                 self.metrics.forget_servers(servers)
@@ -85,9 +91,7 @@
         Pooled connections count towards this router's share of a server's connections,
         so that share, less the pool's limit, bounds its calls there.
         """
-        if not request.retry:
-            self.share.count_request(request.service, now)
-        elif not self.share.take(request.service, self.routers.value, now):
+        if not self.count_attempt(request, now):
             return NoServerAvailable(
                 "this router's share of the fleet's retries is exhausted"
             )
@@ -101,6 +105,18 @@
             return choice
         return replace(choice, pooled=self.pooled.take(choice.server.id, now))
 
+    def count_attempt(self, request: RequestServer, now: float) -> bool:
+        """Count an attempt once; return False for a retry beyond this router's share.
+
+        An attempt that was denied a permit is counted already.
+        """
+        if request.permits_denied:
+            return True
+        if request.retry:
+            return self.share.take(request.service, self.routers.value, now)
+        self.share.count_request(request.service, now)
+        return True
+
     def pool_connection(self, server: str | None, ended: CallEnded, now: float) -> None:
         """Return the connection of an ended call to the pool, or close it.
 
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -17,6 +17,7 @@
     events,
     fleet,
     members,
+    server_limits,
 )
 
 # Every class of message that one router may send to another, by its name in frames.
@@ -58,6 +59,10 @@
     "CompressedStateOffered": fleet.CompressedStateOffered,
     "CallBroke": fleet.ServerFailedDuringCall,
     "CallBlocked": fleet.CallBlocked,
+    "LimitAnnounced": server_limits.LimitAnnounced,
+    "RequestPermit": server_limits.RequestPermit,
+    "PermitGranted": server_limits.PermitGranted,
+    "PermitDenied": server_limits.PermitDenied,
 }
 FRAME_NAMES = {message_type: name for name, message_type in FRAME_MESSAGES.items()}
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -23,6 +23,7 @@
 from hawthornstage.actors.peers import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
 from hawthornstage.actors.server_failures import ServerFailuresTask
+from hawthornstage.actors.server_limits import ServerLimitsTask
 from hawthornstage.actors.server_registry import ServerRegistry
 from hawthornstage.actors.server_selection import ServerSelectionTask
 from hawthornstage.actors.settings_watch import SettingsWatch
@@ -44,6 +45,7 @@
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
+from hawthornstage.filters.permits import Permits
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.draws import (
@@ -63,6 +65,11 @@
     SocketAddress,
     StoreBounds,
 )
+from hawthornstage.messages.server_limits import (
+    LimitAnnounced,
+    RequestPermit,
+    ServerLimits,
+)
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Committed, Conflict, Item, Put
 from hawthornstage.observe.events import EventLog
@@ -119,6 +126,7 @@
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
+        self.server_limits_in_force = LatestValue(ServerLimits())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.store_circuit = CircuitBreaker()
         self.stopping = StopSignal()
@@ -191,6 +199,13 @@
             metrics=self.metrics,
             **self.shared,
         )
+        self.server_limits = ServerLimitsTask.start(
+            node,
+            self.server_limits_in_force,
+            (self.server_selection,),
+            self.peers,
+            **self.shared,
+        )
         self.start_members()
         self.register_messages()
         self.schedule_periodic_work()
@@ -241,6 +256,7 @@
                 self.token_accounts,
                 self.server_failures,
                 self.desired_states,
+                self.server_limits,
             ),
             events=self.events,
         )
@@ -256,6 +272,7 @@
             self.token_accounts, (RequestCallTokens, RequestTransfer, FinalTransfer)
         )
         register(self.server_failures, (ServerFailedDuringCall, CallBlocked))
+        register(self.server_limits, (LimitAnnounced, RequestPermit))
 
     def schedule_periodic_work(self) -> None:
         """Schedule the messages that trigger the tasks' periodic work."""
@@ -332,6 +349,9 @@
         """Create the pipe of filters for forwarded calls."""
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
+        permits = Permits(
+            self.server_limits, self.peers, self.server_limits_in_force, self.clock
+        )
         return ForwardPipe(
             identify=Identify(self.desired),
             filters=(block, reserve),
@@ -341,6 +361,7 @@
                 self.server_failures,
                 self.crashing_parts,
                 block,
+                permits,
                 self.registered_servers,
                 self.clock,
                 self.events,
--- /dev/null
+++ b/src/hawthornstage/decisions/server_limits.py
@@ -0,0 +1,200 @@
+"""Keeps all routers together to the limits that backend servers name.
+
+For each server with a limit, one router issues the permits to send calls: the first by
+rendezvous hashing. While it does not respond, the next one issues a small part of the
+limit. Lists of routers differ for a while after a change; a router that has become the
+first also issues only that part until all lists agree. The parts that the routers of
+one server issue at a time then stay close to the limit, whoever asks whom.
+
+Times are seconds of the monotonic clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from hawthornstage.decisions.membership import rendezvous_order
+from hawthornstage.messages.server_limits import (
+    PermitDenied,
+    PermitGranted,
+    ServerLimits,
+)
+
+# Time within which all routers learn of a router that comes or goes, in seconds.
+VIEW_SETTLING_S = 15.0
+# Part of a limit that a router issues which is not certain to be the only one.
+STANDBY_FRACTION = 0.2
+# Permits that may be issued at once after a pause: a number, and seconds of the rate.
+BURST_CALLS = 1.0
+BURST_S = 0.25
+# Time for which a free permit is kept for a more urgent call that was denied one, in
+# seconds.
+URGENT_HOLD_S = 0.25
+# Routers that issue permits of one server.
+ISSUERS_PER_SERVER = 2
+# Time for which a router that did not reply is not asked, in seconds.
+UNRESPONSIVE_S = 1.0
+# Most servers whose limits are kept.
+MAX_LIMITS = 4_096
+
+
+@dataclass(frozen=True)
+class KnownLimit:
+    """The limit of one server.
+
+    Args:
+        calls_per_s: The limit in calls per second, or None if it has ended.
+        observed_at: Time of the response that told it.
+    """
+
+    calls_per_s: float | None
+    observed_at: float
+
+
+@dataclass
+class LimitBook:
+    """The limits of all servers, as far as this router knows them.
+
+    Args:
+        limits: The latest limit by server incarnation.
+    """
+
+    limits: dict[str, KnownLimit] = field(default_factory=dict)
+
+    def observe(self, incarnation: str, limit: KnownLimit) -> bool:
+        """Record a limit unless a newer one is known; return whether it has changed."""
+        known = self.limits.get(incarnation)
+        if known is not None and known.observed_at >= limit.observed_at:
+            return False
+        self.limits.pop(incarnation, None)
+        self.limits[incarnation] = limit
+        if len(self.limits) > MAX_LIMITS:
+            del self.limits[next(iter(self.limits))]
+        before = known.calls_per_s if known else None
+        return before != limit.calls_per_s
+
+    def in_force(self) -> ServerLimits:
+        """Return the limits that have not ended."""
+        return ServerLimits(
+            {
+                incarnation: limit.calls_per_s
+                for incarnation, limit in self.limits.items()
+                if limit.calls_per_s is not None
+            }
+        )
+
+
+@dataclass(frozen=True)
+class PermitBucket:
+    """The permits of one server that this router may issue.
+
+    Args:
+        available: Permits at `updated_at`.
+        updated_at: Time of the last request.
+        kept_for: Priority of the most urgent call that was denied a permit.
+        kept_until: Time until which less urgent calls get none.
+    """
+
+    available: float
+    updated_at: float
+    kept_for: int = 0
+    kept_until: float = -math.inf
+
+
+def issue_permit(
+    bucket: PermitBucket, rate: float, priority: int, now: float
+) -> tuple[PermitBucket, PermitGranted | PermitDenied]:
+    """Issue a permit or deny it.
+
+    Args:
+        bucket: The permits of the server.
+        rate: Permits per second that this router issues for it.
+        priority: Priority of the call; 0 is the most urgent.
+        now: Monotonic time in seconds.
+
+    Returns:
+        The new state and the decision.
+    """
+    gained = max(0.0, now - bucket.updated_at) * rate
+    available = min(BURST_CALLS + BURST_S * rate, bucket.available + gained)
+    bucket = replace(bucket, available=available, updated_at=now)
+    if priority > bucket.kept_for and now < bucket.kept_until:
+        return bucket, PermitDenied(bucket.kept_until - now)
+    if available >= 1.0:
+        return replace(
+            bucket, available=available - 1.0, kept_until=-math.inf
+        ), PermitGranted()
+    wait_s = (1.0 - available) / rate
+    if priority < bucket.kept_for or now >= bucket.kept_until:
+        kept_until = now + wait_s + URGENT_HOLD_S
+        bucket = replace(bucket, kept_for=priority, kept_until=kept_until)
+    return bucket, PermitDenied(wait_s)
+
+
+@dataclass(frozen=True)
+class RouterView:
+    """The routers that this router knew from some time on."""
+
+    since: float
+    routers: frozenset[str]
+
+
+@dataclass
+class PermitIssuers:
+    """Which routers issue the permits of each server.
+
+    Args:
+        node: This router.
+        views: The latest views of the fleet, oldest first; the first one is without
+            routers, as a router that starts may have missed what happened before.
+        unresponsive_until: Time until which a router is not asked, by name.
+        orders: Cache of the issuers by server incarnation.
+    """
+
+    node: str
+    views: list[RouterView]
+    unresponsive_until: dict[str, float] = field(default_factory=dict)
+    orders: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+    def update_routers(self, others: Iterable[str], now: float) -> None:
+        """Replace the known routers, and drop views that no router has any more."""
+        self.views.append(RouterView(now, frozenset((self.node, *others))))
+        while len(self.views) > 1 and self.views[1].since <= now - VIEW_SETTLING_S:
+            del self.views[0]
+        self.orders.clear()
+
+    def issuers(self, incarnation: str) -> tuple[str, ...]:
+        """Return the routers that issue a server's permits, the first one first."""
+        order = self.orders.get(incarnation)
+        if order is None:
+            if len(self.orders) >= MAX_LIMITS:
+                self.orders.clear()
+            routers = self.views[-1].routers
+            ranked = rendezvous_order(incarnation, routers)
+            order = self.orders[incarnation] = tuple(ranked[:ISSUERS_PER_SERVER])
+        return order
+
+    def issuer_to_ask(self, incarnation: str, now: float) -> str | None:
+        """Return the first issuer that responds; None if none does."""
+        for node in self.issuers(incarnation):
+            if self.unresponsive_until.get(node, now) <= now:
+                return node
+        return None
+
+    def avoid(self, node: str, now: float) -> None:
+        """Avoid a router that did not reply."""
+        if node != self.node:
+            self.unresponsive_until[node] = now + UNRESPONSIVE_S
+
+    def issuing_fraction(self, incarnation: str, now: float) -> float:
+        """Return the part of a server's limit that this router issues."""
+        for position, view in enumerate(self.views):
+            later = self.views[position + 1 :]
+            if later and later[0].since <= now - VIEW_SETTLING_S:
+                continue
+            first = rendezvous_order(incarnation, view.routers)[:1]
+            if first != [self.node]:
+                return STANDBY_FRACTION
+        return 1.0
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -3,8 +3,9 @@
 A server's time to the first byte is estimated from the calls that this router has sent
 there, from how late its latest answers were, and from how overdue the next ones are. A
 prompt's shared parts are assumed to be cached where this router sent them before; the
-first time, rendezvous hashing makes all routers send equal parts to the same server.
-Times are seconds of the monotonic clock.
+first time, rendezvous hashing makes all routers send equal parts to the same server. A
+server that names a limit gets no parts that way while others name none, and no call
+until it may have room. Times are seconds of the monotonic clock.
 """
 
 from __future__ import annotations
@@ -16,11 +17,13 @@
 
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import PlacementBasis, Prompt
+from hawthornstage.messages.server_limits import ServerLimits
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
     RegisteredServers,
     RequestServer,
+    ServerAtLimit,
     ServerChosen,
 )
 
@@ -39,6 +42,11 @@
 MAX_PROMPT_PARTS = 4_096
 # Time that each running call adds to the estimate, in seconds.
 CALL_COST_S = 0.004
+# Servers with a limit that may deny one attempt a permit.
+MAX_PERMITS_DENIED = 4
+# Time over which refused callers are spread that return once a server has room, in
+# seconds.
+RETURN_SPREAD_S = 0.5
 # Time that a server in another failure domain adds to the estimate, in seconds.
 CROSS_DOMAIN_COST_S = 0.004
 
@@ -57,6 +65,7 @@
         address_reused: Whether another server has its address; reset when it
             registers again.
         prompt_parts: Time at which each prompt part was last sent there, by part.
+        room_at: Time until which it has no room within the limit that it named.
     """
 
     calls: dict[str, int] = field(default_factory=dict)
@@ -67,6 +76,7 @@
     avoid_until: float = 0.0
     address_reused: bool = False
     prompt_parts: dict[str, float] = field(default_factory=dict)
+    room_at: float = 0.0
 
 
 @dataclass
@@ -96,6 +106,7 @@
         loads: Load of each server, by id.
         sent: Calls in progress, by id.
         preferred: Cache of the preferred servers, by service and prompt part.
+        limits: Limits that servers have named.
     """
 
     failure_domain: str
@@ -103,6 +114,7 @@
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     sent: dict[str, SentCall] = field(default_factory=dict)
     preferred: dict[tuple[str, str], str] = field(default_factory=dict)
+    limits: ServerLimits = ServerLimits()
 
     @property
     def servers(self) -> Mapping[str, BackendServer]:
@@ -151,6 +163,10 @@
             return NoServerAvailable(
                 f"each server has the limit of {limit} calls of this router"
             )
+        with_room = [s for s in eligible if self.has_room(s, want, now)]
+        if not with_room:
+            return self.no_room(eligible, want, now)
+        eligible = with_room
         not_avoided = [s for s in eligible if self.loads[s.id].avoid_until <= now]
         preferred = self.preferred_server(want.service, want.prompt)
         estimates = {
@@ -169,6 +185,42 @@
         self.record_sent(server, want, preferred, now)
         return ServerChosen(server, basis)
 
+    def replace_limits(self, limits: ServerLimits) -> None:
+        """Replace the limits that servers have named."""
+        self.limits = limits
+        self.preferred.clear()
+
+    def record_no_room(self, at_limit: ServerAtLimit, now: float) -> None:
+        """Record that a server has no room for some time."""
+        load = self.loads.get(at_limit.server)
+        if load is not None:
+            load.room_at = now + at_limit.retry_after_s
+
+    def has_room(self, server: BackendServer, want: RequestServer, now: float) -> bool:
+        """Whether a server may have room for a call within its limit, if it named one.
+
+        A call that was denied many permits gets no further server with a limit.
+        """
+        if server.incarnation not in self.limits.calls_per_s:
+            return True
+        if want.permits_denied >= MAX_PERMITS_DENIED:
+            return False
+        return self.loads[server.id].room_at <= now
+
+    def no_room(
+        self, servers: Iterable[BackendServer], want: RequestServer, now: float
+    ) -> NoServerAvailable:
+        """Return the refusal of a call whose servers are all at their limits.
+
+        Callers return at different times, as the servers take them one by one.
+        """
+        room_at = min(self.loads[server.id].room_at for server in servers)
+        soonest = max(0.0, room_at - now)
+        spread = jitter(want.call_id, want.service) * RETURN_SPREAD_S
+        return NoServerAvailable(
+            "all servers have reached the limits that they named", soonest + spread
+        )
+
     def estimate(
         self, server: BackendServer, want: RequestServer, preferred: str, now: float
     ) -> float:
@@ -232,14 +284,20 @@
         return known
 
     def staying(self, service: str) -> list[str]:
-        """Return the ids of a service's servers that are expected to stay."""
-        return [
-            server.id
+        """Return the ids of a service's servers that are expected to stay.
+
+        Those that name a limit are left out while there are others.
+        """
+        staying = [
+            server
             for server in self.servers.values()
             if server.service == service
             and not server.leaving
             and not self.loads[server.id].address_reused
         ]
+        limits = self.limits.calls_per_s
+        unlimited = [each for each in staying if each.incarnation not in limits]
+        return [server.id for server in unlimited or staying]
 
     def record_sent(
         self, server: BackendServer, want: RequestServer, preferred: str, now: float
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 
@@ -69,10 +69,13 @@
     Args:
         kind: The error kind, which determines the error response.
         detail: The specific cause, sent to the caller.
+        retry_after_s: Time after which a retry may succeed, in seconds, if it is known
+            better than for all failures of the kind.
     """
 
     kind: ErrorKind
     detail: str = ""
+    retry_after_s: float | None = None
 
 
 ERROR_RESPONSES: dict[ErrorKind, ErrorResponse] = {
@@ -196,4 +199,7 @@
 
 def response_for(failure: Failure) -> ErrorResponse:
     """Return the error response for a failure."""
-    return ERROR_RESPONSES[failure.kind]
+    response = ERROR_RESPONSES[failure.kind]
+    if failure.retry_after_s is None or response.retry_after is None:
+        return response
+    return replace(response, retry_after=round(failure.retry_after_s, 3))
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -21,8 +21,11 @@
     Misdirected,
     Refused,
     ResponseRelay,
+    belongs_to_call,
 )
+from hawthornstage.filters.permits import Permits
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.crashing_parts import AnswerBegan, CrashDuringCall
 from hawthornstage.messages.desired import Idempotency
 from hawthornstage.messages.fleet import ServerFailedDuringCall
@@ -32,19 +35,21 @@
     Delivery,
     ForwardExchange,
     NotSent,
+    PooledConnection,
     ResponseData,
     ResponseEnd,
     ResponseHead,
     ServerFailed,
 )
 from hawthornstage.messages.host_settings import SocketAddress
-from hawthornstage.messages.server_notices import ServerNotice
+from hawthornstage.messages.server_limits import PermitDenied
 from hawthornstage.messages.server_selection import (
     CallEnded,
     FirstByteReceived,
     NoServerAvailable,
     RegisteredServers,
     RequestServer,
+    ServerAtLimit,
     ServerChosen,
 )
 from hawthornstage.observe.events import EventLog
@@ -64,6 +69,7 @@
         server_failures: Task that counts server failures by call fingerprint.
         crashing_parts: Task that finds prompt parts which crash servers.
         block: Rejects calls that crash servers, also between two attempts.
+        permits: Permits for servers that have named a limit.
         registered: The servers that may get calls, read right before each send.
         clock: Source of time and timeouts.
         events: Structured event log.
@@ -74,6 +80,7 @@
     server_failures: pykka.ActorRef
     crashing_parts: pykka.ActorRef
     block: BlockCrashingCalls
+    permits: Permits
     registered: LatestValue[RegisteredServers]
     clock: Clock
     events: EventLog
@@ -99,7 +106,7 @@
                 return self.blocked_failure(delivery, blocked)
             choice = self.choose_server(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
-                return self.final_failure(delivery, choice.reason)
+                return self.final_failure(delivery, choice.reason, choice.retry_after_s)
             try:
                 outcome = self.attempt(exchange, caller, choice, delivery)
             except Exception:
@@ -130,10 +137,17 @@
         attempts = delivery.attempts - delivery.misdirected
         return in_time and attempts < exchange.route.max_attempts
 
-    def final_failure(self, delivery: Delivery, reason: str) -> Failure | None:
+    def final_failure(
+        self, delivery: Delivery, reason: str, retry_after_s: float | None = None
+    ) -> Failure | None:
         """Return the failure to report; None if part of a response was sent.
 
         The failure depends on whether a server may have run the call.
+
+        Args:
+            delivery: What was done for the call.
+            reason: Why it failed, for the caller and the log.
+            retry_after_s: Time until a retry may succeed, in seconds, if it is known.
         """
         if delivery.head_sent:
             delivery.outcome = f"cut: {reason}"
@@ -141,7 +155,7 @@
         kind = (
             ErrorKind.SERVER_FAILED if delivery.may_have_run else ErrorKind.SERVERS_BUSY
         )
-        return Failure(kind, reason)
+        return Failure(kind, reason, retry_after_s)
 
     def blocked_failure(self, delivery: Delivery, blocked: Failure) -> Failure | None:
         """Return the failure of a call that was blocked, maybe after an attempt."""
@@ -165,7 +179,53 @@
     def choose_server(
         self, exchange: ForwardExchange, delivery: Delivery
     ) -> ServerChosen | NoServerAvailable:
-        """Ask the serving task for a server."""
+        """Return a server for the call that has room within the limit that it named.
+
+        A server without room is passed over until it may have some.
+        """
+        permits_denied = 0
+        while True:
+            choice = self.request_server(exchange, delivery, permits_denied)
+            if isinstance(choice, NoServerAvailable):
+                return choice
+            denied = self.acquire_permit(exchange, choice)
+            if denied is None:
+                return choice
+            self.pass_over(exchange, choice, denied)
+            permits_denied += 1
+
+    def needs_permit(self, choice: ServerChosen) -> bool:
+        """Whether a call to the chosen server needs a permit."""
+        return self.permits.needed_for(choice.server.incarnation)
+
+    def acquire_permit(
+        self, exchange: ForwardExchange, choice: ServerChosen
+    ) -> PermitDenied | None:
+        """Acquire the permit that the chosen server may need; return its denial."""
+        if not self.needs_permit(choice):
+            return None
+        denied = self.permits.acquire(choice.server.incarnation, exchange.priority)
+        outcome = "granted" if denied is None else "denied"
+        self.metrics.permits.labels(outcome).inc()
+        return denied
+
+    def pass_over(
+        self, exchange: ForwardExchange, choice: ServerChosen, denied: PermitDenied
+    ) -> None:
+        """Release a server without room, and let none of this router's calls there."""
+        self.release_server(exchange, choice.pooled)
+        self.serving.tell(ServerAtLimit(choice.server.id, denied.retry_after_s))
+
+    def request_server(
+        self, exchange: ForwardExchange, delivery: Delivery, permits_denied: int
+    ) -> ServerChosen | NoServerAvailable:
+        """Ask the serving task for a server.
+
+        Args:
+            exchange: The call.
+            delivery: What was done for the call.
+            permits_denied: Servers chosen for this attempt that had no room.
+        """
         want = RequestServer(
             call_id=exchange.call.id,
             service=exchange.service,
@@ -174,6 +234,7 @@
             retry=delivery.attempts > 0,
             max_connections_per_server=exchange.max_connections_per_server,
             repeatable=exchange.route.idempotency is Idempotency.IDEMPOTENT,
+            permits_denied=permits_denied,
         )
         reply = ask(self.serving, want, self.clock, timeout=TASK_TIMEOUT_S)
         if reply is None:
@@ -183,9 +244,16 @@
             )
         return reply
 
-    def release_server(self, exchange: ForwardExchange) -> None:
-        """Remove the call from the load of a server that may have been chosen."""
-        ended = CallEnded(exchange.call.id, failed=False, refused=False)
+    def release_server(
+        self, exchange: ForwardExchange, pooled: PooledConnection | None = None
+    ) -> None:
+        """Remove the call from the load of a server that may have been chosen.
+
+        Args:
+            exchange: The call.
+            pooled: The unused connection to the server, if there is one.
+        """
+        ended = CallEnded(exchange.call.id, failed=False, refused=False, pooled=pooled)
         self.serving.tell(ended)
 
     def attempt(
@@ -197,6 +265,7 @@
     ) -> AttemptOutcome:
         """Send a call to one server and relay its response."""
         delivery.attempted_servers = (*delivery.attempted_servers, choice.server)
+        has_permit = self.needs_permit(choice)
         try:
             connection = self.connect(choice)
         except OSError as error:
@@ -206,6 +275,9 @@
         if not self.registered.value.accepts_calls(choice.server.id, now):
             connection.close()
             return NotSent(f"{choice.server.id} has left since it was chosen")
+        if not has_permit and self.acquire_permit(exchange, choice) is not None:
+            connection.close()
+            return NotSent(f"{choice.server.id} has named a limit since it was chosen")
         delivery.attempts += 1
         ran_before, delivery.may_have_run = delivery.may_have_run, True
         pooled = False
@@ -268,7 +340,7 @@
                 delivery.first_byte_s = self.clock.monotonic() - sent_at
                 error_s = delivery.first_byte_s - choice.basis.wait_s
                 self.metrics.estimate_error.observe(error_s)
-                self.log_notice(call.id, choice.server.id, head.notice)
+                self.note_notice(call.id, choice.server, head, connection.is_reused)
             case ResponseData() | ResponseEnd():
                 return ServerFailed("the response has no head")
             case end:
@@ -285,18 +357,23 @@
         )
         return relay.relay(head)
 
-    def log_notice(self, call_id: str, server: str, notice: ServerNotice) -> None:
-        """Log what a server said of itself."""
-        if notice.calls_per_s is not None:
-            self.events.emit(
-                "server_limit_named",
-                request_id=call_id,
-                routine=True,
-                server=server,
-                calls_per_s=notice.calls_per_s,
-            )
-        for reason in notice.invalid:
-            self.events.emit("server_notice_refused", server=server, reason=reason)
+    def note_notice(
+        self, call_id: str, server: BackendServer, head: ResponseHead, reused: bool
+    ) -> None:
+        """Report what a server said of itself, if the response is its own.
+
+        Args:
+            call_id: Id of the call.
+            server: The server.
+            head: The head of the response.
+            reused: Whether the connection has carried another call.
+        """
+        if head.misdirected or not belongs_to_call(head, call_id, reused=reused):
+            return
+        for reason in head.notice.invalid:
+            self.events.emit("server_notice_refused", server=server.id, reason=reason)
+        if not head.notice.invalid:
+            self.permits.observe(server.incarnation, head.notice.calls_per_s)
 
     def report_attempt(
         self,
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -49,6 +49,8 @@
         max_connections_per_server: Connections that one server of the service accepts
             from all routers.
         repeatable: Whether the call may run twice and so may use a pooled connection.
+        permits_denied: Servers chosen for this attempt before that had no room within
+            the limits that they named.
     """
 
     call_id: str
@@ -58,6 +60,7 @@
     retry: bool
     max_connections_per_server: int = DEFAULT_MAX_CONNECTIONS
     repeatable: bool = False
+    permits_denied: int = 0
 
 
 @dataclass(frozen=True)
@@ -77,9 +80,28 @@
 
 @dataclass(frozen=True)
 class NoServerAvailable:
-    """No server can accept the call at present, for the given reason."""
+    """No server can accept the call at present.
+
+    Args:
+        reason: Why not, for the log.
+        retry_after_s: Time until a server may accept it, in seconds, if it is known.
+    """
 
     reason: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True)
+class ServerAtLimit:
+    """A server has no room for further calls within the limit that it named.
+
+    Args:
+        server: The server's id.
+        retry_after_s: Time until it may accept a call, in seconds.
+    """
+
+    server: str
+    retry_after_s: float
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -54,6 +54,12 @@
             registry=self.registry,
             buckets=(-0.2, -0.05, -0.01, 0.01, 0.05, 0.2, 0.5, 1, 2),
         )
+        self.permits = Counter(
+            "hawthornstage_permits_total",
+            "Requests for a permit to send a call to a server with a limit",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "hawthornstage_store_calls_total",
             "Calls to the platform's store by kind and outcome",
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -25,6 +25,7 @@
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.filters.forward_relay import belongs_to_call
+from hawthornstage.filters.permits import Permits
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.crashing_parts import AnswerBegan, CrashDuringCall
@@ -35,6 +36,7 @@
     PlacementBasis,
 )
 from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.server_limits import ServerLimits
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
@@ -122,6 +124,7 @@
         self.registered = LatestValue(RegisteredServers(servers))
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
+        self.limits = LatestValue(ServerLimits())
         self.told: list[Any] = []
 
     def tell(self, message: Any) -> None:
@@ -145,6 +148,7 @@
         tasks,
         tasks,
         block,
+        Permits(tasks, tasks, tasks.limits, clock),
         tasks.registered,
         clock,
         EventLog("a", clock),
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -18,6 +18,7 @@
     r"x-(token-counts|prompt-prefix|time-budget|response-seal|not-executed|tenant"
     r"|target-instance|request-urgency|instance-id|expected-version)|kv-(key|range"
     r"|watch|txn|lease|keep)|op/config|servers/|cold-left-ms|api-keys|prepaid\b[\"']"
+    r"|server-limit|server-leaving|store-era"
     r"|traffic-split|gap-target-ms|port-range|if-revision|path-prefix",
     re.IGNORECASE,
 )
