Leave the room of servers with a limit to the largest calls

Cause: a limit counts calls, but what binds the servers without one is the tokens that they read.

A router asks for permits for its largest recent calls only, a third more than it was granted in the last 4 s; equal sizes are decided by the call's hash. Without a server that has no limit all calls ask.

Ruled out: an auction at the issuing router (asks for every call).

--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from hawthornstage.decisions.permit_demand import PermitDemand
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import PlacementBasis, Prompt
 from hawthornstage.messages.server_limits import ServerLimits
@@ -107,6 +108,7 @@
         sent: Calls in progress, by id.
         preferred: Cache of the preferred servers, by service and prompt part.
         limits: Limits that servers have named.
+        permit_demand: Recent calls and permits of the services with a limited server.
     """
 
     failure_domain: str
@@ -115,6 +117,7 @@
     sent: dict[str, SentCall] = field(default_factory=dict)
     preferred: dict[tuple[str, str], str] = field(default_factory=dict)
     limits: ServerLimits = ServerLimits()
+    permit_demand: dict[str, PermitDemand] = field(default_factory=dict)
 
     @property
     def servers(self) -> Mapping[str, BackendServer]:
@@ -166,7 +169,7 @@
         with_room = [s for s in eligible if self.has_room(s, want, now)]
         if not with_room:
             return self.no_room(eligible, want, now)
-        eligible = with_room
+        eligible = self.leave_to_larger(with_room, want, now)
         not_avoided = [s for s in eligible if self.loads[s.id].avoid_until <= now]
         preferred = self.preferred_server(want.service, want.prompt)
         estimates = {
@@ -195,18 +198,50 @@
         load = self.loads.get(at_limit.server)
         if load is not None:
             load.room_at = now + at_limit.retry_after_s
+            service = self.servers[at_limit.server].service
+            self.demand_of(service).denied.append(now)
+
+    def demand_of(self, service: str) -> PermitDemand:
+        """Return the recent calls and permits of a service."""
+        return self.permit_demand.setdefault(service, PermitDemand())
+
+    def is_limited(self, server: BackendServer) -> bool:
+        """Whether a server has named a limit."""
+        return server.incarnation in self.limits.calls_per_s
 
     def has_room(self, server: BackendServer, want: RequestServer, now: float) -> bool:
         """Whether a server may have room for a call within its limit, if it named one.
 
         A call that was denied many permits gets no further server with a limit.
         """
-        if server.incarnation not in self.limits.calls_per_s:
+        if not self.is_limited(server):
             return True
         if want.permits_denied >= MAX_PERMITS_DENIED:
             return False
         return self.loads[server.id].room_at <= now
 
+    def leave_to_larger(
+        self, servers: list[BackendServer], want: RequestServer, now: float
+    ) -> list[BackendServer]:
+        """Leave out servers with a limit if they are better left to larger calls.
+
+        Args:
+            servers: Servers with room.
+            want: The call.
+            now: Monotonic time in seconds.
+        """
+        unlimited = [each for each in servers if not self.is_limited(each)]
+        if len(unlimited) == len(servers):
+            return servers
+        demand = self.demand_of(want.service)
+        tokens = want.prompt.tokens if want.prompt else 0
+        if not want.permits_denied:
+            demand.record_call(tokens, now)
+        chance = jitter(want.call_id, want.service)
+        if unlimited and not demand.should_ask(tokens, chance, now):
+            return unlimited
+        return servers
+
     def no_room(
         self, servers: Iterable[BackendServer], want: RequestServer, now: float
     ) -> NoServerAvailable:
@@ -295,8 +330,7 @@
             and not server.leaving
             and not self.loads[server.id].address_reused
         ]
-        limits = self.limits.calls_per_s
-        unlimited = [each for each in staying if each.incarnation not in limits]
+        unlimited = [each for each in staying if not self.is_limited(each)]
         return [server.id for server in unlimited or staying]
 
     def record_sent(
@@ -304,6 +338,8 @@
     ) -> None:
         """Record a call that is sent to a server."""
         load = self.loads[server.id]
+        if self.is_limited(server):
+            self.demand_of(server.service).asked.append(now)
         tokens = self.tokens_to_read(server, want.prompt, preferred, now)
         if want.prompt is not None:
             for part in want.prompt.shared_parts:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -30,6 +30,7 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.messages.forward import Prompt, PromptPart
 from hawthornstage.messages.server_limits import (
     AcquirePermit,
     AskIssuer,
@@ -42,6 +43,7 @@
     ServerLimits,
 )
 from hawthornstage.messages.server_selection import (
+    CallEnded,
     NoServerAvailable,
     RegisteredServers,
     RequestServer,
@@ -242,6 +244,49 @@
     assert refusal.retry_after_s is not None and 0.3 <= refusal.retry_after_s < 1.0
 
 
+def prompt_of(tokens: int) -> Prompt:
+    """Return a prompt without shared parts."""
+    return Prompt(tokens, 10, (PromptPart("own", tokens),))
+
+
+def test_room_of_limited_servers_goes_to_the_largest_calls() -> None:
+    selector = make_selector("i-1", "i-2", limited=("i-1",))
+    bucket = PermitBucket(0.0, 10.0)
+    sent: dict[str, list[int]] = {"i-1": [], "i-2": []}
+    for number in range(200):
+        now = 10.0 + number * 0.05
+        # The server without a limit is busy; the other takes 4 calls a second.
+        selector.loads["i-2"].lateness_s, selector.loads["i-2"].lateness_at = 2.0, now
+        tokens = 9_000 if number % 4 == 0 else 500
+        want = replace(WANT, call_id=f"c{number}", prompt=prompt_of(tokens))
+        choice = selector.choose(want, 99, now)
+        assert isinstance(choice, ServerChosen)
+        decision: Any = PermitGranted()
+        if choice.server.id == "i-1":
+            bucket, decision = issue_permit(bucket, 4.0, 0, now)
+        if isinstance(decision, PermitDenied):
+            selector.record_end(CallEnded(want.call_id, False, False), now)
+            at_limit = ServerAtLimit("i-1", decision.retry_after_s)
+            selector.record_no_room(at_limit, now)
+            choice = selector.choose(replace(want, permits_denied=1), 99, now)
+            assert isinstance(choice, ServerChosen) and choice.server.id == "i-2"
+        selector.record_end(CallEnded(want.call_id, False, False), now)
+        if number >= 100:
+            sent[choice.server.id].append(tokens)
+    # Three of four calls are small, and yet most of the room goes to the large ones.
+    assert sent["i-1"].count(9_000) > 2 * sent["i-1"].count(500)
+
+
+def test_calls_of_one_size_share_the_room_of_all_servers() -> None:
+    selector = make_selector("i-1", "i-2", limited=("i-1",))
+    chosen = set()
+    for number in range(20):
+        choice = selector.choose(replace(WANT, call_id=f"c{number}"), 99, 10.0)
+        assert isinstance(choice, ServerChosen)
+        chosen.add(choice.server.id)
+    assert chosen == {"i-1", "i-2"}
+
+
 def test_limit_of_a_server_ends_with_its_process() -> None:
     selector = make_selector("i-1", limited=("i-1",))
     selector.record_no_room(ServerAtLimit("i-1", 60.0), 10.0)
