Log when the store was restored, and reproduce the overspend after it

Cause not mended yet. The store's clients read the epoch that each response names; a router logs a change once and can tell its tasks.

--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -76,6 +76,7 @@
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.settings import load_host_settings
 from hawthornstage.platform.store import StoreClient
+from hawthornstage.store_epoch import StoreEpoch
 
 # Intervals of the messages that trigger the tasks' periodic work, in seconds.
 MEMBERS_INTERVAL_S = 1.0
@@ -129,6 +130,7 @@
         self.server_limits_in_force = LatestValue(ServerLimits())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.store_circuit = CircuitBreaker()
+        self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
@@ -337,6 +339,7 @@
             count=count,
             circuit=self.store_circuit,
             clock=self.clock,
+            epochs=self.store_epoch,
         )
 
     def watch_settings(self, path: Path, changed: threading.Event) -> None:
--- a/src/hawthornstage/messages/store.py
+++ b/src/hawthornstage/messages/store.py
@@ -100,3 +100,10 @@
 
 
 StoreFailure = StoreRefused | StoreNoResponse
+
+
+@dataclass(frozen=True)
+class StoreRestored:
+    """The store came back from a copy: its latest writes and all leases are lost."""
+
+    epoch: int
--- a/src/hawthornstage/platform/store.py
+++ b/src/hawthornstage/platform/store.py
@@ -31,6 +31,7 @@
     StoreNoResponse,
     StoreRefused,
 )
+from hawthornstage.store_epoch import StoreEpoch
 
 # Timeouts for connecting and for the response, in seconds.
 CONNECT_TIMEOUT_S = 0.8
@@ -42,6 +43,9 @@
 # unanswered probes after which the connection is closed.
 PROBE_PERIOD_S = 1
 MAX_LOST_PROBES = 1
+# Counts how often the store was restored from a copy; most digits that are read.
+EPOCH_HEADER = "Store-Era"
+MAX_EPOCH_DIGITS = 18
 # Status codes with which the store states that a call had no effect.
 REFUSAL_STATUSES = frozenset({429, 503})
 # Status codes with which the store rejects a call as invalid, so that it had no effect.
@@ -126,6 +130,7 @@
         circuit: Shared by all clients of a process, so that an outage is probed by one
             of them at a time.
         clock: The runtime's clock.
+        epochs: Shared by all clients of a process; records the store's epoch.
     """
 
     def __init__(
@@ -136,15 +141,22 @@
         count: Callable[[str, str], None] | None = None,
         circuit: CircuitBreaker | None = None,
         clock: Clock | None = None,
+        epochs: StoreEpoch | None = None,
     ) -> None:
         self.address = address
         self.timeout_s = timeout_s
         self.count = count or (lambda kind, outcome: None)
         self.circuit = circuit or CircuitBreaker()
         self.clock = clock or Clock()
+        self.epochs = epochs
         self.pool_address = address()
         self.pool = self.connect(self.pool_address)
 
+    @property
+    def epoch(self) -> int:
+        """The latest epoch of the store that this process has seen, 0 if unknown."""
+        return self.epochs.number if self.epochs else 0
+
     def connect(self, address: str) -> urllib3.HTTPConnectionPool:
         """Return a connection pool for an address."""
         host, _, port = address.rpartition(":")
@@ -358,6 +370,8 @@
             return StoreRefused(f"cannot connect to the store: {error}")
         except HTTPError as error:
             return StoreNoResponse(str(error))
+        if self.epochs is not None:
+            self.epochs.observe(parse_epoch(response.headers.get(EPOCH_HEADER)))
         if response.status in REFUSAL_STATUSES:
             return StoreRefused(f"the store responded with status {response.status}")
         return response.status, response.data
@@ -370,6 +384,13 @@
             return StoreNoResponse(f"invalid response from the store: {error}")
 
 
+def parse_epoch(value: str | None) -> int:
+    """Return the epoch that a response names, or 0 if it names none."""
+    if value is None or not value.strip().isascii() or not value.strip().isdigit():
+        return 0
+    return int(value.strip()[:MAX_EPOCH_DIGITS])
+
+
 def to_lease(body: Any) -> LeaseGranted:
     """Return the lease described by a response body."""
     model = LeaseModel.model_validate(body)
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -61,6 +61,14 @@
     puts: tuple[Any, ...]
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the store's state."""
+
+    revision: int
+    items: dict[str, Item]
+
+
 @dataclass
 class FakeStore:
     """A key-value store in memory; `mood` says what becomes of the next calls.
@@ -80,6 +88,22 @@
     late: list[LateWrite] = field(default_factory=list)
     paused: bool = False
     settled: float = 0.0
+    epoch: int = 1
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of what is stored now."""
+        return StoreCopy(self.revision, dict(self.items))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later writes and all leases are gone."""
+        self.settle()
+        self.epoch += 1
+        self.revision = copy.revision
+        self.leases.clear()
+        self.items = {
+            key: item for key, item in copy.items.items() if key not in self.holders
+        }
+        self.holders.clear()
 
     def settle(self) -> None:
         """Do what time has brought: late writes and ends of leases."""
@@ -136,6 +160,11 @@
     store: FakeStore
     node: str
 
+    @property
+    def epoch(self) -> int:
+        """The store's epoch, which each response names."""
+        return self.store.epoch
+
     def failure(self) -> StoreRefused | StoreNoResponse | None:
         """Return how a call fails that changes nothing."""
         self.store.settle()
