Merge the counts that routers remember after the store was restored

What was seen: after a drill, workspaces used up to 3 in 100 more than they had paid for. Cause: the counts of drawn tokens go back to the copy's, so what was drawn since is given out again. Class of fault: what a process remembers of the store is taken for what the store holds; an acknowledgement was taken for final.

All writes of the ledger name an agreement of the store's epoch as a condition. In a new epoch the first router removes the older agreement and writes a new one from the counts of the copy; each router then adds what it remembers beyond that, once, and draws begin when all known routers have done so, or after 4 s. Changed counts are told to eight other routers before their tokens are used, so those of a router that died or is cut off are known. A write of the epoch before cannot take effect on revisions that are given out again, since its agreement is gone. A write that was under way is forfeited: nothing it drew is granted, nothing it returned comes back. Leases of the epoch before are dropped, and a predecessor's record of an older epoch returns nothing, as later ones may be lost.

Ruled out: more counts in the store (they go back too); waiting without telling others (does not cover a router that dies between its draw and the drill). Not covered: if every router that knows a draw dies before the drill, nobody can add it.

--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from hawthornstage.actors.held_lease import HeldLease, renew_lease
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.ledger_epoch import COUNTS_PREFIX, LedgerEpoch
+from hawthornstage.actors.peer_messages import Send
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.border.stored_values import (
     decode_count,
     decode_record,
@@ -27,16 +29,22 @@
     largest,
     reclaimable_tokens,
 )
+from hawthornstage.decisions.membership import rendezvous_order
+from hawthornstage.messages.budget_messages import Acknowledged
 from hawthornstage.messages.draws import (
     ClockReading,
     CloseAccounts,
+    CountsStored,
     NothingDrawn,
+    RecordForfeited,
     RecordNotStored,
+    RecordOutcome,
     RecordOutcomeUnknown,
     RecordStored,
     RouterRecord,
     WriteRecord,
 )
+from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.store import (
     Committed,
     Conflict,
@@ -50,8 +58,7 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
 
-# Key prefixes of the drawn tokens by workspace, and of the records by router.
-COUNTS_PREFIX = "hawthornstage/drawn/"
+# Key prefix of the records, followed by the router's name.
 RECORDS_PREFIX = "hawthornstage/records/"
 # Key prefix of the markers that confirm how recent a record is.
 MARKERS_PREFIX = "hawthornstage/markers/"
@@ -62,8 +69,10 @@
 # Most conditions, puts and removals together that the store accepts in one write.
 MAX_WRITE_ENTRIES = 32
 # Most counts in one write: each count, like the record, is a condition and a put; the
-# marker is a put or a removal.
-MAX_COUNTS_PER_WRITE = (MAX_WRITE_ENTRIES - 3) // 2
+# epoch's agreement is a condition, and the marker a put or a removal.
+MAX_COUNTS_PER_WRITE = (MAX_WRITE_ENTRIES - 4) // 2
+# Other routers that are told of each changed count.
+ROUTERS_TOLD = 8
 # Ages at which the counts are read again, in seconds: normally, and while calls wait
 # for tokens.
 REFRESH_S = 2.5
@@ -100,17 +109,31 @@
     effect. The expected revisions let it succeed only once, and the mark in the stored
     record shows whether it did.
 
+    Counts are told to some other routers before their tokens are used, so that a store
+    restored from a copy can be brought up to date even if this process is gone.
+
     Args:
         node: This router's name.
         store: A client used by this task only.
+        peers: Sends messages to other routers.
         clock: The runtime's clock.
         events: The event log.
     """
 
     def __init__(
-        self, node: str, store: StoreClient, clock: Clock, events: EventLog
+        self,
+        node: str,
+        store: StoreClient,
+        peers: Recipient,
+        *,
+        clock: Clock,
+        events: EventLog,
     ) -> None:
         super().__init__()
+        self.node = node
+        self.peers = peers
+        self.epoch = LedgerEpoch(node, store, clock, events)
+        self.told_routers: tuple[str, ...] = ()
         self.record_key = RECORDS_PREFIX + node
         self.marker_key = MARKERS_PREFIX + node
         self.store = store
@@ -135,30 +158,27 @@
                 reply_to.put(self.store_record(request))
             case Ask(message=CloseAccounts(free), reply_to=reply_to):
                 reply_to.put(self.close_accounts(free))
-
-    def store_record(
-        self, request: WriteRecord
-    ) -> RecordStored | RecordNotStored | RecordOutcomeUnknown | NothingDrawn:
+            case Ask(message=CountsStored() as stored, reply_to=reply_to):
+                self.learn_counts(stored)
+                reply_to.put(Acknowledged())
+            case KnownRouters(urls):
+                self.epoch.routers = frozenset((self.node, *urls))
+                ranked = rendezvous_order(self.node, urls)
+                self.told_routers = tuple(ranked[:ROUTERS_TOLD])
+
+    def store_record(self, request: WriteRecord) -> RecordOutcome:
         """Store a record together with a draw.
 
         If the outcome of the previous write is unknown, repeats that write instead.
         """
+        if not self.epoch.is_current() and self.begin_epoch():
+            return self.record_forfeited("the store was restored before its answer")
         if self.unconfirmed_write is not None:
             return self.commit(self.unconfirmed_write) or self.record_dropped(
                 "the previous write did not take effect"
             )
-        if not self.loaded:
-            failure = self.load()
-            if failure is not None:
-                return self.record_dropped(failure)
         for _ in range(MAX_ATTEMPTS):
-            max_age = URGENT_REFRESH_S if request.minimum else REFRESH_S
-            lease_ttl_s = request.record.late_after_s - LEASE_MARGIN_S
-            # Old counts only make a write fail, so a cheaper read serves as long as no
-            # call waits for the draw.
-            failure = self.refresh(
-                max_age, stale=not request.minimum
-            ) or self.renew_leases(lease_ttl_s)
+            failure = self.prepare_write(request)
             if failure is not None:
                 return self.record_dropped(failure)
             write = self.plan_write(request)
@@ -169,6 +189,73 @@
                 return outcome
         return self.record_dropped(f"no success in {MAX_ATTEMPTS} attempts")
 
+    def prepare_write(self, request: WriteRecord) -> str | None:
+        """Bring counts, epoch and leases up to date; return the failure, if any."""
+        if not self.epoch.is_current():
+            self.begin_epoch()
+        if not self.epoch.ready:
+            failure = self.join_epoch()
+            if failure is not None:
+                return failure
+        if not self.loaded:
+            failure = self.load()
+            if failure is not None:
+                return failure
+        max_age = URGENT_REFRESH_S if request.minimum else REFRESH_S
+        lease_ttl_s = request.record.late_after_s - LEASE_MARGIN_S
+        # Old counts only make a write fail, so a cheaper read serves as long as no
+        # call waits for the draw.
+        return self.refresh(max_age, stale=not request.minimum) or self.renew_leases(
+            lease_ttl_s
+        )
+
+    def begin_epoch(self) -> bool:
+        """Forget what holds only in the epoch before; return whether a write is open.
+
+        Its outcome does not matter any more: see `RecordForfeited`.
+        """
+        self.epoch.begin(self.drawn)
+        self.revisions.clear()
+        self.mark_in_store = None
+        self.record_lease.id = self.marker_lease.id = None
+        self.refreshed_at = float("-inf")
+        forfeited, self.unconfirmed_write = self.unconfirmed_write, None
+        return forfeited is not None
+
+    def join_epoch(self) -> str | None:
+        """Agree with other routers on the counts, and read them; return the failure."""
+        failure = self.epoch.agree()
+        if failure is not None or not self.loaded:
+            return failure
+        match self.store.get(self.record_key):
+            case Item() as item:
+                self.apply_item(item)
+            case StoreRefused(reason) | StoreNoResponse(reason):
+                self.epoch.ready = False
+                return reason
+        failure = self.refresh(0.0, stale=False)
+        self.epoch.ready = failure is None
+        return failure
+
+    def learn_counts(self, stored: CountsStored) -> None:
+        """Note counts that another router has changed."""
+        if stored.epoch != self.epoch.number:
+            self.epoch.learn(stored.epoch, stored.counts)
+            return
+        for workspace, tokens in stored.counts.items():
+            key = COUNTS_PREFIX + workspace
+            if stored.revision > self.revisions.get(key, 0):
+                self.revisions[key] = stored.revision
+                self.drawn[workspace] = tokens
+
+    def tell_counts(self, revision: int, counts: dict[str, int]) -> None:
+        """Tell other routers of counts that this one has changed."""
+        if not counts or self.epoch.number is None:
+            return
+        stored = CountsStored(self.epoch.number, revision, counts)
+        for node in self.told_routers:
+            self.peers.tell(Send(node, stored))
+
     def refresh(self, max_age: float, *, stale: bool) -> str | None:
         """Reload the counts if older than `max_age`; return the failure, if any.
 
@@ -208,6 +295,10 @@
         """Return the reply for a record that was not stored."""
         return RecordNotStored(reason, self.drawn)
 
+    def record_forfeited(self, reason: str) -> RecordForfeited:
+        """Return the reply for a record of an epoch that is over."""
+        return RecordForfeited(reason, self.drawn)
+
     def load(self) -> str | None:
         """Read the counts and a predecessor's record; return the failure, if any."""
         match self.store.get(self.marker_key):
@@ -225,8 +316,13 @@
         return failure
 
     def apply_items(self, keys: Iterable[str], items: tuple[Item, ...]) -> None:
-        """Update the cached revisions and values; keys without an item were removed."""
+        """Update the cached revisions and values; keys without an item were removed.
+
+        If the epoch's agreement has changed, it has to be read again.
+        """
         self.mark_in_store = None
+        agreement = {item.key: item.revision for item in items}.get(self.epoch.key, 0)
+        self.epoch.ready = agreement == self.epoch.revision
         for key in keys:
             self.revisions[key] = 0
         for item in items:
@@ -234,6 +330,8 @@
 
     def apply_item(self, item: Item) -> None:
         """Update the cached revision and value of one item."""
+        if item.key == self.epoch.key:
+            return
         self.revisions[item.key] = item.revision
         if item.key != self.record_key:
             workspace = item.key.removeprefix(COUNTS_PREFIX)
@@ -258,17 +356,22 @@
         for workspace, tokens in granted.items():
             drawn[workspace] = max(0, drawn.get(workspace, 0) + tokens)
         record = add_draw_to_record(request.record, granted)
+        record = replace(record, epoch=self.store.epoch)
         assert self.record_lease.id is not None and self.marker_lease.id is not None
         puts = [Put(self.record_key, encode_record(record), self.record_lease.id)]
         changed = {k: n for k, n in drawn.items() if n != self.drawn.get(k, 0)}
         puts += self.count_puts(changed)
         expected = {put.key: self.revisions.get(put.key, 0) for put in puts}
+        expected |= self.epoch.condition
         marker = record.mark.encode("ascii")
         puts.append(Put(self.marker_key, marker, self.marker_lease.id))
         return Write(expected, tuple(puts), record, granted, changed)
 
     def leftover(self, predecessor: RouterRecord) -> dict[str, int]:
         """Return the tokens of a predecessor that go back to the ledger."""
+        if predecessor.epoch != self.store.epoch:
+            # The predecessor may have stored later records, which are lost.
+            return {}
         confirmed = predecessor.mark == self.predecessor_marker
         tokens = reclaimable_tokens(predecessor, self.started_at, confirmed=confirmed)
         return largest(tokens, MAX_COUNTS_PER_WRITE)
@@ -280,9 +383,7 @@
             for workspace, tokens in counts.items()
         ]
 
-    def commit(
-        self, write: Write
-    ) -> RecordStored | RecordNotStored | RecordOutcomeUnknown | None:
+    def commit(self, write: Write) -> RecordOutcome | None:
         """Execute a write.
 
         Returns:
@@ -290,6 +391,8 @@
             its lease was lost, or another router changed one of its keys first.
         """
         match self.store.transact(write.expected, puts=write.puts):
+            case Committed() | Conflict() if not self.epoch.is_current():
+                return self.record_forfeited("the store was restored during the write")
             case Committed(revision):
                 return self.confirm_write(write, revision)
             case LeaseLost():
@@ -323,8 +426,16 @@
             self.log_predecessor_closed(self.predecessor)
         self.mark = write.record.mark
         if revision is not None:
-            self.revisions |= dict.fromkeys(write.expected, revision)
+            written = {put.key: revision for put in write.puts}
+            self.revisions |= written
             self.drawn |= write.counts
+        counts_by_revision: dict[int, dict[str, int]] = {}
+        for workspace in write.counts:
+            key = COUNTS_PREFIX + workspace
+            told = counts_by_revision.setdefault(self.revisions[key], {})
+            told[workspace] = self.drawn[workspace]
+        for told_revision, told in counts_by_revision.items():
+            self.tell_counts(told_revision, told)
         if write.granted:
             self.events.emit("tokens_drawn", granted=write.granted)
         return RecordStored(write.record, write.granted, self.drawn)
@@ -342,7 +453,12 @@
         )
 
     def close_accounts(self, free: dict[str, int]) -> bool:
-        """Return the free tokens and remove the record; False if that failed."""
+        """Return the free tokens and remove the record; False if that failed.
+
+        Nothing is returned while the counts of a restored store are agreed on.
+        """
+        if not self.epoch.is_current() or not self.epoch.ready:
+            return False
         if self.unconfirmed_write is not None:
             self.commit(self.unconfirmed_write)
         if self.unconfirmed_write is not None or self.mark is None:
@@ -354,13 +470,18 @@
             puts = tuple(self.count_puts({name: drawn[name] for name in free}))
             keys = (self.record_key, *(put.key for put in puts))
             expected = {key: self.revisions.get(key, 0) for key in keys}
+            expected |= self.epoch.condition
             removes = (self.record_key, self.marker_key)
             match self.store.transact(expected, puts=puts, removes=removes):
-                case Committed():
+                case Committed(revision):
+                    returned = {name: drawn[name] for name in free}
+                    self.tell_counts(revision, returned)
                     self.events.emit("tokens_returned", free=free)
                     return True
                 case Conflict(items):
                     self.apply_items(expected, items)
+                    if not self.epoch.is_current() or not self.epoch.ready:
+                        return False
                 case StoreRefused(reason) | StoreNoResponse(reason):
                     self.events.emit("return_failed", reason=reason[:120])
                     return False
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -52,7 +52,9 @@
     FinalTransfer,
     FinalTransferAccepted,
     NothingDrawn,
+    RecordForfeited,
     RecordNotStored,
+    RecordOutcome,
     RecordOutcomeUnknown,
     RecordStored,
     RequestCallTokens,
@@ -176,6 +178,7 @@
                 RecordStored()
                 | RecordNotStored()
                 | RecordOutcomeUnknown()
+                | RecordForfeited()
                 | NothingDrawn()
             ):
                 self.handle_write_outcome(message, now)
@@ -467,7 +470,7 @@
 
     def handle_write_outcome(
         self,
-        outcome: RecordStored | RecordNotStored | RecordOutcomeUnknown | NothingDrawn,
+        outcome: RecordOutcome,
         now: float,
     ) -> None:
         """Update the accounts after a write has ended."""
@@ -503,6 +506,11 @@
                     replace(self.token_accounts, sent=None), drawn
                 )
                 self.handle_write_failure(reason, now)
+            case RecordForfeited(reason, drawn):
+                self.token_accounts = update_drawn_totals(
+                    replace(self.token_accounts, sent=None), drawn
+                )
+                self.handle_write_failure(reason, now)
             case RecordOutcomeUnknown(reason):
                 self.handle_write_failure(reason, now)
         self.update_metrics()
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -52,6 +52,7 @@
     "TokensGiven": draws.TokensTransferred,
     "TokensHandedOver": draws.FinalTransfer,
     "TokensTakenOver": draws.FinalTransferAccepted,
+    "CountsStored": draws.CountsStored,
     "StateBeat": fleet.DesiredStateHeartbeat,
     "DesiredStateWanted": fleet.RequestDesiredState,
     "DesiredStateOffered": fleet.DesiredStateOffered,
--- a/src/hawthornstage/border/stored_values.py
+++ b/src/hawthornstage/border/stored_values.py
@@ -1,4 +1,4 @@
-"""Values in the store, as CBOR: drawn-token counts, and routers' records and logs."""
+"""Values in the store, as CBOR: counts of drawn tokens, records and logs."""
 
 from __future__ import annotations
 
@@ -7,12 +7,14 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
+from hawthornstage.decisions.epoch_counts import EpochCounts
 from hawthornstage.messages.crashing_parts import CrashLog
 from hawthornstage.messages.draws import RouterRecord
 
 COUNT_ADAPTER = TypeAdapter(int)
 RECORD_ADAPTER = TypeAdapter(RouterRecord)
 CRASH_LOG_ADAPTER = TypeAdapter(CrashLog)
+EPOCH_COUNTS_ADAPTER = TypeAdapter(EpochCounts)
 
 
 class StoredValueError(Exception):
@@ -62,6 +64,20 @@
     return _decode(CRASH_LOG_ADAPTER, data)
 
 
+def encode_epoch_counts(counts: EpochCounts) -> bytes:
+    """Encode what routers agree on in an epoch of the store."""
+    return cbor2.dumps(EPOCH_COUNTS_ADAPTER.dump_python(counts, mode="python"))
+
+
+def decode_epoch_counts(data: bytes) -> EpochCounts:
+    """Decode what routers agree on in an epoch of the store.
+
+    Raises:
+        StoredValueError: The bytes are not a valid agreement.
+    """
+    return _decode(EPOCH_COUNTS_ADAPTER, data)
+
+
 def _decode(adapter: TypeAdapter[Any], data: bytes) -> Any:
     try:
         return adapter.validate_python(cbor2.loads(data))
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -49,6 +49,7 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.draws import (
+    CountsStored,
     FinalTransfer,
     RequestCallTokens,
     RequestTransfer,
@@ -224,10 +225,10 @@
     def start_token_accounts(self) -> None:
         """Start the tasks that hold and draw tokens."""
         node = self.settings.node
-        ledger = LedgerTask.start(node, self.store(), **self.shared)
+        self.ledger = LedgerTask.start(node, self.store(), self.peers, **self.shared)
         self.token_accounts = TokenAccountsTask.start(
             node=node,
-            ledger=ledger,
+            ledger=self.ledger,
             peers=self.peers,
             routers=self.routers,
             metrics=self.metrics,
@@ -255,6 +256,7 @@
             peers=self.peers,
             routers=self.routers,
             subscribers=(
+                self.ledger,
                 self.token_accounts,
                 self.server_failures,
                 self.desired_states,
@@ -273,6 +275,7 @@
         register(
             self.token_accounts, (RequestCallTokens, RequestTransfer, FinalTransfer)
         )
+        register(self.ledger, (CountsStored,))
         register(self.server_failures, (ServerFailedDuringCall, CallBlocked))
         register(self.server_limits, (LimitAnnounced, RequestPermit))
 
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -112,6 +112,7 @@
         bounds: Upper bounds of what the process has spent, by workspace.
         late_after_s: Age from which the bounds grow faster, in seconds; the record's
             lease ends before.
+        epoch: The store's epoch in which it was written.
     """
 
     mark: str
@@ -121,6 +122,7 @@
     gifted: dict[str, int] = field(default_factory=dict)
     bounds: dict[str, SpendingBound] = field(default_factory=dict)
     late_after_s: float = 3.8
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -200,6 +202,46 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class RecordForfeited:
+    """The store was restored from a copy after a record was sent to it.
+
+    Nothing that the record drew is granted, and nothing that it returned comes back:
+    whether the copy holds the write does not matter then.
+
+    Args:
+        reason: What happened, for the log.
+        drawn: Total tokens drawn by all routers, by workspace, as far as it is known.
+    """
+
+    reason: str
+    drawn: dict[str, int]
+
+
+RecordOutcome = (
+    RecordStored
+    | RecordNotStored
+    | RecordOutcomeUnknown
+    | RecordForfeited
+    | NothingDrawn
+)
+
+
+@dataclass(frozen=True)
+class CountsStored:
+    """Tells other routers of changed counts, which the store may lose.
+
+    Args:
+        epoch: The store's epoch.
+        revision: The store's revision of the change.
+        counts: Tokens drawn by all routers so far, by workspace.
+    """
+
+    epoch: int
+    revision: int
+    counts: dict[str, int]
+
+
 @dataclass(frozen=True)
 class RequestTransfer:
     """Asks another router to transfer tokens, if the sender cannot draw any."""
--- a/tests/draws_world.py
+++ b/tests/draws_world.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from hawthornstage.actors.ledger import COUNTS_PREFIX, LedgerTask
+from hawthornstage.actors.ledger import LedgerTask
+from hawthornstage.actors.ledger_epoch import COUNTS_PREFIX
 from hawthornstage.actors.task import Ask
 from hawthornstage.actors.token_accounts import (
     CheckTokenAccounts,
@@ -270,7 +271,11 @@
         events = EventLog(self.node, world.clock)
         self.ledger_inbox, self.peer_inbox = Inbox(), Inbox()
         client: Any = FakeClient(world.store, self.node)
-        self.ledger = LedgerTask(self.node, client, world.clock, events)
+        self.ledger_peers = Inbox()
+        peers: Any = self.ledger_peers
+        self.ledger: Any = LedgerTask(
+            self.node, client, peers, clock=world.clock, events=events
+        )
         self.token_accounts = TokenAccountsTask(
             node=self.node,
             ledger=self.ledger_inbox,
@@ -282,6 +287,7 @@
         )
         others = {name: "" for name in world.names if name != self.node}
         self.token_accounts.handle(KnownRouters(others))
+        self.ledger.handle(KnownRouters(others))
         self.adopt_state(state_with(world.budget))
         self.calls: list[OpenCall] = []
 
@@ -295,6 +301,7 @@
             messages, self.ledger_inbox.messages = self.ledger_inbox.messages, []
             for message in messages:
                 self.ledger.handle(message)
+            self.tell_counts()
             inbox = self.token_accounts.actor_inbox
             replies = 0
             while not inbox.empty():
@@ -303,6 +310,14 @@
             if not messages and not replies:
                 return
 
+    def tell_counts(self) -> None:
+        """Deliver what the ledger tells those of other routers."""
+        messages, self.ledger_peers.messages = self.ledger_peers.messages, []
+        for send in messages:
+            host = self.world.hosts.get(send.node)
+            if host is not None:
+                host.ledger.handle(Ask(send.message, Reply()))
+
     def check(self) -> None:
         """Let the purse store a record and draw."""
         self.token_accounts.handle(CheckTokenAccounts())
@@ -345,7 +360,9 @@
         self.names = names
         self.budget = BUDGET
         self.spent = 0
-        self.hosts = {name: Host(name, self) for name in names}
+        self.hosts: dict[str, Host] = {}
+        for name in names:
+            self.hosts[name] = Host(name, self)
         for host in self.hosts.values():
             host.pump()
             host.check()
@@ -399,6 +416,13 @@
             host.token_accounts.handle(DesiredStateInUse(state, b""))
             host.pump()
 
+    def counts_are_known(self) -> bool:
+        """Whether a router knows a count that is as high as the stored one."""
+        self.store.settle()
+        stored = self.store.counts().get(WORKSPACE, 0)
+        ledgers = [host.ledger for host in self.hosts.values()]
+        return any(each.drawn.get(WORKSPACE, 0) >= stored for each in ledgers)
+
     @property
     def at_risk(self) -> int:
         """What was spent, and what open calls may still spend."""
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -7,7 +7,12 @@
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
 
 from hawthornstage.actors.ledger import MAX_COUNTS_PER_WRITE, MAX_WRITE_ENTRIES
 from hawthornstage.actors.task import Ask
@@ -30,7 +35,14 @@
     TokensUsed,
     WriteRecord,
 )
-from tests.draws_world import BUDGET, WORKSPACE, DrawsWorld, Reply, state_with
+from tests.draws_world import (
+    BUDGET,
+    WORKSPACE,
+    DrawsWorld,
+    Reply,
+    StoreCopy,
+    state_with,
+)
 
 LATE_AFTER_S = draw_plans.DrawTerms(3, 3).late_after_s
 NAMES = st.sampled_from(("a", "b", "c"))
@@ -437,6 +449,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.world = DrawsWorld()
+        self.copied: StoreCopy | None = None
 
     @rule(name=NAMES, tokens=st.integers(100, 30_000))
     def ask(self, name: str, tokens: int) -> None:
@@ -496,6 +509,19 @@
     def top_up(self, tokens: int) -> None:
         self.world.top_up(tokens)
 
+    @rule()
+    def copy_store(self) -> None:
+        self.world.store.settle()
+        self.copied = self.world.store.copy()
+
+    @precondition(lambda self: self.copied and self.world.counts_are_known())
+    @rule()
+    def restore_store(self) -> None:
+        """Restore the copy while a living router knows what it lacks."""
+        assert self.copied is not None
+        self.world.store.restore(self.copied)
+        self.copied = None
+
     @invariant()
     def nothing_is_overspent(self) -> None:
         assert self.world.at_risk <= self.world.budget
--- a/tests/test_encoded_names.py
+++ b/tests/test_encoded_names.py
@@ -22,9 +22,11 @@
 from hawthornstage.border.stored_values import (
     decode_count,
     decode_crash_log,
+    decode_epoch_counts,
     decode_record,
     encode_count,
     encode_crash_log,
+    encode_epoch_counts,
     encode_record,
 )
 from hawthornstage.filters.forward_relay import OUTCOME_NAMES, AttemptOutcome
@@ -65,6 +67,8 @@
     assert encode_count(decode_count(count)) == count
     crash_log = bytes.fromhex(SAMPLES["records"]["crash_log"])
     assert encode_crash_log(decode_crash_log(crash_log)) == crash_log
+    epoch_counts = bytes.fromhex(SAMPLES["records"]["epoch_counts"])
+    assert encode_epoch_counts(decode_epoch_counts(epoch_counts)) == epoch_counts
 
 
 def test_outcomes_keep_their_names_in_logs_and_metrics() -> None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,7 +3,18 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from hawthornstage.actors.ledger_epoch import EPOCHS_PREFIX
+from hawthornstage.decisions.epoch_counts import (
+    MERGE_TIMEOUT_S,
+    EpochCounts,
+    may_settle,
+    missing_tokens,
+    with_merged,
+)
+from hawthornstage.messages.store import Conflict
 from tests.draws_world import DrawsWorld
 
 
@@ -29,3 +40,99 @@
     world.store.restore(copy)
     spend_in_turn(world, 200, 5_000)
     assert world.spent <= world.budget
+
+
+def test_tokens_of_a_router_that_died_after_the_copy_are_not_given_out_again(
+    world: DrawsWorld,
+) -> None:
+    copy = world.store.copy()
+    host = world.hosts["a"]
+    while world.spent < world.budget // 2 and host.ask(2_000):
+        host.end_call(1.0)
+    host.die()
+    world.store.restore(copy)
+    world.clock.advance(1.0)
+    host.start()
+    host.pump()
+    spend_in_turn(world, 300, 2_000)
+    assert world.spent <= world.budget
+
+
+def test_router_without_the_store_in_the_drill_spends_nothing_twice(
+    world: DrawsWorld,
+) -> None:
+    copy = world.store.copy()
+    spend_in_turn(world, 12, 4_000)
+    world.store.cut_off = {"a"}
+    world.store.restore(copy)
+    spend_in_turn(world, 120, 4_000)
+    world.store.cut_off = set()
+    spend_in_turn(world, 60, 500)
+    assert world.spent <= world.budget
+
+
+def test_two_restorations_in_a_row_lose_no_draw(world: DrawsWorld) -> None:
+    copy = world.store.copy()
+    spend_in_turn(world, 15, 4_000)
+    world.store.restore(copy)
+    world.clock.advance(0.2)
+    world.hosts["b"].check()
+    world.store.restore(copy)
+    spend_in_turn(world, 200, 4_000)
+    assert world.spent <= world.budget
+
+
+def test_late_write_of_an_older_epoch_changes_nothing(world: DrawsWorld) -> None:
+    host = world.hosts["a"]
+    copy = world.store.copy()
+    world.store.mood = "late"
+    host.ask(30_000)
+    late = world.store.late[0]
+    world.store.late.clear()
+    world.store.mood = "well"
+    world.store.restore(copy)
+    spend_in_turn(world, 3, 1_000)
+    counts = world.store.counts()
+    # Revisions are given out again, and so the write finds those that it expects.
+    for key in late.expected:
+        if not key.startswith(EPOCHS_PREFIX):
+            item = world.store.items.get(key)
+            late.expected[key] = item.revision if item else 0
+    assert isinstance(world.store.write(late.expected, late.puts), Conflict)
+    assert world.store.counts() == counts
+
+
+def test_draws_go_on_soon_after_the_restoration(world: DrawsWorld) -> None:
+    copy = world.store.copy()
+    spend_in_turn(world, 6, 2_000)
+    world.store.restore(copy)
+    before = world.spent
+    spend_in_turn(world, 30, 2_000)
+    assert world.spent - before >= 25 * 2_000
+
+
+def test_absent_router_is_waited_for_a_limited_time() -> None:
+    epoch = EpochCounts({"shop": 100}, ("a", "b"))
+    assert not may_settle(epoch, ("a", "b", "c"), MERGE_TIMEOUT_S - 0.1)
+    assert may_settle(epoch, ("a", "b", "c"), MERGE_TIMEOUT_S)
+    assert may_settle(epoch, ("a", "b"), 0.0)
+
+
+@given(
+    copied=st.integers(0, 100),
+    draws=st.lists(st.integers(1, 50), min_size=1, max_size=6),
+    order=st.permutations(range(6)),
+)
+def test_merged_count_is_the_highest_that_anyone_knew(
+    copied: int, draws: list[int], order: list[int]
+) -> None:
+    known, total = [], copied
+    for tokens in draws:
+        total += tokens
+        known.append(total)
+    epoch, count = EpochCounts({"shop": copied}), copied
+    for index in (each for each in order if each < len(known)):
+        missing = missing_tokens(epoch, {"shop": known[index]})
+        count += missing.get("shop", 0)
+        epoch = with_merged(epoch, missing, f"r{index}")
+    assert count == total
