Follow the store anew after it was restored, and bring no server back that left

Cause: a watch goes on from its revision, which is given out again, so it is told nothing of what lies between; and the copy holds entries of servers that left after it. Found by reading, not in a play.

A watch whose store has another epoch drops the outcome under way and lists again. An entry that the copy brought back of a process that left is leaving until its server writes it anew. Servers that the copy lacks get the time to register that follows an outage.

Tests: three fail before, pass now.

--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pykka
 
@@ -25,6 +26,9 @@
 # Time after an outage of the store within which servers register again whose entries
 # expired during the outage, in seconds.
 REREGISTRATION_GRACE_S = 2.5
+# Time for which a server's leaving is remembered, in seconds: a store may be restored
+# from a copy that is older.
+DEPARTURE_MEMORY_S = 120.0
 
 
 class ServerRegistry(StoreWatch):
@@ -61,6 +65,11 @@
         self.servers: dict[str, BackendServer] = {}
         self.drop_times: dict[str, float] = {}
         self.grace_ends_at = float("-inf")
+        # Processes that left, with the time of the news, and entries that a restored
+        # store brought back, with the revision at which it did.
+        self.departed: dict[str, float] = {}
+        self.brought_back: dict[str, int] = {}
+        self.restored = False
 
     def step(self) -> bool:
         """Make one call to the store, then drop entries whose grace time is over."""
@@ -96,6 +105,9 @@
         """Replace all entries by the listed ones."""
         present = {item.key.removeprefix(ENTRIES_PREFIX) for item in items}
         changed = False
+        if self.restored:
+            self.restored = False
+            self.find_brought_back(items)
         for name in self.servers.keys() - present:
             changed |= self.remove(name)
         for item in items:
@@ -127,6 +139,12 @@
         if isinstance(entry, str):
             self.events.emit("entry_refused", server=name, reason=entry[:160])
             return self.servers.pop(name, None) is not None
+        if self.brought_back.get(name) == item.revision:
+            entry = replace(entry, leaving=True)
+        else:
+            self.brought_back.pop(name, None)
+        if entry.leaving:
+            self.note_departure(entry)
         known = self.servers.get(name)
         if known == entry:
             return returned
@@ -153,10 +171,33 @@
         if self.clock.monotonic() < drop_at:
             self.drop_times.setdefault(name, drop_at)
             return True
-        del self.servers[name]
+        self.note_departure(self.servers.pop(name))
         self.events.emit("server_gone", server=name)
         return True
 
+    def note_departure(self, server: BackendServer) -> None:
+        """Remember that a server's process left, for as long as a copy may be old."""
+        now = self.clock.monotonic()
+        self.departed = {
+            incarnation: at
+            for incarnation, at in self.departed.items()
+            if now - at < DEPARTURE_MEMORY_S
+        }
+        self.departed[server.incarnation] = now
+
+    def find_brought_back(self, items: tuple[Item, ...]) -> None:
+        """Find the entries of processes that left and that a copy brought back.
+
+        They are in use again only once their servers write them anew.
+        """
+        for item in items:
+            entry = decode_entry(item.key, item.value)
+            if isinstance(entry, str) or entry.leaving:
+                continue
+            if entry.incarnation in self.departed:
+                self.brought_back[entry.id] = item.revision
+                self.events.emit("entry_brought_back", server=entry.id)
+
     def drop_time(self) -> float:
         """Return the monotonic time until which an entry removed now stays in use."""
         bounds = self.bounds()
@@ -175,7 +216,9 @@
         overdue = [name for name, at in self.drop_times.items() if at <= now]
         for name in overdue:
             del self.drop_times[name]
-            if self.servers.pop(name, None) is not None:
+            gone = self.servers.pop(name, None)
+            if gone is not None:
+                self.note_departure(gone)
                 self.events.emit("server_gone", server=name, lapsed=True)
         if overdue:
             self.publish()
@@ -189,3 +232,8 @@
     def on_store_recovered(self) -> None:
         """Start the grace time in which lapsed entries may return."""
         self.grace_ends_at = self.clock.monotonic() + REREGISTRATION_GRACE_S
+
+    def on_store_restored(self) -> None:
+        """Give servers that the copy lacks time to register, and check the others."""
+        self.on_store_recovered()
+        self.restored = True
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -58,6 +58,7 @@
         # last failed call began.
         self.heard_at = float("-inf")
         self.down_at = float("-inf")
+        self.epoch = store.epoch
 
     def run(self) -> None:
         """List, then watch from that revision; list again if its history is lost."""
@@ -73,6 +74,9 @@
             outcome = self.store.list(self.prefix)
         else:
             outcome = self.store.watch(self.prefix, self.revision, self.watch_timeout())
+        if self.store.epoch != self.epoch:
+            self.restart_after_restore()
+            return not isinstance(outcome, StoreRefused | StoreNoResponse)
         match outcome:
             case Listing(items, revision):
                 self.record_success()
@@ -93,6 +97,17 @@
                 return False
         return True
 
+    def restart_after_restore(self) -> None:
+        """List again: revisions of the epoch before mean nothing in this one.
+
+        The outcome of the call that was under way may belong to either epoch.
+        """
+        self.events.emit("watch_restarted", prefix=self.prefix, epoch=self.store.epoch)
+        self.epoch = self.store.epoch
+        self.revision = None
+        self.down_at = self.clock.monotonic()
+        self.on_store_restored()
+
     def pause(self) -> float:
         """Return the pause before the next call after a successful one, in seconds."""
         return 0.0
@@ -121,6 +136,9 @@
     def on_store_recovered(self) -> None:
         """Called when the store responds again after an outage."""
 
+    def on_store_restored(self) -> None:
+        """Called when the store came back from a copy, before all is listed again."""
+
     def record_failure(self, reason: str) -> None:
         """Log the first failure of a series."""
         if not self.unavailable:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -306,6 +306,8 @@
 class LogStore:
     """A store that gives prepared outcomes to writes, and one listing."""
 
+    epoch = 1
+
     def __init__(self, *outcomes: Any, listing: Any = None) -> None:
         self.outcomes = list(outcomes)
         self.listing = listing
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -40,6 +40,8 @@
 class ScriptedStore:
     """Gives prepared outcomes to a watch."""
 
+    epoch = 1
+
     def __init__(self, *outcomes: Any) -> None:
         self.outcomes = list(outcomes)
 
@@ -60,6 +62,8 @@
         event: The change of which the second watch tells, or None.
     """
 
+    epoch = 1
+
     def __init__(self, clock: ManualClock, event: Any = None) -> None:
         self.clock = clock
         self.event = event
@@ -88,6 +92,8 @@
         events: Changes by the time at which they occur.
     """
 
+    epoch = 1
+
     def __init__(
         self, clock: ManualClock, down_until: float, events: dict[float, Any]
     ) -> None:
@@ -274,3 +280,71 @@
     for _ in range(3):
         registry.step()
     assert set(registry.servers) == {"b"}
+
+
+class RestoredStore(ScriptedStore):
+    """Gives prepared outcomes, each with the epoch that its response names."""
+
+    def next_outcome(self) -> Any:
+        """Return the next outcome, after its epoch has become known."""
+        self.epoch, outcome = self.outcomes.pop(0)
+        return outcome
+
+    def list(self, prefix: str) -> Any:
+        """Return the next outcome."""
+        return self.next_outcome()
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> Any:
+        """Return the next outcome."""
+        return self.next_outcome()
+
+
+def follow(clock: ManualClock, events: EventLog, store: Any) -> Any:
+    """Return a registry that has taken in all that a store tells."""
+    registry = registry_of(store, clock, events)
+    while store.outcomes:
+        registry.step()
+        clock.advance(0.1)
+    return registry
+
+
+def test_changes_of_a_restored_store_are_listed_though_its_revisions_went_on(
+    clock: ManualClock, events: EventLog
+) -> None:
+    first = Listing((entry_item("a", 8),), 10)
+    # The store's new revisions have passed those that this router knows.
+    missed = Changes((), 12)
+    second = Listing((entry_item("a", 8), entry_item("b", 9)), 12)
+    store = RestoredStore((1, first), (2, missed), (2, second))
+    registry = follow(clock, events, store)
+    assert set(registry.registered.value.servers) == {"a", "b"}
+
+
+@pytest.mark.parametrize("removed", [False, True])
+def test_copy_does_not_bring_a_server_back_that_left(
+    clock: ManualClock, events: EventLog, removed: bool
+) -> None:
+    ready = entry_item("a", 3)
+    leaving = Removal(ready.key, 7) if removed else entry_item("a", 7, "draining")
+    store = RestoredStore(
+        (1, Listing((ready,), 3)),
+        (1, Changes((leaving,), 7)),
+        (2, Changes((), 5)),
+        (2, Listing((ready,), 5)),
+    )
+    registry = follow(clock, events, store)
+    assert not registry.registered.value.accepts_calls("a", clock.monotonic())
+    store.outcomes = [(2, Changes((entry_item("a", 6),), 6))]
+    registry.step()
+    assert registry.registered.value.accepts_calls("a", clock.monotonic())
+
+
+def test_server_that_the_copy_lacks_gets_time_to_register(
+    clock: ManualClock, events: EventLog
+) -> None:
+    both = (entry_item("a", 3), entry_item("b", 6))
+    store = RestoredStore(
+        (1, Listing(both, 6)), (2, Changes((), 4)), (2, Listing(both[:1], 4))
+    )
+    registry = follow(clock, events, store)
+    assert registry.registered.value.accepts_calls("b", clock.monotonic())
