Register again, keep known routers and store crash logs anew after a restoration

What could be seen: after a drill a router renews a lease whose id belongs to another one and is missing in the list, so the others count fewer routers and take larger shares of retries and connections; a log of crashes that was acknowledged is gone; the routers' secret is put anew by the first that starts. Cause: the same class, leases and acknowledgements taken for final.

The tasks are told of the new epoch by the store's clients: members register under a new lease at once, put the secret if the copy lacks it and keep the routers that they knew for 12 s; crash logs are written again under a new lease.

Tests: both fail without the change (no such message).

--- a/src/hawthornstage/actors/crash_logs.py
+++ b/src/hawthornstage/actors/crash_logs.py
@@ -25,7 +25,14 @@
     WriteCrashLog,
 )
 from hawthornstage.messages.host_settings import StoreBounds
-from hawthornstage.messages.store import Committed, Item, LeaseLost, Put, Removal
+from hawthornstage.messages.store import (
+    Committed,
+    Item,
+    LeaseLost,
+    Put,
+    Removal,
+    StoreRestored,
+)
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
 
@@ -62,6 +69,9 @@
         match message:
             case Ask(message=WriteCrashLog(log), reply_to=reply_to):
                 reply_to.put(CrashLogWritten(self.write(log)))
+            case StoreRestored():
+                # The lease's id may belong to another router by now.
+                self.lease.id = None
 
     def write(self, log: CrashLog) -> bool:
         """Store a log under the lease; return whether it is stored for certain."""
--- a/src/hawthornstage/actors/crashing_parts.py
+++ b/src/hawthornstage/actors/crashing_parts.py
@@ -28,6 +28,7 @@
     PartBlocked,
     WriteCrashLog,
 )
+from hawthornstage.messages.store import StoreRestored
 from hawthornstage.observe.events import EventLog
 
 # Most entries of a log; the oldest are dropped first.
@@ -124,6 +125,10 @@
                 self.end_write(stored)
             case CheckCrashLog():
                 self.write_if_due(now)
+            case StoreRestored():
+                # The copy may lack what was stored last.
+                self.written_number = 0
+                self.writing_number = None
 
     def record_crash(self, crash: CrashDuringCall, at: float) -> None:
         """Record a crash, and tell the others of answers that speak for its parts."""
--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -9,16 +9,19 @@
 
 from hawthornstage.actors.peer_messages import PeersChanged
 from hawthornstage.actors.task import Recipient, Task
+from hawthornstage.clock import Clock
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.store import (
     Committed,
+    Conflict,
     LeaseGranted,
     LeaseLost,
     Listing,
     Put,
     StoreNoResponse,
     StoreRefused,
+    StoreRestored,
 )
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
@@ -27,6 +30,9 @@
 MEMBERS_PREFIX = "hawthornstage/routers/"
 # Lease of an entry, in seconds: a router that does not renew it is removed.
 LEASE_S = 30.0
+# Time after a restoration of the store within which all routers register again, in
+# seconds.
+REREGISTRATION_S = 12.0
 # Period of renewing the lease, in ticks of one second.
 RENEWAL_TICKS = 8
 # Period of reading the other routers' entries, in ticks.
@@ -53,6 +59,8 @@
         peers: Gets the addresses of the other routers.
         routers: Where the number of routers is published.
         subscribers: Get `KnownRouters`.
+        secret: The routers' shared secret, as stored.
+        clock: The runtime's clock.
         events: The event log.
     """
 
@@ -65,6 +73,8 @@
         peers: Recipient,
         routers: LatestValue[int],
         subscribers: tuple[pykka.ActorRef, ...],
+        secret: Put,
+        clock: Clock,
         events: EventLog,
     ) -> None:
         super().__init__()
@@ -74,7 +84,10 @@
         self.peers = peers
         self.routers = routers
         self.subscribers = subscribers
+        self.secret = secret
+        self.clock = clock
         self.events = events
+        self.restored_at = float("-inf")
         self.lease: int | None = None
         self.urls: dict[str, str] | None = None
         self.ticks = 0
@@ -83,6 +96,8 @@
         match message:
             case MembershipTick():
                 self.tick()
+            case StoreRestored():
+                self.register_again()
             case Deregister():
                 if self.lease is not None:
                     self.store.end_lease(self.lease)
@@ -101,6 +116,24 @@
             self.discover_routers()
         self.ticks += 1
 
+    def register_again(self) -> None:
+        """Register after the store was restored, which ended all leases.
+
+        The lease's id may belong to another router by now.
+        """
+        self.restored_at = self.clock.monotonic()
+        self.lease = None
+        self.restore_secret()
+        self.register()
+
+    def restore_secret(self) -> None:
+        """Store the shared secret again if the copy lacks it."""
+        match self.store.transact({self.secret.key: 0}, puts=(self.secret,)):
+            case Committed():
+                self.events.emit("secret_restored")
+            case Conflict(items) if items and items[0].value != self.secret.value:
+                self.events.emit("secret_differs")
+
     def register(self) -> None:
         """Write this router's entry under a new lease."""
         match self.store.grant_lease(LEASE_S):
@@ -134,6 +167,9 @@
             for item in outcome.items
         }
         found.pop(self.node, None)
+        if self.clock.monotonic() - self.restored_at < REREGISTRATION_S:
+            # The others have yet to register again.
+            found = {**(self.urls or {}), **found}
         if found == self.urls:
             return
         self.urls = found
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -209,7 +209,10 @@
             self.peers,
             **self.shared,
         )
-        self.start_members()
+        self.start_members(secret)
+        self.store_epoch.subscribe(
+            self.members, self.crash_log_writer, self.crashing_parts
+        )
         self.register_messages()
         self.schedule_periodic_work()
         self.callers = CallerListener(
@@ -241,13 +244,21 @@
         self.server_failures = ServerFailuresTask.start(
             node, self.blocked_calls, self.peers, **self.shared
         )
-        writer = CrashLogWriter.start(node, self.store(), **self.shared)
+        self.crash_log_writer = CrashLogWriter.start(node, self.store(), **self.shared)
         self.crashing_parts = CrashingPartsTask.start(
-            node, self.blocked_parts, writer, self.routers, **self.shared
+            node,
+            self.blocked_parts,
+            self.crash_log_writer,
+            self.routers,
+            **self.shared,
         )
 
-    def start_members(self) -> None:
-        """Start the task that registers this router and finds the others."""
+    def start_members(self, secret: str) -> None:
+        """Start the task that registers this router and finds the others.
+
+        Args:
+            secret: The routers' shared secret.
+        """
         peers = self.settings.peers
         self.members = FleetMembers.start(
             self.settings.node,
@@ -262,7 +273,8 @@
                 self.desired_states,
                 self.server_limits,
             ),
-            events=self.events,
+            secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
+            **self.shared,
         )
 
     def register_messages(self) -> None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hawthornstage.actors.crashing_parts import CheckCrashLog, CrashingPartsTask
+from hawthornstage.actors.fleet_members import (
+    REREGISTRATION_S,
+    FleetMembers,
+    MembershipTick,
+)
 from hawthornstage.actors.ledger_epoch import EPOCHS_PREFIX
+from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.crashing_parts import BlockedParts
 from hawthornstage.decisions.epoch_counts import (
     MERGE_TIMEOUT_S,
     EpochCounts,
@@ -14,8 +24,19 @@
     missing_tokens,
     with_merged,
 )
-from hawthornstage.messages.store import Conflict
-from tests.draws_world import DrawsWorld
+from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.crashing_parts import CrashDuringCall, CrashLogWritten
+from hawthornstage.messages.store import (
+    Committed,
+    Conflict,
+    Item,
+    LeaseGranted,
+    Listing,
+    Put,
+    StoreRestored,
+)
+from hawthornstage.observe.events import EventLog
+from tests.draws_world import DrawsWorld, Inbox
 
 
 @pytest.fixture
@@ -136,3 +157,89 @@
         count += missing.get("shop", 0)
         epoch = with_merged(epoch, missing, f"r{index}")
     assert count == total
+
+
+class MemberStore:
+    """A store as the task of the members sees it; it lists what it is given.
+
+    Args:
+        listed: Names of the registered routers.
+    """
+
+    def __init__(self, *listed: str) -> None:
+        self.listed = listed
+        self.leases = 0
+        self.written: list[Put] = []
+
+    def grant_lease(self, ttl_s: float) -> LeaseGranted:
+        """Grant a new lease."""
+        self.leases += 1
+        return LeaseGranted(self.leases, ttl_s)
+
+    def renew_lease(self, lease: int) -> LeaseGranted:
+        """Renew a lease, which may be another router's."""
+        return LeaseGranted(lease, 30.0)
+
+    def transact(self, expected: Any, *, puts: Any = ()) -> Committed:
+        """Keep what is written."""
+        self.written += puts
+        return Committed(1)
+
+    def list(self, prefix: str, *, stale: bool) -> Listing:
+        """Return the registered routers."""
+        items = tuple(Item(prefix + name, b"ws://h", 1) for name in self.listed)
+        return Listing(items, 1)
+
+
+def test_routers_register_again_and_stay_known_after_a_restoration(
+    clock: ManualClock, events: EventLog
+) -> None:
+    store: Any = MemberStore("a", "b", "c")
+    peers: Any = Inbox()
+    routers = LatestValue(0)
+    members: Any = FleetMembers(
+        "a",
+        "ws://a",
+        store=store,
+        peers=peers,
+        routers=routers,
+        subscribers=(),
+        secret=Put("secret", b"s"),
+        clock=clock,
+        events=events,
+    )
+    members.handle(MembershipTick())
+    assert routers.value == 3
+    store.listed = ()
+    members.handle(StoreRestored(2))
+    assert [put.lease for put in store.written] == [1, 0, 2]
+    for _ in range(6):
+        members.handle(MembershipTick())
+    assert routers.value == 3
+    clock.advance(REREGISTRATION_S)
+    for _ in range(6):
+        members.handle(MembershipTick())
+    assert routers.value == 1
+
+
+def test_log_of_crashes_is_written_again_after_a_restoration(
+    clock: ManualClock, events: EventLog
+) -> None:
+    writer: Any = Inbox()
+    task: Any = CrashingPartsTask(
+        "a",
+        LatestValue(BlockedParts()),
+        writer,
+        LatestValue(1),
+        clock=clock,
+        events=events,
+    )
+    task.handle(CrashDuringCall("i-1@1", ("part",)))
+    task.handle(CheckCrashLog())
+    task.handle(CrashLogWritten(True))
+    clock.advance(1.0)
+    task.handle(CheckCrashLog())
+    assert len(writer.messages) == 1
+    task.handle(StoreRestored(2))
+    task.handle(CheckCrashLog())
+    assert len(writer.messages) == 2
