Skip server entries that cannot be used, and keep a watch going after an error

What other operators saw: one odd entry among the servers' ended the machines that read it, or stopped them following the list. Here: a deeply nested document raised RecursionError, which ended the thread of the watch for good; ports 99999 and -1, an empty host or one with a NUL raised errors in the middle of a call, which lost the caller its answer; absurd numbers of slots were taken.

JSON of others is read by one function that turns too deep nesting into ValueError: server entries, the desired state, the store's responses, settings, engines' events, routers' replies. Entries need an IPv4 address, a port and bounded numbers. A watch logs an error, waits and lists again. CBOR was looked at: cbor2 stops at a depth of 400 with its own error.

Tests: 9 of 12 new kinds of entry, a desired state and both tests of the watch fail before.

--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -5,6 +5,8 @@
 import threading
 from collections.abc import Callable
 
+import structlog
+
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.store_news import longest_watch
 from hawthornstage.messages.host_settings import StoreBounds
@@ -20,6 +22,8 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
 
+log = structlog.get_logger()
+
 # Timeout of the first watch call after a failed one, in seconds: its response is what
 # shows that the store is back.
 RECOVERY_WAIT_S = 0.05
@@ -63,10 +67,19 @@
     def run(self) -> None:
         """List, then watch from that revision; list again if its history is lost."""
         while True:
-            pause = self.pause() if self.step() else RETRY_PAUSE_S
+            pause = self.pause() if self.try_step() else RETRY_PAUSE_S
             if pause:
                 sleep(self.clock, pause)
 
+    def try_step(self) -> bool:
+        """Make one call to the store; log any exception and list again after it."""
+        try:
+            return self.step()
+        except Exception:
+            log.exception("task_error", task=self.name)
+            self.revision = None
+            return False
+
     def step(self) -> bool:
         """Make one call to the store; return False if it failed."""
         began_at = self.clock.monotonic()
--- a/src/hawthornstage/filters/relay.py
+++ b/src/hawthornstage/filters/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import Any
@@ -10,6 +9,7 @@
 from urllib3.exceptions import HTTPError
 
 from hawthornstage.border.chat import parse_usage
+from hawthornstage.border.json_values import load_json
 from hawthornstage.border.sse import DONE_EVENT, EventTooLargeError, event_data
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
@@ -133,6 +133,6 @@
 def parse_json(data: bytes) -> Any:
     """Return the parsed JSON document, or None if the data is not valid JSON."""
     try:
-        return json.loads(data)
+        return load_json(data)
     except ValueError:
         return None
--- a/src/hawthornstage/operator_client.py
+++ b/src/hawthornstage/operator_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -10,6 +9,8 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from hawthornstage.border.json_values import load_json
+
 # Timeout of one request to a router, in seconds.
 TIMEOUT_S = 10.0
 
@@ -104,7 +105,7 @@
                 timeout=TIMEOUT_S,
                 retries=False,
             )
-            document = json.loads(response.data)
+            document = load_json(response.data)
         except (HTTPError, ValueError) as error:
             raise OperatorError(f"{router}: {error}") from error
         if response.status != 200:
--- a/src/hawthornstage/platform/desired_state.py
+++ b/src/hawthornstage/platform/desired_state.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import json
-
 from pydantic import BaseModel, Field, ValidationError
 
+from hawthornstage.border.json_values import load_json
 from hawthornstage.messages.desired import (
     CallerLimits,
     DesiredState,
@@ -157,7 +156,7 @@
         DesiredStateError: The document is invalid; the message gives the reason.
     """
     try:
-        model = ConfigModel.model_validate(json.loads(document))
+        model = ConfigModel.model_validate(load_json(document))
     except (ValueError, ValidationError) as error:
         raise DesiredStateError(str(error)) from error
     return DesiredState(
--- a/src/hawthornstage/platform/server_entries.py
+++ b/src/hawthornstage/platform/server_entries.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
-import json
-from typing import Literal
+import ipaddress
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from hawthornstage.border.json_values import load_json
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.host_settings import SocketAddress
 
 # Prefix of the entries' keys, followed by the server's id.
 ENTRIES_PREFIX = "servers/"
+# Largest port, number of slots, and start time in milliseconds since the Unix epoch.
+MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+MAX_BORN_MS = 10**15
 
 
 class EntryModel(BaseModel):
@@ -21,9 +27,9 @@
     service: str
     address: str
     zone: str = ""
-    slots: int = 1
+    slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)] = 1
     state: Literal["ready", "draining"]
-    born: int = 0
+    born: Annotated[int, Field(ge=0, le=MAX_BORN_MS)] = 0
 
 
 def decode_entry(key: str, document: bytes) -> BackendServer | str:
@@ -37,13 +43,13 @@
         The server, or the reason in one line if the entry is invalid.
     """
     try:
-        model = EntryModel.model_validate(json.loads(document))
-        host, _, port = model.address.rpartition(":")
+        model = EntryModel.model_validate(load_json(document))
+        address = parse_address(model.address)
         return BackendServer(
             id=key.removeprefix(ENTRIES_PREFIX),
             service=model.service,
-            host=host,
-            port=int(port),
+            host=address.host,
+            port=address.port,
             failure_domain=model.zone,
             slots=model.slots,
             leaving=model.state == "draining",
@@ -51,3 +57,15 @@
         )
     except (ValueError, ValidationError) as error:
         return str(error).replace("\n", " ")
+
+
+def parse_address(value: str) -> SocketAddress:
+    """Return the address that an entry names.
+
+    Raises:
+        ValueError: It is not an IPv4 address with a port.
+    """
+    host, _, port = value.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MAX_PORT):
+        raise ValueError(f"invalid port in the address {value[:60]!r}")
+    return SocketAddress(str(ipaddress.IPv4Address(host)), int(port))
--- a/src/hawthornstage/platform/settings.py
+++ b/src/hawthornstage/platform/settings.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
 
 from pydantic import BaseModel, Field, ValidationError
 
+from hawthornstage.border.json_values import load_json
 from hawthornstage.messages.host_settings import (
     HostSettings,
     SocketAddress,
@@ -99,7 +99,7 @@
         SettingsError: The file cannot be read or is invalid; lists each error.
     """
     try:
-        return SettingsModel.model_validate(json.loads(path.read_bytes())).to_settings()
+        return SettingsModel.model_validate(load_json(path.read_bytes())).to_settings()
     except ValidationError as error:
         raise SettingsError(format_validation_errors(error)) from error
     except (OSError, ValueError) as error:
--- a/src/hawthornstage/platform/store.py
+++ b/src/hawthornstage/platform/store.py
@@ -14,6 +14,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from hawthornstage.border.json_values import load_json
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.messages.store import (
@@ -379,7 +380,7 @@
     def decode(self, body: bytes, convert: Any) -> Any:
         """Decode a response body; an invalid one counts as no response."""
         try:
-            return convert(json.loads(body))
+            return convert(load_json(body))
         except (ValueError, ValidationError) as error:
             return StoreNoResponse(f"invalid response from the store: {error}")
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -172,7 +172,8 @@
 
 
 @pytest.mark.parametrize(
-    "broken", [b"", b"{", b"[]", b'{"version": "x"}', document(routes=[{}])]
+    "broken",
+    [b"", b"{", b"[]", b'{"version": "x"}', b"[" * 100_000, document(routes=[{}])],
 )
 def test_broken_desired_state_is_refused_and_the_old_one_stays(
     broken: bytes, events: EventLog
@@ -256,6 +257,12 @@
     assert parse_response_head(status, headers).not_executed is not_executed
 
 
+def entry_with_slots(slots: int) -> bytes:
+    """Return a server's entry with a number of slots."""
+    entry = {"service": "s", "address": "10.0.0.1:80", "state": "ready"}
+    return json.dumps({**entry, "slots": slots}).encode()
+
+
 @pytest.mark.parametrize(
     "entry",
     [
@@ -266,6 +273,20 @@
         b'{"service": 4, "address": "10.0.0.1:80", "state": "ready"}',
         b'{"service": "s", "address": "10.0.0.1", "state": "ready"}',
         b'{"service": "s", "state": "ready"}',
+        b"[" * 100_000,
+        b'{"service": "s", "address": "10.0.0.1:99999", "state": "ready"}',
+        b'{"service": "s", "address": "10.0.0.1:-1", "state": "ready"}',
+        b'{"service": "s", "address": "10.0.0.1:0", "state": "ready"}',
+        b'{"service": "s", "address": "10.0.0.1:'
+        + b"9" * 5000
+        + b'", "state": "ready"}',
+        b'{"service": "s", "address": ":80", "state": "ready"}',
+        b'{"service": "s", "address": "10.0.0.1\\u0000:80", "state": "ready"}',
+        entry_with_slots(0),
+        entry_with_slots(-5),
+        entry_with_slots(10**400),
+        b'{"service": "s", "address": "10.0.0.1:80", "state": "ready", "slots": 1e999}',
+        b'{"service": "s", "address": "10.0.0.1:80", "state": "ready", "born": -1}',
     ],
 )
 def test_broken_entry_names_no_server(entry: bytes) -> None:
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -348,3 +348,26 @@
     )
     registry = follow(clock, events, store)
     assert registry.registered.value.accepts_calls("b", clock.monotonic())
+
+
+def test_odd_entry_keeps_neither_others_out_nor_the_watch_from_going_on(
+    clock: ManualClock, events: EventLog
+) -> None:
+    odd = Item("servers/x", b"[" * 100_000, 2)
+    registry = make_registry(
+        clock,
+        events,
+        Listing((entry_item("a", 1), odd), 2),
+        Changes((entry_item("b", 3),), 3),
+    )
+    assert registry.try_step() and registry.try_step()
+    assert set(registry.registered.value.servers) == {"a", "b"}
+
+
+def test_watch_goes_on_after_an_error(clock: ManualClock, events: EventLog) -> None:
+    odd: Any = object()
+    listing = Listing((entry_item("a", 1),), 1)
+    registry = make_registry(clock, events, Listing((odd,), 1), listing)
+    assert not registry.try_step()
+    assert registry.try_step()
+    assert set(registry.registered.value.servers) == {"a"}
