Refuse calls that arrive late in a planned stop instead of passing them on

Possible here: a request that is still being read when the connections that wait for one are closed (2.6 s after SIGTERM) was passed on whenever it was complete, also right before the process ends at 7.2 s.

From 0.4 s after that moment on, a call whose request is complete is refused: 503, not run, come back in 0.05 s; other routers take it. Calls on connections that were accepted last have arrived by then. What is cut at the end of the grace is what runs longer than it.

Test: fails before (the call is passed on), passes.

--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -43,6 +43,8 @@
 # Idle connections stay open for this much longer than the idle timeout of callers, in
 # seconds.
 IDLE_MARGIN_S = 1.0
+# Time after which a caller that a stopping router refused may try another, in seconds.
+DRAINING_RETRY_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -84,6 +86,7 @@
     def __init__(self) -> None:
         self.wake, self.trigger = socket.socketpair()
         self.closing = False
+        self.refusing = False
 
     def close_after_response(self) -> None:
         """Make connections close after their next response."""
@@ -94,6 +97,10 @@
         self.closing = True
         self.trigger.close()
 
+    def refuse_calls(self) -> None:
+        """Make connections refuse the calls that they have yet to receive."""
+        self.refusing = True
+
 
 class ConnectionCounter:
     """Counts the open connections of callers and the calls that they serve.
@@ -219,6 +226,12 @@
         if isinstance(call, Failure):
             self.send_error("", call, close=True)
             return False
+        if self.stopping.refusing:
+            # It might not end within the grace period, and other routers take it.
+            failure = Failure(ErrorKind.DRAINING, retry_after_s=DRAINING_RETRY_S)
+            self.report(call, None, Delivery(), failure, 0)
+            self.send_error(call.id, failure, close=True)
+            return False
         with self.counter.active_call():
             delivery = Delivery()
             failure = self.forward(call, delivery)
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -99,6 +99,9 @@
 GRACE_MARGIN_S = 0.8
 # Timeout for accepting the last connections at shutdown, in seconds.
 CLOSE_LISTENER_TIMEOUT_S = 0.5
+# Time in which calls on the last connections arrive before further ones are refused, in
+# seconds.
+LAST_CALLS_S = 0.4
 # Timeout for the return of tokens at shutdown, in seconds.
 RETURN_TOKENS_TIMEOUT_S = 0.6
 
@@ -401,6 +404,8 @@
         sleep(self.clock, DRAIN_NOTICE_S)
         self.callers.close(CLOSE_LISTENER_TIMEOUT_S)
         self.stopping.close_idle()
+        sleep(self.clock, LAST_CALLS_S)
+        self.stopping.refuse_calls()
         drain_timeout = deadline - self.clock.monotonic() - RETURN_TOKENS_TIMEOUT_S
         whole = self.callers.wait_ended(drain_timeout)
         returned = ask(
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -36,11 +36,13 @@
     """
 
     def __init__(self) -> None:
+        self.calls = 0
         self.released = threading.Event()
         self.released.set()
 
     def begin(self, call: ForwardCall) -> Failure:
         """Refuse a call."""
+        self.calls += 1
         self.released.wait(SOON)
         return Failure(ErrorKind.NO_DESIRED_STATE)
 
@@ -156,3 +158,21 @@
     listener.stopping.close_idle()
     assert listener.wait_ended(SOON)
     assert read_all(caller) == b""
+
+
+def test_call_that_arrives_late_in_a_stop_is_refused_and_not_passed_on(
+    listener: CallerListener, connect: Connect, refusing: RefuseEachCall
+) -> None:
+    listener.start()
+    caller = connect()
+    caller.sendall(HEAD)
+    wait_until(lambda: listener.counter.connections == 1)
+    listener.close(SOON)
+    listener.stopping.close_idle()
+    listener.stopping.refuse_calls()
+    caller.sendall(b"\r\nhi")
+    answer = read_all(caller).lower()
+    assert answer.startswith(b"http/1.1 503")
+    assert b"x-ran: no" in answer and b"retry-after: 0.05" in answer
+    assert refusing.calls == 0
+    assert listener.wait_ended(SOON)
