Send nothing more to a server that said itself that it leaves

What could be seen: a server that says in an answer that it leaves gets calls until the store says so too; a router without the store goes on for good. Cause: nothing read the header.

What a server says of itself is one type, decoded once in the adapter, owned by one task and asked by one check, in the choice of servers and right before a send. A router tells its neighbours of a server that leaves, which tell theirs; it ends with the server's process. ServerLimitsTask is ServerNoticesTask now.

Tests: a leaving server is chosen, sent to and not told of before; none of it after.

--- a/src/hawthornstage/actors/server_limits.py
+++ b/src/hawthornstage/actors/server_notices.py
@@ -1,4 +1,4 @@
-"""The task that issues and requests the permits of servers with a limit."""
+"""The task that owns what servers say of themselves, and the permits it takes."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.peer_links import neighbours
 from hawthornstage.decisions.server_limits import (
+    MAX_LIMITS,
     KnownLimit,
     LimitBook,
     PermitBucket,
@@ -26,11 +27,14 @@
     AskIssuer,
     IssuerUnresponsive,
     LimitAnnounced,
-    LimitObserved,
     PermitDenied,
     PermitGranted,
     RequestPermit,
-    ServerLimits,
+)
+from hawthornstage.messages.server_notices import (
+    LeavingAnnounced,
+    NoticeObserved,
+    ServerNotices,
 )
 from hawthornstage.observe.events import EventLog
 
@@ -40,13 +44,13 @@
 NO_ISSUER_RETRY_S = 0.25
 
 
-class ServerLimitsTask(Task):
-    """Owns the servers' limits and the permits that this router issues.
+class ServerNoticesTask(Task):
+    """Owns what servers say of themselves, and the permits that this router issues.
 
     Args:
         node: This router's name.
-        limits: Where the limits in force are published for the request pipe.
-        subscribers: Get `ServerLimits` after each change.
+        notices: Where what servers say is published for the request pipe.
+        subscribers: Get `ServerNotices` after each change.
         peers: Sends messages to other routers.
         clock: The runtime's clock.
         events: The event log.
@@ -55,7 +59,7 @@
     def __init__(
         self,
         node: str,
-        limits: LatestValue[ServerLimits],
+        notices: LatestValue[ServerNotices],
         subscribers: tuple[pykka.ActorRef, ...],
         peers: Recipient,
         *,
@@ -64,7 +68,8 @@
     ) -> None:
         super().__init__()
         self.node = node
-        self.limits = limits
+        self.notices = notices
+        self.leaving: dict[str, float] = {}
         self.subscribers = subscribers
         self.peers = peers
         self.clock = clock
@@ -78,8 +83,14 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case LimitObserved(incarnation, calls_per_s):
-                self.observe(incarnation, KnownLimit(calls_per_s, now), now)
+            case NoticeObserved(incarnation, notice):
+                if notice.leaving:
+                    self.note_leaving(incarnation, now)
+                if not notice.invalid:
+                    self.observe(incarnation, KnownLimit(notice.calls_per_s, now), now)
+            case Ask(message=LeavingAnnounced(incarnation), reply_to=reply_to):
+                self.note_leaving(incarnation, now)
+                reply_to.put(Acknowledged())
             case Ask(message=LimitAnnounced() as limit, reply_to=reply_to):
                 self.hear(limit, now)
                 reply_to.put(Acknowledged())
@@ -103,10 +114,7 @@
         """Record a limit; publish and announce it if it has changed."""
         if not self.book.observe(incarnation, limit):
             return
-        in_force = self.book.in_force()
-        self.limits.publish(in_force)
-        for subscriber in self.subscribers:
-            subscriber.tell(in_force)
+        self.publish()
         self.events.emit(
             "server_limit_changed",
             server=incarnation,
@@ -117,6 +125,25 @@
             self.buckets.pop(incarnation, None)
         self.announce(incarnation, now)
 
+    def note_leaving(self, incarnation: str, now: float) -> None:
+        """Record that a server leaves; publish and announce it if that is news."""
+        if incarnation in self.leaving:
+            return
+        self.leaving[incarnation] = now
+        if len(self.leaving) > MAX_LIMITS:
+            del self.leaving[next(iter(self.leaving))]
+        self.publish()
+        self.events.emit("server_said_leaving", server=incarnation)
+        for node in self.neighbours:
+            self.peers.tell(Send(node, LeavingAnnounced(incarnation)))
+
+    def publish(self) -> None:
+        """Publish what servers have said of themselves."""
+        notices = ServerNotices(self.book.in_force(), dict(self.leaving))
+        self.notices.publish(notices)
+        for subscriber in self.subscribers:
+            subscriber.tell(notices)
+
     def announce(self, incarnation: str, now: float) -> None:
         """Tell the neighbours of a changed limit, which tell theirs."""
         last = self.announced_at.get(incarnation)
--- a/src/hawthornstage/actors/server_selection.py
+++ b/src/hawthornstage/actors/server_selection.py
@@ -11,7 +11,7 @@
 from hawthornstage.decisions.retry_share import RetryShare
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.latest_value import LatestValue
-from hawthornstage.messages.server_limits import ServerLimits
+from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
     CallEnded,
     FirstByteReceived,
@@ -72,8 +72,8 @@
             case CallEnded():
                 server = self.serving.record_end(message, now)
                 self.pool_connection(server, message, now)
-            case ServerLimits():
-                self.serving.replace_limits(message)
+            case ServerNotices():
+                self.serving.replace_notices(message)
             case ServerAtLimit():
                 self.serving.record_no_room(message, now)
             case RegisteredServers(servers):
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -18,6 +18,7 @@
     fleet,
     members,
     server_limits,
+    server_notices,
 )
 
 # Every class of message that one router may send to another, by its name in frames.
@@ -60,6 +61,7 @@
     "CompressedStateOffered": fleet.CompressedStateOffered,
     "CallBroke": fleet.ServerFailedDuringCall,
     "CallBlocked": fleet.CallBlocked,
+    "LeavingAnnounced": server_notices.LeavingAnnounced,
     "LimitAnnounced": server_limits.LimitAnnounced,
     "RequestPermit": server_limits.RequestPermit,
     "PermitGranted": server_limits.PermitGranted,
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -23,7 +23,7 @@
 from hawthornstage.actors.peers import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
 from hawthornstage.actors.server_failures import ServerFailuresTask
-from hawthornstage.actors.server_limits import ServerLimitsTask
+from hawthornstage.actors.server_notices import ServerNoticesTask
 from hawthornstage.actors.server_registry import ServerRegistry
 from hawthornstage.actors.server_selection import ServerSelectionTask
 from hawthornstage.actors.settings_watch import SettingsWatch
@@ -69,8 +69,8 @@
 from hawthornstage.messages.server_limits import (
     LimitAnnounced,
     RequestPermit,
-    ServerLimits,
 )
+from hawthornstage.messages.server_notices import LeavingAnnounced, ServerNotices
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Committed, Conflict, Item, Put
 from hawthornstage.observe.events import EventLog
@@ -131,7 +131,7 @@
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
-        self.server_limits_in_force = LatestValue(ServerLimits())
+        self.server_notices_in_force = LatestValue(ServerNotices())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
@@ -205,9 +205,9 @@
             metrics=self.metrics,
             **self.shared,
         )
-        self.server_limits = ServerLimitsTask.start(
+        self.server_notices = ServerNoticesTask.start(
             node,
-            self.server_limits_in_force,
+            self.server_notices_in_force,
             (self.server_selection,),
             self.peers,
             **self.shared,
@@ -274,7 +274,7 @@
                 self.token_accounts,
                 self.server_failures,
                 self.desired_states,
-                self.server_limits,
+                self.server_notices,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
             **self.shared,
@@ -292,7 +292,7 @@
         )
         register(self.ledger, (CountsStored,))
         register(self.server_failures, (ServerFailedDuringCall, CallBlocked))
-        register(self.server_limits, (LimitAnnounced, RequestPermit))
+        register(self.server_notices, (LeavingAnnounced, LimitAnnounced, RequestPermit))
 
     def schedule_periodic_work(self) -> None:
         """Schedule the messages that trigger the tasks' periodic work."""
@@ -371,7 +371,7 @@
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         permits = Permits(
-            self.server_limits, self.peers, self.server_limits_in_force, self.clock
+            self.server_notices, self.peers, self.server_notices_in_force, self.clock
         )
         return ForwardPipe(
             identify=Identify(self.desired),
--- a/src/hawthornstage/decisions/server_limits.py
+++ b/src/hawthornstage/decisions/server_limits.py
@@ -16,11 +16,7 @@
 from dataclasses import dataclass, field, replace
 
 from hawthornstage.decisions.membership import rendezvous_order
-from hawthornstage.messages.server_limits import (
-    PermitDenied,
-    PermitGranted,
-    ServerLimits,
-)
+from hawthornstage.messages.server_limits import PermitDenied, PermitGranted
 
 # Time within which all routers learn of a router that comes or goes, in seconds.
 VIEW_SETTLING_S = 15.0
@@ -75,15 +71,13 @@
         before = known.calls_per_s if known else None
         return before != limit.calls_per_s
 
-    def in_force(self) -> ServerLimits:
-        """Return the limits that have not ended."""
-        return ServerLimits(
-            {
-                incarnation: limit.calls_per_s
-                for incarnation, limit in self.limits.items()
-                if limit.calls_per_s is not None
-            }
-        )
+    def in_force(self) -> dict[str, float]:
+        """Return the limits that have not ended, by server incarnation."""
+        return {
+            incarnation: limit.calls_per_s
+            for incarnation, limit in self.limits.items()
+            if limit.calls_per_s is not None
+        }
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -18,7 +18,7 @@
 from hawthornstage.decisions.permit_demand import PermitDemand
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import PlacementBasis, Prompt
-from hawthornstage.messages.server_limits import ServerLimits
+from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
@@ -107,7 +107,7 @@
         loads: Load of each server, by id.
         sent: Calls in progress, by id.
         preferred: Cache of the preferred servers, by service and prompt part.
-        limits: Limits that servers have named.
+        notices: What servers have said of themselves.
         permit_demand: Recent calls and permits of the services with a limited server.
     """
 
@@ -116,7 +116,7 @@
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     sent: dict[str, SentCall] = field(default_factory=dict)
     preferred: dict[tuple[str, str], str] = field(default_factory=dict)
-    limits: ServerLimits = ServerLimits()
+    notices: ServerNotices = ServerNotices()
     permit_demand: dict[str, PermitDemand] = field(default_factory=dict)
 
     @property
@@ -151,6 +151,7 @@
             for server in self.servers.values()
             if server.service == want.service
             and self.registered.accepts_calls(server.id, now)
+            and self.notices.accepts_calls(server.incarnation)
             and not self.loads[server.id].address_reused
             and server.id not in want.excluded
         ]
@@ -188,9 +189,9 @@
         self.record_sent(server, want, preferred, now)
         return ServerChosen(server, basis)
 
-    def replace_limits(self, limits: ServerLimits) -> None:
-        """Replace the limits that servers have named."""
-        self.limits = limits
+    def replace_notices(self, notices: ServerNotices) -> None:
+        """Replace what servers have said of themselves."""
+        self.notices = notices
         self.preferred.clear()
 
     def record_no_room(self, at_limit: ServerAtLimit, now: float) -> None:
@@ -207,7 +208,7 @@
 
     def is_limited(self, server: BackendServer) -> bool:
         """Whether a server has named a limit."""
-        return server.incarnation in self.limits.calls_per_s
+        return server.incarnation in self.notices.calls_per_s
 
     def has_room(self, server: BackendServer, want: RequestServer, now: float) -> bool:
         """Whether a server may have room for a call within its limit, if it named one.
@@ -328,6 +329,7 @@
             for server in self.servers.values()
             if server.service == service
             and not server.leaving
+            and self.notices.accepts_calls(server.incarnation)
             and not self.loads[server.id].address_reused
         ]
         unlimited = [each for each in staying if not self.is_limited(each)]
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -272,7 +272,8 @@
             return NotSent(f"no connection to {choice.server.id}: {error}")
         # It may have left while the connection was opened.
         now = self.clock.monotonic()
-        if not self.registered.value.accepts_calls(choice.server.id, now):
+        registered = self.registered.value.accepts_calls(choice.server.id, now)
+        if not registered or not self.permits.accepts_calls(choice.server.incarnation):
             connection.close()
             return NotSent(f"{choice.server.id} has left since it was chosen")
         if not has_permit and self.acquire_permit(exchange, choice) is not None:
@@ -372,8 +373,7 @@
             return
         for reason in head.notice.invalid:
             self.events.emit("server_notice_refused", server=server.id, reason=reason)
-        if not head.notice.invalid:
-            self.permits.observe(server.incarnation, head.notice.calls_per_s)
+        self.permits.observe(server.incarnation, head.notice)
 
     def report_attempt(
         self,
--- a/src/hawthornstage/filters/permits.py
+++ b/src/hawthornstage/filters/permits.py
@@ -16,10 +16,13 @@
     AcquirePermit,
     AskIssuer,
     IssuerUnresponsive,
-    LimitObserved,
     PermitDenied,
     PermitGranted,
-    ServerLimits,
+)
+from hawthornstage.messages.server_notices import (
+    NoticeObserved,
+    ServerNotice,
+    ServerNotices,
 )
 
 # Timeout of a permit, from this router's task and from another router, in seconds.
@@ -32,23 +35,27 @@
 
 @dataclass(frozen=True)
 class Permits:
-    """Acquires permits, and reports the limits that servers name.
+    """Acquires permits, and reports what servers say of themselves.
 
     Args:
         task: Task that owns the limits and issues this router's permits.
         peers: Sends messages to other routers.
-        limits: The limits in force.
+        notices: What servers have said of themselves.
         clock: Source of timeouts.
     """
 
     task: pykka.ActorRef
     peers: Recipient
-    limits: LatestValue[ServerLimits]
+    notices: LatestValue[ServerNotices]
     clock: Clock
 
     def needed_for(self, incarnation: str) -> bool:
         """Whether a call to a server needs a permit now."""
-        return incarnation in self.limits.value.calls_per_s
+        return incarnation in self.notices.value.calls_per_s
+
+    def accepts_calls(self, incarnation: str) -> bool:
+        """Whether a server has not said that it must get no new calls."""
+        return self.notices.value.accepts_calls(incarnation)
 
     def acquire(self, incarnation: str, priority: int) -> PermitDenied | None:
         """Acquire a permit; return the denial if there is none.
@@ -79,7 +86,10 @@
         self.task.tell(IssuerUnresponsive(issuer.node))
         return None
 
-    def observe(self, incarnation: str, calls_per_s: float | None) -> None:
-        """Report the limit that a response named, or None, if it is news."""
-        if self.limits.value.calls_per_s.get(incarnation) != calls_per_s:
-            self.task.tell(LimitObserved(incarnation, calls_per_s))
+    def observe(self, incarnation: str, notice: ServerNotice) -> None:
+        """Report what a response said of its server, if it is news."""
+        known = self.notices.value
+        limit_changed = known.calls_per_s.get(incarnation) != notice.calls_per_s
+        leaving = notice.leaving and incarnation not in known.leaving
+        if leaving or limit_changed:
+            self.task.tell(NoticeObserved(incarnation, notice))
--- a/src/hawthornstage/messages/server_limits.py
+++ b/src/hawthornstage/messages/server_limits.py
@@ -2,33 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
-
-
-@dataclass(frozen=True)
-class ServerLimits:
-    """The servers that have named a limit.
-
-    Args:
-        calls_per_s: Calls per second that a server accepts from all routers together,
-            by the server's incarnation.
-    """
-
-    calls_per_s: Mapping[str, float] = field(default_factory=dict)
-
-
-@dataclass(frozen=True)
-class LimitObserved:
-    """A server's response named a limit, or none.
-
-    Args:
-        incarnation: The server's incarnation.
-        calls_per_s: The limit in calls per second, or None.
-    """
-
-    incarnation: str
-    calls_per_s: float | None
+from dataclasses import dataclass
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/messages/server_notices.py
+++ b/src/hawthornstage/messages/server_notices.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -12,11 +13,52 @@
     Args:
         calls_per_s: Calls per second that it accepts from all routers together, or
             None if it names no limit.
+        leaving: Whether it must get no new calls.
         invalid: Values that cannot be used, for the log.
     """
 
     calls_per_s: float | None = None
+    leaving: bool = False
     invalid: tuple[str, ...] = ()
 
 
 SILENT_NOTICE = ServerNotice()
+
+
+@dataclass(frozen=True)
+class NoticeObserved:
+    """A server's response said something of the server.
+
+    Args:
+        incarnation: The server's incarnation.
+        notice: What it said.
+    """
+
+    incarnation: str
+    notice: ServerNotice
+
+
+@dataclass(frozen=True)
+class LeavingAnnounced:
+    """Tells another router of a server that said that it leaves."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class ServerNotices:
+    """What all servers have said of themselves, by the server's incarnation.
+
+    A server that starts again has another incarnation, for which nothing is known.
+
+    Args:
+        calls_per_s: Calls per second that a server accepts from all routers together.
+        leaving: Servers that said that they leave, with the time since when.
+    """
+
+    calls_per_s: Mapping[str, float] = field(default_factory=dict)
+    leaving: Mapping[str, float] = field(default_factory=dict)
+
+    def accepts_calls(self, incarnation: str) -> bool:
+        """Whether new calls may be sent to a server, as far as it said itself."""
+        return incarnation not in self.leaving
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -31,6 +31,8 @@
 RESPONSE_SEAL = "x-response-seal"
 NOT_EXECUTED = "x-not-executed"
 WRONG_SERVER_STATUS = 421
+# Set by a server that leaves.
+LEAVING = "server-leaving"
 # Calls per second that a server accepts from all routers together.
 RATE_LIMIT = "server-limit"
 # Range of rates that a router acts on, in calls per second: with fewer, too few calls
@@ -226,16 +228,19 @@
     Args:
         headers: Names in lower case, and values.
     """
+    leaving = headers.get(LEAVING, "0").strip() not in ("", "0")
     limit = headers.get(RATE_LIMIT)
     if limit is None:
-        return ServerNotice()
+        return ServerNotice(leaving=leaving)
     try:
         calls_per_s = float(limit)
     except ValueError:
         calls_per_s = math.nan
     if not math.isfinite(calls_per_s) or calls_per_s < 0:
-        return ServerNotice(invalid=(f"{RATE_LIMIT}: {limit[:40]!r}",))
-    return ServerNotice(min(max(calls_per_s, MIN_CALLS_PER_S), MAX_CALLS_PER_S))
+        invalid = (f"{RATE_LIMIT}: {limit[:40]!r}",)
+        return ServerNotice(leaving=leaving, invalid=invalid)
+    calls_per_s = min(max(calls_per_s, MIN_CALLS_PER_S), MAX_CALLS_PER_S)
+    return ServerNotice(calls_per_s, leaving)
 
 
 def parse_keep_alive(value: str) -> float | None:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -36,7 +36,7 @@
     PlacementBasis,
 )
 from hawthornstage.messages.host_settings import SocketAddress
-from hawthornstage.messages.server_limits import ServerLimits
+from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
@@ -124,7 +124,7 @@
         self.registered = LatestValue(RegisteredServers(servers))
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
-        self.limits = LatestValue(ServerLimits())
+        self.notices = LatestValue(ServerNotices())
         self.told: list[Any] = []
 
     def tell(self, message: Any) -> None:
@@ -148,7 +148,7 @@
         tasks,
         tasks,
         block,
-        Permits(tasks, tasks, tasks.limits, clock),
+        Permits(tasks, tasks, tasks.notices, clock),
         tasks.registered,
         clock,
         EventLog("a", clock),
@@ -357,7 +357,7 @@
     assert [type(each) for each in tasks.told] == [Ask, CallEnded]
 
 
-@pytest.mark.parametrize("how", ["draining", "removed", "lapsed"])
+@pytest.mark.parametrize("how", ["draining", "removed", "lapsed", "said"])
 def test_call_is_not_sent_to_a_server_that_left_after_it_was_chosen(
     pair: CallerPair, how: str
 ) -> None:
@@ -369,8 +369,12 @@
         "draining": RegisteredServers(servers),
         "removed": RegisteredServers({}),
         "lapsed": RegisteredServers(servers, {server_id(address): clock.now}),
+        "said": RegisteredServers(servers),
     }
     tasks.registered.publish(news[how])
+    if how == "said":
+        incarnation = server_at(address).incarnation
+        tasks.notices.publish(ServerNotices(leaving={incarnation: clock.now}))
     delivery = Delivery()
     failure = make_forwarder(tasks, clock).deliver(
         exchange_for("/letters/x"), pair.connection, delivery
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from hawthornstage.actors.peer_messages import Send
-from hawthornstage.actors.server_limits import ServerLimitsTask
+from hawthornstage.actors.server_notices import ServerNoticesTask
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.server_limits import (
@@ -36,11 +36,15 @@
     AskIssuer,
     IssuerUnresponsive,
     LimitAnnounced,
-    LimitObserved,
     PermitDenied,
     PermitGranted,
     RequestPermit,
-    ServerLimits,
+)
+from hawthornstage.messages.server_notices import (
+    LeavingAnnounced,
+    NoticeObserved,
+    ServerNotice,
+    ServerNotices,
 )
 from hawthornstage.messages.server_selection import (
     CallEnded,
@@ -203,10 +207,10 @@
     book = LimitBook()
     assert book.observe("i-1@1", KnownLimit(2.0, 5.0))
     assert not book.observe("i-1@1", KnownLimit(None, 4.0))
-    assert book.in_force().calls_per_s == {"i-1@1": 2.0}
+    assert book.in_force() == {"i-1@1": 2.0}
     assert not book.observe("i-1@1", KnownLimit(2.0, 6.0))
     assert book.observe("i-1@1", KnownLimit(None, 7.0))
-    assert book.in_force() == ServerLimits({})
+    assert book.in_force() == {}
 
 
 def make_server(name: str, started_ms: int = 1) -> BackendServer:
@@ -218,7 +222,7 @@
     """Return a selector for servers, some of which have a limit."""
     selector = ServerSelector("z")
     selector.replace_servers(RegisteredServers({n: make_server(n) for n in names}))
-    selector.replace_limits(ServerLimits({f"{name}@1": 1.0 for name in limited}))
+    selector.replace_notices(ServerNotices({f"{name}@1": 1.0 for name in limited}))
     return selector
 
 
@@ -298,8 +302,8 @@
 def make_task(clock: ManualClock, events: EventLog, *others: str) -> Any:
     """Return the task of router `a`, which knows others for long, and its peers."""
     peers = Inbox()
-    task: Any = ServerLimitsTask(
-        "a", LatestValue(ServerLimits()), (), peers, clock=clock, events=events
+    task: Any = ServerNoticesTask(
+        "a", LatestValue(ServerNotices()), (), peers, clock=clock, events=events
     )
     task.handle(KnownRouters(dict.fromkeys(others, "")))
     clock.advance(2 * VIEW_SETTLING_S)
@@ -316,7 +320,7 @@
 
 def test_neighbours_learn_of_a_limit_once(clock: ManualClock, events: EventLog) -> None:
     task, peers = make_task(clock, events, "b")
-    task.handle(LimitObserved("i-1@1", 2.0))
+    task.handle(NoticeObserved("i-1@1", ServerNotice(2.0)))
     assert peers.messages == [Send("b", LimitAnnounced("i-1@1", 2.0, 0.0))]
     answer(task, LimitAnnounced("i-1@1", 2.0, 0.0))
     clock.advance(1.0)
@@ -324,7 +328,7 @@
     assert len(peers.messages) == 1
     answer(task, LimitAnnounced("i-1@1", None, 0.25))
     assert peers.messages[1:] == [Send("b", LimitAnnounced("i-1@1", None, 0.25))]
-    assert task.limits.value == ServerLimits({})
+    assert task.notices.value == ServerNotices({})
 
 
 def test_router_that_never_heard_of_a_limit_learns_it_with_the_request(
@@ -333,7 +337,7 @@
     task, _ = make_task(clock, events)
     request = RequestPermit(LimitAnnounced("i-1@1", 2.0, 0.1), 0)
     assert answer(task, request) == PermitDenied(0.5)
-    assert task.limits.value == ServerLimits({"i-1@1": 2.0})
+    assert task.notices.value == ServerNotices({"i-1@1": 2.0})
     clock.advance(0.5)
     assert answer(task, request) == PermitGranted()
 
@@ -344,7 +348,7 @@
     task, _ = make_task(clock, events, "b", "c", "d")
     for number in range(20):
         server = f"i-{number}@1"
-        task.handle(LimitObserved(server, 2.0))
+        task.handle(NoticeObserved(server, ServerNotice(2.0)))
         first = answer(task, AcquirePermit(server, 0))
         if not isinstance(first, AskIssuer):
             continue
@@ -353,3 +357,28 @@
         assert isinstance(second, PermitDenied) or second.node != first.node
         clock.advance(1.0)
         assert answer(task, AcquirePermit(server, 0)).node == first.node
+
+
+def test_server_that_says_that_it_leaves_gets_nothing_until_it_starts_anew() -> None:
+    selector = make_selector("i-1", limited=())
+    selector.replace_notices(ServerNotices(leaving={"i-1@1": 10.0}))
+    assert isinstance(selector.choose(WANT, 9, 60.0), NoServerAvailable)
+    selector.replace_servers(RegisteredServers({"i-1": make_server("i-1", 2)}))
+    assert isinstance(selector.choose(WANT, 9, 60.0), ServerChosen)
+
+
+def test_neighbours_learn_of_a_leaving_server_once(
+    clock: ManualClock, events: EventLog
+) -> None:
+    task, peers = make_task(clock, events, "b")
+    task.handle(NoticeObserved("i-1@1", ServerNotice(leaving=True)))
+    assert not task.notices.value.accepts_calls("i-1@1")
+    assert peers.messages == [Send("b", LeavingAnnounced("i-1@1"))]
+    answer(task, LeavingAnnounced("i-1@1"))
+    assert len(peers.messages) == 1
+
+
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False)])
+def test_leaving_is_read_from_any_response(value: str, leaving: bool) -> None:
+    head = parse_response_head(503, (("server-leaving", value),))
+    assert head.notice == ServerNotice(leaving=leaving)
