Send nothing to a server that turned a call away until its time is over

What could be seen: a server that answers 503 with Retry-After gets the next calls of the same router at once, or 0.4 s later. Cause: nothing read the header of a server.

The time is part of what a server says of itself, bounded to 60 s (fractions are kept; a negative number, a date or no number is logged and ignored). The server is passed over until it is over, also by a call that was chosen it before; when no server is left the call is refused at once with the time until one is. It speaks of this router alone, so it is told to no other. A 429 speaks of one call or caller and closes no server.

Tests: all of them fail before (no such field), pass.

--- a/src/hawthornstage/actors/server_notices.py
+++ b/src/hawthornstage/actors/server_notices.py
@@ -70,6 +70,7 @@
         self.node = node
         self.notices = notices
         self.leaving: dict[str, float] = {}
+        self.closed_until: dict[str, float] = {}
         self.subscribers = subscribers
         self.peers = peers
         self.clock = clock
@@ -86,6 +87,8 @@
             case NoticeObserved(incarnation, notice):
                 if notice.leaving:
                     self.note_leaving(incarnation, now)
+                if notice.closed_for_s:
+                    self.note_closed(incarnation, notice.closed_for_s, now)
                 if not notice.invalid:
                     self.observe(incarnation, KnownLimit(notice.calls_per_s, now), now)
             case Ask(message=LeavingAnnounced(incarnation), reply_to=reply_to):
@@ -137,9 +140,23 @@
         for node in self.neighbours:
             self.peers.tell(Send(node, LeavingAnnounced(incarnation)))
 
+    def note_closed(self, incarnation: str, closed_for_s: float, now: float) -> None:
+        """Record that a server wants no calls of this router for some time."""
+        until = now + closed_for_s
+        self.closed_until = {
+            server: at for server, at in self.closed_until.items() if at > now
+        }
+        if until <= self.closed_until.get(incarnation, now):
+            return
+        self.closed_until[incarnation] = until
+        self.publish()
+        self.events.emit("server_closed", server=incarnation, closed_for_s=closed_for_s)
+
     def publish(self) -> None:
         """Publish what servers have said of themselves."""
-        notices = ServerNotices(self.book.in_force(), dict(self.leaving))
+        notices = ServerNotices(
+            self.book.in_force(), dict(self.leaving), dict(self.closed_until)
+        )
         self.notices.publish(notices)
         for subscriber in self.subscribers:
             subscriber.tell(notices)
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -151,7 +151,7 @@
             for server in self.servers.values()
             if server.service == want.service
             and self.registered.accepts_calls(server.id, now)
-            and self.notices.accepts_calls(server.incarnation)
+            and server.incarnation not in self.notices.leaving
             and not self.loads[server.id].address_reused
             and server.id not in want.excluded
         ]
@@ -211,10 +211,12 @@
         return server.incarnation in self.notices.calls_per_s
 
     def has_room(self, server: BackendServer, want: RequestServer, now: float) -> bool:
-        """Whether a server may have room for a call within its limit, if it named one.
+        """Whether a server wants calls now and may have room within its limit, if any.
 
         A call that was denied many permits gets no further server with a limit.
         """
+        if not self.notices.accepts_calls(server.incarnation, now):
+            return False
         if not self.is_limited(server):
             return True
         if want.permits_denied >= MAX_PERMITS_DENIED:
@@ -250,11 +252,18 @@
 
         Callers return at different times, as the servers take them one by one.
         """
-        room_at = min(self.loads[server.id].room_at for server in servers)
+        closed_until = self.notices.closed_until
+        room_at = min(
+            max(
+                self.loads[server.id].room_at, closed_until.get(server.incarnation, now)
+            )
+            for server in servers
+        )
         soonest = max(0.0, room_at - now)
         spread = jitter(want.call_id, want.service) * RETURN_SPREAD_S
         return NoServerAvailable(
-            "all servers have reached the limits that they named", soonest + spread
+            "all servers want no calls now or have reached the limits that they named",
+            soonest + spread,
         )
 
     def estimate(
@@ -329,7 +338,7 @@
             for server in self.servers.values()
             if server.service == service
             and not server.leaving
-            and self.notices.accepts_calls(server.incarnation)
+            and server.incarnation not in self.notices.leaving
             and not self.loads[server.id].address_reused
         ]
         unlimited = [each for each in staying if not self.is_limited(each)]
--- a/src/hawthornstage/filters/permits.py
+++ b/src/hawthornstage/filters/permits.py
@@ -54,8 +54,9 @@
         return incarnation in self.notices.value.calls_per_s
 
     def accepts_calls(self, incarnation: str) -> bool:
-        """Whether a server has not said that it must get no new calls."""
-        return self.notices.value.accepts_calls(incarnation)
+        """Whether a server has not said that it must get no calls now."""
+        now = self.clock.monotonic()
+        return self.notices.value.accepts_calls(incarnation, now)
 
     def acquire(self, incarnation: str, priority: int) -> PermitDenied | None:
         """Acquire a permit; return the denial if there is none.
@@ -91,5 +92,5 @@
         known = self.notices.value
         limit_changed = known.calls_per_s.get(incarnation) != notice.calls_per_s
         leaving = notice.leaving and incarnation not in known.leaving
-        if leaving or limit_changed:
+        if leaving or limit_changed or notice.closed_for_s:
             self.task.tell(NoticeObserved(incarnation, notice))
--- a/src/hawthornstage/messages/server_notices.py
+++ b/src/hawthornstage/messages/server_notices.py
@@ -14,11 +14,14 @@
         calls_per_s: Calls per second that it accepts from all routers together, or
             None if it names no limit.
         leaving: Whether it must get no new calls.
+        closed_for_s: Time for which it must get no calls of this router, in seconds, or
+            None if it names none.
         invalid: Values that cannot be used, for the log.
     """
 
     calls_per_s: float | None = None
     leaving: bool = False
+    closed_for_s: float | None = None
     invalid: tuple[str, ...] = ()
 
 
@@ -54,11 +57,21 @@
     Args:
         calls_per_s: Calls per second that a server accepts from all routers together.
         leaving: Servers that said that they leave, with the time since when.
+        closed_until: Monotonic time until which a server must get no calls of this
+            router, in seconds.
     """
 
     calls_per_s: Mapping[str, float] = field(default_factory=dict)
     leaving: Mapping[str, float] = field(default_factory=dict)
-
-    def accepts_calls(self, incarnation: str) -> bool:
-        """Whether new calls may be sent to a server, as far as it said itself."""
-        return incarnation not in self.leaving
+    closed_until: Mapping[str, float] = field(default_factory=dict)
+
+    def accepts_calls(self, incarnation: str, now: float) -> bool:
+        """Whether new calls may be sent to a server, as far as it said itself.
+
+        Args:
+            incarnation: The server's incarnation.
+            now: Monotonic time in seconds.
+        """
+        if incarnation in self.leaving:
+            return False
+        return self.closed_until.get(incarnation, now) <= now
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -35,6 +35,10 @@
 LEAVING = "server-leaving"
 # Calls per second that a server accepts from all routers together.
 RATE_LIMIT = "server-limit"
+# Time for which a server wants no calls of this router, in seconds, and the longest
+# that a router acts on.
+RETRY_AFTER = "retry-after"
+MAX_CLOSED_S = 60.0
 # Range of rates that a router acts on, in calls per second: with fewer, too few calls
 # would reach the server to learn when its limit ends.
 MIN_CALLS_PER_S, MAX_CALLS_PER_S = 0.1, 1_000_000.0
@@ -218,29 +222,44 @@
         misdirected=status == WRONG_SERVER_STATUS,
         content_encoded="content-encoding" in by_name,
         keep_alive_s=parse_keep_alive(by_name.get("keep-alive", "")),
-        notice=parse_notice(by_name),
+        notice=parse_notice(status, by_name),
     )
 
 
-def parse_notice(headers: dict[str, str]) -> ServerNotice:
+def parse_notice(status: int, headers: dict[str, str]) -> ServerNotice:
     """Return what a server says of itself in a response.
 
     Args:
+        status: HTTP status code.
         headers: Names in lower case, and values.
     """
+    invalid: list[str] = []
+
+    def read(name: str) -> float | None:
+        value = headers.get(name)
+        number = None if value is None else parse_number(value)
+        if value is not None and number is None:
+            invalid.append(f"{name}: {value[:40]!r}")
+        return number
+
+    calls_per_s = read(RATE_LIMIT)
+    if calls_per_s is not None:
+        calls_per_s = min(max(calls_per_s, MIN_CALLS_PER_S), MAX_CALLS_PER_S)
+    # Only this status speaks of the server, and not of the call alone.
+    closed_for_s = read(RETRY_AFTER) if status == 503 else None
+    if closed_for_s is not None:
+        closed_for_s = min(closed_for_s, MAX_CLOSED_S)
     leaving = headers.get(LEAVING, "0").strip() not in ("", "0")
-    limit = headers.get(RATE_LIMIT)
-    if limit is None:
-        return ServerNotice(leaving=leaving)
+    return ServerNotice(calls_per_s, leaving, closed_for_s, tuple(invalid))
+
+
+def parse_number(value: str) -> float | None:
+    """Return a number that is finite and not negative, or None if it is not one."""
     try:
-        calls_per_s = float(limit)
+        number = float(value)
     except ValueError:
-        calls_per_s = math.nan
-    if not math.isfinite(calls_per_s) or calls_per_s < 0:
-        invalid = (f"{RATE_LIMIT}: {limit[:40]!r}",)
-        return ServerNotice(leaving=leaving, invalid=invalid)
-    calls_per_s = min(max(calls_per_s, MIN_CALLS_PER_S), MAX_CALLS_PER_S)
-    return ServerNotice(calls_per_s, leaving)
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def parse_keep_alive(value: str) -> float | None:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -357,7 +357,7 @@
     assert [type(each) for each in tasks.told] == [Ask, CallEnded]
 
 
-@pytest.mark.parametrize("how", ["draining", "removed", "lapsed", "said"])
+@pytest.mark.parametrize("how", ["draining", "removed", "lapsed", "said", "closed"])
 def test_call_is_not_sent_to_a_server_that_left_after_it_was_chosen(
     pair: CallerPair, how: str
 ) -> None:
@@ -370,11 +370,15 @@
         "removed": RegisteredServers({}),
         "lapsed": RegisteredServers(servers, {server_id(address): clock.now}),
         "said": RegisteredServers(servers),
+        "closed": RegisteredServers(servers),
     }
     tasks.registered.publish(news[how])
+    incarnation = server_at(address).incarnation
     if how == "said":
-        incarnation = server_at(address).incarnation
         tasks.notices.publish(ServerNotices(leaving={incarnation: clock.now}))
+    if how == "closed":
+        until = clock.now + 1.0
+        tasks.notices.publish(ServerNotices(closed_until={incarnation: until}))
     delivery = Delivery()
     failure = make_forwarder(tasks, clock).deliver(
         exchange_for("/letters/x"), pair.connection, delivery
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -55,7 +55,11 @@
     ServerChosen,
 )
 from hawthornstage.observe.events import EventLog
-from hawthornstage.platform.headers import MIN_CALLS_PER_S, parse_response_head
+from hawthornstage.platform.headers import (
+    MAX_CLOSED_S,
+    MIN_CALLS_PER_S,
+    parse_response_head,
+)
 from tests.conftest import StartFleet
 from tests.draws_world import Inbox, Reply
 from tools.fleet import IDEMPOTENT_PATH, Fleet
@@ -372,7 +376,7 @@
 ) -> None:
     task, peers = make_task(clock, events, "b")
     task.handle(NoticeObserved("i-1@1", ServerNotice(leaving=True)))
-    assert not task.notices.value.accepts_calls("i-1@1")
+    assert not task.notices.value.accepts_calls("i-1@1", clock.now)
     assert peers.messages == [Send("b", LeavingAnnounced("i-1@1"))]
     answer(task, LeavingAnnounced("i-1@1"))
     assert len(peers.messages) == 1
@@ -382,3 +386,55 @@
 def test_leaving_is_read_from_any_response(value: str, leaving: bool) -> None:
     head = parse_response_head(503, (("server-leaving", value),))
     assert head.notice == ServerNotice(leaving=leaving)
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "closed_for_s", "valid"),
+    [
+        (503, "2", 2.0, True),
+        (503, "0.25", 0.25, True),
+        (503, "0", 0.0, True),
+        (503, "1e9", MAX_CLOSED_S, True),
+        (503, "-3", None, False),
+        (503, "Fri, 31 Dec 2027 23:59:59 GMT", None, False),
+        (503, "nan", None, False),
+        (429, "1", None, True),
+        (200, "1", None, True),
+    ],
+)
+def test_only_a_503_closes_a_server_and_within_bounds(
+    status: int, value: str, closed_for_s: float | None, valid: bool
+) -> None:
+    notice = parse_response_head(status, (("retry-after", value),)).notice
+    assert notice.closed_for_s == closed_for_s
+    assert bool(notice.invalid) is not valid
+
+
+def test_server_that_turned_a_call_away_gets_none_until_its_time_is_over(
+    clock: ManualClock, events: EventLog
+) -> None:
+    task, peers = make_task(clock, events, "b")
+    closed = ServerNotice(closed_for_s=1.5)
+    task.handle(NoticeObserved("i-1@1", closed))
+    # It speaks of this router's calls only.
+    assert peers.messages == []
+    selector = make_selector("i-1", "i-2", limited=())
+    selector.replace_notices(task.notices.value)
+    for number in range(9):
+        choice = selector.choose(replace(WANT, call_id=f"c{number}"), 9, clock.now)
+        assert isinstance(choice, ServerChosen) and choice.server.id == "i-2"
+    only = replace(WANT, excluded=frozenset({"i-2"}))
+    refusal = selector.choose(only, 9, clock.now)
+    assert isinstance(refusal, NoServerAvailable)
+    assert refusal.retry_after_s is not None and 1.5 <= refusal.retry_after_s < 2.0
+    assert isinstance(selector.choose(only, 9, clock.now + 1.5), ServerChosen)
+
+
+def test_shorter_time_does_not_end_a_longer_one(
+    clock: ManualClock, events: EventLog
+) -> None:
+    task, _ = make_task(clock, events)
+    task.handle(NoticeObserved("i-1@1", ServerNotice(closed_for_s=2.0)))
+    task.handle(NoticeObserved("i-1@1", ServerNotice(closed_for_s=0.5)))
+    assert not task.notices.value.accepts_calls("i-1@1", clock.now + 1.9)
+    assert task.notices.value.accepts_calls("i-1@1", clock.now + 2.0)
