--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -45,6 +45,7 @@
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
+from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import DesiredState
@@ -381,6 +382,7 @@
                 self.server_selection,
                 self.server_failures,
                 self.crashing_parts,
+                ServerChoice(self.server_selection, permits, self.clock, self.metrics),
                 block,
                 permits,
                 self.registered_servers,
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from hawthornstage.decisions.permit_demand import PermitDemand
+from hawthornstage.decisions.server_loads import SentCall, ServerLoad
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import PlacementBasis, Prompt
 from hawthornstage.messages.server_notices import ServerNotices
@@ -52,51 +53,6 @@
 CROSS_DOMAIN_COST_S = 0.004
 
 
-@dataclass
-class ServerLoad:
-    """The load of one server, as far as this router knows it.
-
-    Args:
-        calls: This router's calls there without a first byte: tokens to read, by call.
-        running: Number of this router's calls there.
-        lateness_s: Average delay of its first bytes beyond the expected time.
-        lateness_at: Time of the last update of `lateness_s`.
-        failures: Consecutive failed calls.
-        avoid_until: Time until which the server is avoided.
-        address_reused: Whether another server has its address; reset when it
-            registers again.
-        prompt_parts: Time at which each prompt part was last sent there, by part.
-        room_at: Time until which it has no room within the limit that it named.
-    """
-
-    calls: dict[str, int] = field(default_factory=dict)
-    running: int = 0
-    lateness_s: float = 0.0
-    lateness_at: float = 0.0
-    failures: int = 0
-    avoid_until: float = 0.0
-    address_reused: bool = False
-    prompt_parts: dict[str, float] = field(default_factory=dict)
-    room_at: float = 0.0
-
-
-@dataclass
-class SentCall:
-    """A call in progress.
-
-    Args:
-        server: The server's id.
-        at: Time at which it was sent.
-        expected_s: Expected time to its first byte on a server without a queue.
-        first_byte_received: Whether the first byte of the answer has arrived.
-    """
-
-    server: str
-    at: float
-    expected_s: float
-    first_byte_received: bool = False
-
-
 @dataclass
 class ServerSelector:
     """Chooses servers by their registrations and this router's calls on them.
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -6,13 +6,13 @@
 
 import pykka
 
-from hawthornstage.actors.ask import ask
 from hawthornstage.actors.server_failures import CallAnswered
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
-from hawthornstage.filters.forward import TASK_TIMEOUT_S, BlockCrashingCalls
+from hawthornstage.filters.forward import BlockCrashingCalls
+from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.forward_relay import (
     DEADLINE_GRACE_S,
     OUTCOME_NAMES,
@@ -35,21 +35,17 @@
     Delivery,
     ForwardExchange,
     NotSent,
-    PooledConnection,
     ResponseData,
     ResponseEnd,
     ResponseHead,
     ServerFailed,
 )
 from hawthornstage.messages.host_settings import SocketAddress
-from hawthornstage.messages.server_limits import PermitDenied
 from hawthornstage.messages.server_selection import (
     CallEnded,
     FirstByteReceived,
     NoServerAvailable,
     RegisteredServers,
-    RequestServer,
-    ServerAtLimit,
     ServerChosen,
 )
 from hawthornstage.observe.events import EventLog
@@ -68,6 +64,7 @@
         serving: Task that chooses servers.
         server_failures: Task that counts server failures by call fingerprint.
         crashing_parts: Task that finds prompt parts which crash servers.
+        choice: Chooses servers that have room for a call.
         block: Rejects calls that crash servers, also between two attempts.
         permits: Permits for servers that have named a limit.
         registered: The servers that may get calls, read right before each send.
@@ -79,6 +76,7 @@
     serving: pykka.ActorRef
     server_failures: pykka.ActorRef
     crashing_parts: pykka.ActorRef
+    choice: ServerChoice
     block: BlockCrashingCalls
     permits: Permits
     registered: LatestValue[RegisteredServers]
@@ -104,13 +102,13 @@
             blocked = self.block.check(exchange)
             if blocked is not None:
                 return self.blocked_failure(delivery, blocked)
-            choice = self.choose_server(exchange, delivery)
+            choice = self.choice.choose(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
                 return self.final_failure(delivery, choice.reason, choice.retry_after_s)
             try:
                 outcome = self.attempt(exchange, caller, choice, delivery)
             except Exception:
-                self.release_server(exchange)
+                self.choice.release(exchange)
                 raise
             self.report_attempt(exchange, choice, delivery, outcome)
             match outcome:
@@ -176,86 +174,6 @@
         )
         return Failure(kind, "the deadline of the call has passed")
 
-    def choose_server(
-        self, exchange: ForwardExchange, delivery: Delivery
-    ) -> ServerChosen | NoServerAvailable:
-        """Return a server for the call that has room within the limit that it named.
-
-        A server without room is passed over until it may have some.
-        """
-        permits_denied = 0
-        while True:
-            choice = self.request_server(exchange, delivery, permits_denied)
-            if isinstance(choice, NoServerAvailable):
-                return choice
-            denied = self.acquire_permit(exchange, choice)
-            if denied is None:
-                return choice
-            self.pass_over(exchange, choice, denied)
-            permits_denied += 1
-
-    def needs_permit(self, choice: ServerChosen) -> bool:
-        """Whether a call to the chosen server needs a permit."""
-        return self.permits.needed_for(choice.server.incarnation)
-
-    def acquire_permit(
-        self, exchange: ForwardExchange, choice: ServerChosen
-    ) -> PermitDenied | None:
-        """Acquire the permit that the chosen server may need; return its denial."""
-        if not self.needs_permit(choice):
-            return None
-        denied = self.permits.acquire(choice.server.incarnation, exchange.priority)
-        outcome = "granted" if denied is None else "denied"
-        self.metrics.permits.labels(outcome).inc()
-        return denied
-
-    def pass_over(
-        self, exchange: ForwardExchange, choice: ServerChosen, denied: PermitDenied
-    ) -> None:
-        """Release a server without room, and let none of this router's calls there."""
-        self.release_server(exchange, choice.pooled)
-        self.serving.tell(ServerAtLimit(choice.server.id, denied.retry_after_s))
-
-    def request_server(
-        self, exchange: ForwardExchange, delivery: Delivery, permits_denied: int
-    ) -> ServerChosen | NoServerAvailable:
-        """Ask the serving task for a server.
-
-        Args:
-            exchange: The call.
-            delivery: What was done for the call.
-            permits_denied: Servers chosen for this attempt that had no room.
-        """
-        want = RequestServer(
-            call_id=exchange.call.id,
-            service=exchange.service,
-            prompt=exchange.call.prompt,
-            excluded=frozenset(server.id for server in delivery.attempted_servers),
-            retry=delivery.attempts > 0,
-            max_connections_per_server=exchange.max_connections_per_server,
-            repeatable=exchange.route.idempotency is Idempotency.IDEMPOTENT,
-            permits_denied=permits_denied,
-        )
-        reply = ask(self.serving, want, self.clock, timeout=TASK_TIMEOUT_S)
-        if reply is None:
-            self.release_server(exchange)
-            return NoServerAvailable(
-                f"the serving task sent no reply within {TASK_TIMEOUT_S} s"
-            )
-        return reply
-
-    def release_server(
-        self, exchange: ForwardExchange, pooled: PooledConnection | None = None
-    ) -> None:
-        """Remove the call from the load of a server that may have been chosen.
-
-        Args:
-            exchange: The call.
-            pooled: The unused connection to the server, if there is one.
-        """
-        ended = CallEnded(exchange.call.id, failed=False, refused=False, pooled=pooled)
-        self.serving.tell(ended)
-
     def attempt(
         self,
         exchange: ForwardExchange,
@@ -265,7 +183,7 @@
     ) -> AttemptOutcome:
         """Send a call to one server and relay its response."""
         delivery.attempted_servers = (*delivery.attempted_servers, choice.server)
-        has_permit = self.needs_permit(choice)
+        has_permit = self.choice.needs_permit(choice)
         try:
             connection = self.connect(choice)
         except OSError as error:
@@ -276,7 +194,7 @@
         if not registered or not self.permits.accepts_calls(choice.server.incarnation):
             connection.close()
             return NotSent(f"{choice.server.id} has left since it was chosen")
-        if not has_permit and self.acquire_permit(exchange, choice) is not None:
+        if not has_permit and self.choice.acquire_permit(exchange, choice) is not None:
             connection.close()
             return NotSent(f"{choice.server.id} has named a limit since it was chosen")
         delivery.attempts += 1
--- /dev/null
+++ b/src/hawthornstage/filters/forward_choice.py
@@ -0,0 +1,124 @@
+"""Choice: finds a backend server for a forwarded call that has room for it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import pykka
+
+from hawthornstage.actors.ask import ask
+from hawthornstage.clock import Clock
+from hawthornstage.filters.forward import TASK_TIMEOUT_S
+from hawthornstage.filters.permits import Permits
+from hawthornstage.messages.desired import Idempotency
+from hawthornstage.messages.forward import (
+    Delivery,
+    ForwardExchange,
+    PooledConnection,
+)
+from hawthornstage.messages.server_limits import PermitDenied
+from hawthornstage.messages.server_selection import (
+    CallEnded,
+    NoServerAvailable,
+    RequestServer,
+    ServerAtLimit,
+    ServerChosen,
+)
+from hawthornstage.observe.metrics import Metrics
+
+
+@dataclass(frozen=True)
+class ServerChoice:
+    """Chooses servers, and acquires the permits of those that have named a limit.
+
+    Args:
+        serving: Task that chooses servers.
+        permits: Permits for servers that have named a limit.
+        clock: Source of timeouts.
+        metrics: Counts permits.
+    """
+
+    serving: pykka.ActorRef
+    permits: Permits
+    clock: Clock
+    metrics: Metrics
+
+    def choose(
+        self, exchange: ForwardExchange, delivery: Delivery
+    ) -> ServerChosen | NoServerAvailable:
+        """Return a server for the call that has room within the limit that it named.
+
+        A server without room is passed over until it may have some.
+        """
+        permits_denied = 0
+        while True:
+            choice = self.request(exchange, delivery, permits_denied)
+            if isinstance(choice, NoServerAvailable):
+                return choice
+            denied = self.acquire_permit(exchange, choice)
+            if denied is None:
+                return choice
+            self.pass_over(exchange, choice, denied)
+            permits_denied += 1
+
+    def needs_permit(self, choice: ServerChosen) -> bool:
+        """Whether a call to the chosen server needs a permit."""
+        return self.permits.needed_for(choice.server.incarnation)
+
+    def acquire_permit(
+        self, exchange: ForwardExchange, choice: ServerChosen
+    ) -> PermitDenied | None:
+        """Acquire the permit that the chosen server may need; return its denial."""
+        if not self.needs_permit(choice):
+            return None
+        denied = self.permits.acquire(choice.server.incarnation, exchange.priority)
+        outcome = "granted" if denied is None else "denied"
+        self.metrics.permits.labels(outcome).inc()
+        return denied
+
+    def pass_over(
+        self, exchange: ForwardExchange, choice: ServerChosen, denied: PermitDenied
+    ) -> None:
+        """Release a server without room, and let none of this router's calls there."""
+        self.release(exchange, choice.pooled)
+        self.serving.tell(ServerAtLimit(choice.server.id, denied.retry_after_s))
+
+    def request(
+        self, exchange: ForwardExchange, delivery: Delivery, permits_denied: int
+    ) -> ServerChosen | NoServerAvailable:
+        """Ask the serving task for a server.
+
+        Args:
+            exchange: The call.
+            delivery: What was done for the call.
+            permits_denied: Servers chosen for this attempt that had no room.
+        """
+        want = RequestServer(
+            call_id=exchange.call.id,
+            service=exchange.service,
+            prompt=exchange.call.prompt,
+            excluded=frozenset(server.id for server in delivery.attempted_servers),
+            retry=delivery.attempts > 0,
+            max_connections_per_server=exchange.max_connections_per_server,
+            repeatable=exchange.route.idempotency is Idempotency.IDEMPOTENT,
+            permits_denied=permits_denied,
+        )
+        reply = ask(self.serving, want, self.clock, timeout=TASK_TIMEOUT_S)
+        if reply is None:
+            self.release(exchange)
+            return NoServerAvailable(
+                f"the serving task sent no reply within {TASK_TIMEOUT_S} s"
+            )
+        return reply
+
+    def release(
+        self, exchange: ForwardExchange, pooled: PooledConnection | None = None
+    ) -> None:
+        """Remove the call from the load of a server that may have been chosen.
+
+        Args:
+            exchange: The call.
+            pooled: The unused connection to the server, if there is one.
+        """
+        ended = CallEnded(exchange.call.id, failed=False, refused=False, pooled=pooled)
+        self.serving.tell(ended)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -21,9 +21,10 @@
 from hawthornstage.decisions.forwarding import resolve_call
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.errors import ErrorKind, Failure
-from hawthornstage.filters import forward_attempt
+from hawthornstage.filters import forward_choice
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_attempt import Forwarder
+from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.forward_relay import belongs_to_call
 from hawthornstage.filters.permits import Permits
 from hawthornstage.latest_value import LatestValue
@@ -143,16 +144,19 @@
 def make_forwarder(tasks: Any, clock: Clock) -> Forwarder:
     """Return a forwarder whose tasks are all stood for by one object."""
     block = BlockCrashingCalls(tasks.blocked_calls, tasks.blocked_parts, clock)
+    permits = Permits(tasks, tasks, tasks.notices, clock)
+    metrics = Metrics()
     return Forwarder(
         tasks,
         tasks,
         tasks,
+        ServerChoice(tasks, permits, clock, metrics),
         block,
-        Permits(tasks, tasks, tasks.notices, clock),
+        permits,
         tasks.registered,
         clock,
         EventLog("a", clock),
-        Metrics(),
+        metrics,
     )
 
 
@@ -348,7 +352,7 @@
         def tell(self, message: Any) -> None:
             self.told.append(message)
 
-    monkeypatch.setattr(forward_attempt, "TASK_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(forward_choice, "TASK_TIMEOUT_S", 0.01)
     tasks: Any = Slow([])
     clock = Clock()
     forwarder = make_forwarder(tasks, clock)
