Keep a server in use after a restoration that had lapsed and returned before it

Found while reading the change: a server whose entry was once removed counted as departed for 120 s though it had registered again, so a copy of its present entry would have kept it out until it wrote anew. Test: fails before, passes.

--- a/src/hawthornstage/actors/server_registry.py
+++ b/src/hawthornstage/actors/server_registry.py
@@ -145,6 +145,8 @@
             self.brought_back.pop(name, None)
         if entry.leaving:
             self.note_departure(entry)
+        else:
+            self.departed.pop(entry.incarnation, None)
         known = self.servers.get(name)
         if known == entry:
             return returned
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -339,6 +339,21 @@
     assert registry.registered.value.accepts_calls("a", clock.monotonic())
 
 
+def test_copy_keeps_a_server_in_use_that_had_lapsed_and_returned(
+    clock: ManualClock, events: EventLog
+) -> None:
+    ready = entry_item("a", 3)
+    store = RestoredStore(
+        (1, Listing((ready,), 3)),
+        (1, Changes((Removal(ready.key, 5),), 5)),
+        (1, Changes((entry_item("a", 7),), 7)),
+        (2, Changes((), 8)),
+        (2, Listing((entry_item("a", 7),), 8)),
+    )
+    registry = follow(clock, events, store)
+    assert registry.registered.value.accepts_calls("a", clock.monotonic())
+
+
 def test_server_that_the_copy_lacks_gets_time_to_register(
     clock: ManualClock, events: EventLog
 ) -> None:
