--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -216,15 +216,19 @@
         return task
 
     async def start_routers(self, count: int, *, memory_mb: int = 300) -> None:
-        """Start routers and wait until they are ready."""
-        self.spawn(self.store.keep_time())
-        for number in range(1, count + 1):
+        """Start further routers and wait until they are ready."""
+        if not self.routers:
+            self.spawn(self.store.keep_time())
+        started = []
+        for _ in range(count):
             port = await self.store.listen()
             folder = Path(self.temporary.name)
-            router = Router(f"edge-{number}", folder, port, memory_mb)
+            name = f"edge-{len(self.routers) + 1}"
+            router = Router(name, folder, port, memory_mb)
             self.routers.append(router)
+            started.append(router)
             router.start()
-        for router in self.routers:
+        for router in started:
             await self.wait_ready(router)
 
     async def wait_ready(self, router: Router) -> None:
@@ -246,6 +250,7 @@
         headers: dict[str, str] | None = None,
         limit_s: float = 10.0,
         request_id: str | None = None,
+        quiet: bool = False,
     ) -> tuple[str, Answer]:
         """Send a call to a router; return its id and the answer."""
         self.requests += 1
@@ -260,11 +265,12 @@
         if tokens is not None:
             sent["X-Model"] = "m"
             sent["X-Token-Counts"] = f"{tokens[0]},{tokens[1]}"
-        self.record(f"sent {request_id} to {router.name}: POST {target}")
+        note = (lambda line: None) if quiet else self.record
+        note(f"sent {request_id} to {router.name}: POST {target}")
         answer = await exchange(
             router.front, "POST", target, sent, body, timeout_s=limit_s
         )
-        self.record(
+        note(
             f"answered {request_id}: status {answer.status},"
             f" {'complete' if answer.complete else 'not complete'} {answer.error}"
         )
--- a/review/kit/servers.py
+++ b/review/kit/servers.py
@@ -62,6 +62,8 @@
         self.running = 0
         self.crashed_at: float | None = None
         self.deadly: bytes | None = None
+        # Headers in which the server tells of itself.
+        self.says: list[tuple[str, str]] = []
         self.on_run: Callable[[Server, Request], None] = lambda server, request: None
         self.on_crash: Callable[[Server, Request], None] = lambda server, request: None
 
@@ -145,6 +147,7 @@
         request_id = request.headers.get("x-request-id", "")
         if self.running >= self.slots:
             headers = [("X-Not-Executed", "1"), ("X-Request-Id", request_id)]
+            headers += self.says
             writer.write(encode_answer(503, headers, b""))
             return
         self.on_run(self, request)
@@ -155,6 +158,7 @@
         headers = [
             ("X-Request-Id", request_id),
             ("X-Response-Seal", f"seal-{request_id}"),
+            *self.says,
         ]
         self.running += 1
         try:
--- a/review/kit/store.py
+++ b/review/kit/store.py
@@ -10,11 +10,12 @@
 import base64
 import json
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
-from kit.http import json_answer, read_request, reset
+from kit.http import Request, json_answer, read_request, reset
 
 ENTRY_BEATS_S = 1.2
 PAGE_SIZE = 400
@@ -42,6 +43,11 @@
         self.turned_away: set[int] = set()
         self.connections: dict[int, set[asyncio.StreamWriter]] = {}
         self.listeners: list[asyncio.Server] = []
+        # Loses the answer of one write and does it late: the prefix of a key that it
+        # puts, and the delay in seconds.
+        self.late_write: tuple[str, float] | None = None
+        self.on_late: Callable[[str], None] = lambda line: None
+        self.writes = 0
 
     async def listen(self) -> int:
         """Open a port for one router and return it."""
@@ -69,6 +75,8 @@
         self.connections[port].add(writer)
         try:
             while (request := await read_request(reader)) is not None:
+                if self.loses(request):
+                    await asyncio.Event().wait()
                 if port in self.turned_away:
                     writer.write(json_answer(503, {}))
                 else:
@@ -82,7 +90,29 @@
             self.connections[port].discard(writer)
             writer.close()
 
-    async def execute(self, request: Any) -> tuple[int, Any]:
+    def loses(self, request: Request) -> bool:
+        """Whether this is the write whose answer is lost; it is done late."""
+        if not request.target.startswith("/-/kv-txn"):
+            return False
+        self.writes += 1
+        puts = json.loads(request.body).get("puts", [])
+        if self.late_write is None or not any(
+            each["key"].startswith(self.late_write[0]) for each in puts
+        ):
+            return False
+        delay_s, self.late_write = self.late_write[1], None
+        keys = ", ".join(each["key"] for each in puts)
+        self.on_late(f"the answer to a write of {keys} is lost; done {delay_s} s later")
+        self.late_task = asyncio.ensure_future(self.do_late(request, delay_s))
+        return True
+
+    async def do_late(self, request: Request, delay_s: float) -> None:
+        """Do a write late, if its condition still holds."""
+        await asyncio.sleep(delay_s)
+        status, _ = await self.execute(request)
+        self.on_late(f"the late write is done now: {status}")
+
+    async def execute(self, request: Request) -> tuple[int, Any]:
         """Execute one call."""
         url = urlsplit(request.target)
         query = dict(parse_qsl(url.query))
