--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -202,6 +202,7 @@
         self.store = Store()
         self.routers: list[Router] = []
         self.tasks: list[asyncio.Task[Any]] = []
+        self.processes: list[asyncio.subprocess.Process] = []
         self.requests = 0
         self.record(f"trouble: {self.trouble}")
 
@@ -315,6 +316,9 @@
         """End all that was started."""
         for router in self.routers:
             router.end()
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
         for task in self.tasks:
             task.cancel()
 
--- a/review/kit/http.py
+++ b/review/kit/http.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import struct
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -89,10 +90,13 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def json_answer(status: int, document: Any) -> bytes:
+def json_answer(
+    status: int, document: Any, headers: Sequence[tuple[str, str]] = ()
+) -> bytes:
     """Return an answer with a JSON body."""
     body = json.dumps(document).encode()
-    return encode_answer(status, [("Content-Type", "application/json")], body)
+    all_headers = [("Content-Type", "application/json"), *headers]
+    return encode_answer(status, all_headers, body)
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
--- a/review/kit/store.py
+++ b/review/kit/store.py
@@ -11,7 +11,7 @@
 import json
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
@@ -48,6 +48,10 @@
         self.late_write: tuple[str, float] | None = None
         self.on_late: Callable[[str], None] = lambda line: None
         self.writes = 0
+        # Counts how often the store came back from a copy; the copy that it would use.
+        self.era = 1
+        self.copy: dict[str, Any] = {}
+        self.away = False
 
     async def listen(self) -> int:
         """Open a port for one router and return it."""
@@ -67,6 +71,42 @@
         """Serve a router again."""
         self.turned_away.discard(port)
 
+    def take_copy(self) -> None:
+        """Take the copy from which the store may come back."""
+        self.copy = {
+            "items": {key: replace(item) for key, item in self.items.items()},
+            "leases": dict(self.leases),
+            "history": list(self.history),
+            "revision": self.revision,
+        }
+
+    def go_away(self) -> None:
+        """Answer 503 to all, and cut the waiting watches."""
+        self.away = True
+        for writers in self.connections.values():
+            for writer in list(writers):
+                reset(writer)
+
+    def come_back_from_copy(self) -> None:
+        """Lose what the system wrote since the copy; the rest is written again."""
+        rewritten = {
+            key: item.value
+            for key, item in self.items.items()
+            if key.startswith(("op/", "servers/"))
+        }
+        now = time.monotonic()
+        self.items = self.copy["items"]
+        self.leases = {
+            lease: (now + ttl_s, ttl_s)
+            for lease, (_, ttl_s) in self.copy["leases"].items()
+        }
+        self.history, self.revision = self.copy["history"], self.copy["revision"]
+        self.era += 1
+        self.away = False
+        for key, value in rewritten.items():
+            self.revision += 1
+            self.put_item(key, value, 0)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -77,12 +117,12 @@
             while (request := await read_request(reader)) is not None:
                 if self.loses(request):
                     await asyncio.Event().wait()
-                if port in self.turned_away:
-                    writer.write(json_answer(503, {}))
-                else:
+                status, document = 503, {}
+                if port not in self.turned_away and not self.away:
                     await self.expire()
                     status, document = await self.execute(request)
-                    writer.write(json_answer(status, document))
+                headers = [("Store-Era", str(self.era))]
+                writer.write(json_answer(status, document, headers))
                 await writer.drain()
         except OSError:
             pass
@@ -178,6 +218,8 @@
         """Wait for changes after a revision."""
         ends_at = time.monotonic() + wait_s
         while True:
+            if after > self.revision:
+                return 410, {}
             events = [
                 each
                 for each in self.history
