Start the prober of links in the composition root, and say unreachable

Cause: ServerLinksTask started a task of its own, against the rule of one composition root; LinkBook.gone meant that other routers do not reach a server, not that it has gone.

Change: LinkProber is started by compose_fleet and replies to whoever asks; TunnelsTask.connect is a step of its own; LinkBook.unreachable.

Measured: test_failed_links, test_tunnels, test_crashing_parts, test_blocked_calls and test_server_failures pass on this commit's code.

--- a/src/hawthornstage/actors/servers/links.py
+++ b/src/hawthornstage/actors/servers/links.py
@@ -7,10 +7,11 @@
 
 import pykka
 
-from hawthornstage.actors.task import Task
+from hawthornstage.actors.task import Ask, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.server_links import LinkBook
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.server_links import (
@@ -34,6 +35,7 @@
     Args:
         node: This router's name.
         links: Where they are published for the request pipe.
+        prober: Task that connects to servers whose links failed.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -42,6 +44,7 @@
         self,
         node: str,
         links: LatestValue[ServerLinks],
+        prober: pykka.ActorRef,
         *,
         clock: Clock,
         events: EventLog,
@@ -51,11 +54,7 @@
         self.clock = clock
         self.events = events
         self.book = LinkBook(node)
-        self.prober: pykka.ActorRef | None = None
-
-    def on_start(self) -> None:
-        """Start the task that connects to servers whose links failed."""
-        self.prober = LinkProber.start(self.actor_ref)
+        self.prober = prober
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
@@ -87,8 +86,8 @@
         One that works again is followed by the next at once, as others may, too.
         """
         server = self.book.next_to_probe()
-        if server is not None and self.prober is not None:
-            self.prober.tell(server)
+        if server is not None:
+            self.prober.tell(Ask(server, ReplyCallback(self.actor_ref.tell)))
 
     def publish(self, now: float) -> None:
         """Publish the links if they have changed."""
@@ -100,19 +99,14 @@
 class LinkProber(Task):
     """Owns the connections that find out whether a link works again.
 
-    Args:
-        links: Gets `LinkWorked`.
+    The reply to a server is `LinkWorked`; there is none while its link fails.
     """
 
-    def __init__(self, links: pykka.ActorRef) -> None:
-        super().__init__()
-        self.links = links
-
     def handle(self, message: Any) -> None:
         match message:
-            case BackendServer():
-                if connects(message):
-                    self.links.tell(LinkWorked(message.incarnation))
+            case Ask(message=BackendServer() as server, reply_to=reply_to):
+                if connects(server):
+                    reply_to.put(LinkWorked(server.incarnation))
 
 
 def connects(server: BackendServer) -> bool:
--- a/src/hawthornstage/actors/servers/tunnels.py
+++ b/src/hawthornstage/actors/servers/tunnels.py
@@ -20,6 +20,7 @@
 from hawthornstage.decisions.tunnels import refusal_of_tunnel
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyTo
+from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.server_links import LinkFailed, LinkFault, ServerLinks
 from hawthornstage.messages.server_notices import ServerNotices
@@ -144,6 +145,19 @@
             self.refuse(refusal, reply_to)
             return
         server = self.registered.value.servers[request.server]
+        self.connect(server, request.time_left_s, reply_to, now)
+
+    def connect(
+        self, server: BackendServer, time_left_s: float, reply_to: ReplyTo, now: float
+    ) -> None:
+        """Begin to connect to a server for another router.
+
+        Args:
+            server: The server.
+            time_left_s: Time until the tunnel is not needed any more, in seconds.
+            reply_to: Gets the reply to the request for the tunnel.
+            now: Monotonic time, in seconds.
+        """
         connection = socket.socket()
         connection.setblocking(False)
         set_socket_options(connection)
@@ -156,7 +170,7 @@
             reply_to,
             connect_by=now + CONNECT_TIMEOUT_S,
             use_by=now + CONNECT_TIMEOUT_S + TOKEN_TIMEOUT_S,
-            end_by=now + max(0.0, request.time_left_s) + LINGER_S,
+            end_by=now + max(0.0, time_left_s) + LINGER_S,
         )
         error = connection.connect_ex((server.host, server.port))
         if error not in (0, errno.EINPROGRESS):
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -21,7 +21,7 @@
 from hawthornstage.actors.servers.crash_logs import CrashLogsWatch, CrashLogWriter
 from hawthornstage.actors.servers.crashing_parts import CheckCrashLog, CrashingPartsTask
 from hawthornstage.actors.servers.failures import ServerFailuresTask
-from hawthornstage.actors.servers.links import ServerLinksTask
+from hawthornstage.actors.servers.links import LinkProber, ServerLinksTask
 from hawthornstage.actors.servers.notices import ServerNoticesTask
 from hawthornstage.actors.servers.registry import ServerRegistry
 from hawthornstage.actors.servers.selection import ServerSelectionTask
@@ -253,7 +253,10 @@
     def start_links(self) -> None:
         """Start the tasks that know this router's links, and serve other routers'."""
         self.server_links = ServerLinksTask.start(
-            self.settings.node, self.server_links_known, **self.shared
+            self.settings.node,
+            self.server_links_known,
+            LinkProber.start(),
+            **self.shared,
         )
         self.tunnels = TunnelsTask(
             self.settings.tunnels,
--- a/src/hawthornstage/decisions/server_links.py
+++ b/src/hawthornstage/decisions/server_links.py
@@ -39,7 +39,7 @@
         node: This router.
         failed: Servers whose links fail, and how, by incarnation.
         lost_at: Latest loss of a connection, by incarnation.
-        gone: Servers that a helper doesn't reach either, by incarnation.
+        unreachable: Servers that a helper doesn't reach either, by incarnation.
         helpers: Routers to ask for tunnels.
         avoided_until: Time until which a helper is not asked, by its name and server.
     """
@@ -47,7 +47,7 @@
     node: str
     failed: dict[str, tuple[BackendServer, LinkFault]] = field(default_factory=dict)
     lost_at: dict[str, float] = field(default_factory=dict)
-    gone: set[str] = field(default_factory=set)
+    unreachable: set[str] = field(default_factory=set)
     helpers: tuple[str, ...] = ()
     avoided_until: dict[tuple[str, str], float] = field(default_factory=dict)
 
@@ -74,7 +74,7 @@
     def record_success(self, incarnation: str) -> bool:
         """Record a connection; return whether the link had failed."""
         self.lost_at.clear()
-        self.gone.discard(incarnation)
+        self.unreachable.discard(incarnation)
         return self.failed.pop(incarnation, None) is not None
 
     def is_isolated(self, now: float) -> bool:
@@ -82,7 +82,7 @@
         lost = {
             each for each, at in self.lost_at.items() if now - at < ISOLATION_WINDOW_S
         }
-        return len((lost | self.failed.keys()) - self.gone) >= ISOLATION_SERVERS
+        return len((lost | self.failed.keys()) - self.unreachable) >= ISOLATION_SERVERS
 
     def update_servers(self, incarnations: Iterable[str]) -> None:
         """Forget the links to servers that are not registered any more."""
@@ -90,7 +90,7 @@
         self.failed = {
             each: link for each, link in self.failed.items() if each in registered
         }
-        self.gone &= registered
+        self.unreachable &= registered
 
     def update_routers(self, others: Iterable[str]) -> None:
         """Choose the helpers among the other routers."""
@@ -105,7 +105,7 @@
         }
         self.avoided_until[node, incarnation] = now + HELPER_PAUSE_S
         if incarnation:
-            self.gone.add(incarnation)
+            self.unreachable.add(incarnation)
 
     def next_to_probe(self) -> BackendServer | None:
         """Return the server to connect to next; the links take turns."""
--- a/src/hawthornstage/filters/permits.py
+++ b/src/hawthornstage/filters/permits.py
@@ -1,4 +1,4 @@
-"""Permits: asks whether a call may be sent to a server that has named a limit."""
+"""Permits: asks whether a call may be sent to a server, by what the server said."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True)
 class Permits:
-    """Acquires permits, and reports what servers say of themselves.
+    """Acquires permits and leases, and reports what servers say of themselves.
 
     Args:
         task: Task that owns the limits and issues this router's permits.
