Count a call's failures only when the server has crashed, found out by asking

Cause: AttemptReports dropped a failure when LinkBook.is_isolated, which says so after any two losses within 1.5 s. Servers that crash soon after one another look the same.

Class: a symptom with several causes is attributed by coincidence in time. The other direction was open as well: any broken connection, invalid answer or 500 before a retry counted against a call, three blocked it for 120 s; a broken tunnel counted, too; an answer cleared the count on one router only.

Change: a loss is no verdict. The router connects to the server again, beside three others that show whether its links work, and asks other routers the same. Alive if any reaches it; crashed if none does and one of them reaches others; undecided if none reaches any, until the store names a new process. All calls of the server count by the one check, from the moment of their loss. Other routers are asked by RequestTunnel with no time left, which the build before understands as well. Calls answered within 10 s on a router do not count there.

--- a/src/hawthornstage/actors/servers/crashing_parts.py
+++ b/src/hawthornstage/actors/servers/crashing_parts.py
@@ -19,6 +19,7 @@
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.crashing_parts import (
     AnswerBegan,
+    CrashConfirmed,
     CrashDuringCall,
     CrashLog,
     CrashLogEntry,
@@ -112,10 +113,10 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case CrashDuringCall(server, parts):
+            case CrashConfirmed(CrashDuringCall(server, parts), at):
                 crash = CrashDuringCall(server, limit_parts(parts))
-                self.add_crash(crash, now)
-                self.record_crash(crash, now)
+                self.add_crash(crash, at)
+                self.record_crash(crash, at)
             case AnswerBegan(parts):
                 self.record_answer(AnswerBegan(limit_parts(parts)), now)
             case CrashLogRead(node, log):
@@ -206,11 +207,11 @@
                     answered_at = self.parts.history(part).answered_at
                     self.tell_answer(AnswerBegan((part,)), answered_at)
 
-    def add_crash(self, crash: CrashDuringCall, now: float) -> None:
+    def add_crash(self, crash: CrashDuringCall, at: float) -> None:
         """Add a crash to this router's log, up to the limit for one server."""
         told = sum(other.server == crash.server for other in self.told_crashes())
         if told < MAX_ENTRIES_PER_SERVER:
-            self.add_entry(crash, now)
+            self.add_entry(crash, at)
 
     def add_entry(self, news: CrashNews, at: float) -> None:
         """Add an entry to this router's log; the next check writes it."""
--- a/src/hawthornstage/actors/servers/failures.py
+++ b/src/hawthornstage/actors/servers/failures.py
@@ -1,4 +1,4 @@
-"""The task that counts server failures during calls, together with other routers."""
+"""The task that counts server crashes during calls, together with other routers."""
 
 from __future__ import annotations
 
@@ -64,7 +64,9 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case ServerFailedDuringCall():
+            case ServerFailedDuringCall(fingerprint):
+                if self.failures.is_answered(fingerprint, now):
+                    return
                 self.record_failure(message, now)
                 for node in counting_routers(message.fingerprint, self.routers):
                     if node != self.node:
@@ -73,12 +75,13 @@
                 self.record_failure(failure, now)
                 reply_to.put(Acknowledged())
             case Ask(message=CallBlocked(fingerprint), reply_to=reply_to):
-                if not self.failures.is_blocked(fingerprint, now):
+                known = self.failures.is_blocked(fingerprint, now)
+                if not (known or self.failures.is_answered(fingerprint, now)):
                     self.failures.block(fingerprint, now)
                     self.announce_block(fingerprint, now)
                 reply_to.put(Acknowledged())
             case CallAnswered(fingerprint):
-                if self.failures.clear_failures(fingerprint):
+                if self.failures.record_answer(fingerprint, now):
                     self.blocked.publish(self.failures.blocked_calls(now))
             case KnownRouters(urls):
                 self.routers = (self.node, *urls)
--- a/src/hawthornstage/actors/servers/links.py
+++ b/src/hawthornstage/actors/servers/links.py
@@ -14,6 +14,7 @@
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.messages.lost_servers import ServerCrashed
 from hawthornstage.messages.server_links import (
     ConnectionLost,
     HelperFailed,
@@ -70,6 +71,8 @@
                     self.probe()
             case ConnectionLost(incarnation):
                 self.book.record_loss(incarnation, now)
+            case ServerCrashed(incarnation):
+                self.book.record_crash(incarnation)
             case HelperFailed(node, incarnation):
                 self.book.avoid_helper(node, incarnation or "", now)
             case RegisteredServers(servers):
--- a/src/hawthornstage/actors/servers/tunnels.py
+++ b/src/hawthornstage/actors/servers/tunnels.py
@@ -13,15 +13,16 @@
 
 from hawthornstage.actors.selector_task import CHECK_INTERVAL_S, SelectorTask
 from hawthornstage.actors.servers.tunnel_ends import Accepted, Tunnel
-from hawthornstage.actors.task import Ask
+from hawthornstage.actors.task import Ask, Recipient
 from hawthornstage.border.sockets import probe_when_idle, set_socket_options
 from hawthornstage.border.tunnel import TOKEN_LENGTH
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.tunnels import refusal_of_tunnel
+from hawthornstage.decisions.tunnels import refusal_of_tunnel, reply_to_check
 from hawthornstage.latest_value import LatestValue
-from hawthornstage.mailbox import ReplyTo
+from hawthornstage.mailbox import ReplyCallback, ReplyTo
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.lost_servers import CheckReach, Reach
 from hawthornstage.messages.server_links import LinkFailed, LinkFault, ServerLinks
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import RegisteredServers
@@ -53,6 +54,7 @@
 
     Args:
         address: The address to listen on; port 0 lets the system choose.
+        checks: Task that finds out whether this router reaches a server.
         links_task: Is told of servers that this router does not reach.
         registered: The servers that may get calls.
         notices: What servers have said of themselves.
@@ -65,6 +67,7 @@
     def __init__(
         self,
         address: SocketAddress,
+        checks: Recipient,
         links_task: pykka.ActorRef,
         *,
         registered: LatestValue[RegisteredServers],
@@ -75,6 +78,7 @@
         metrics: Metrics,
     ) -> None:
         super().__init__("tunnels", selectors.DefaultSelector(), clock)
+        self.checks = checks
         self.links_task = links_task
         self.registered = registered
         self.notices = notices
@@ -107,7 +111,10 @@
     def handle(self, message: Any) -> None:
         match message:
             case Ask(message=RequestTunnel() as request, reply_to=reply_to):
-                self.open(request, reply_to)
+                if request.is_check:
+                    self.check(request, reply_to)
+                else:
+                    self.open(request, reply_to)
             case StopTunnels():
                 self.stopped = True
 
@@ -129,6 +136,19 @@
                 self.clock.wait(self.changed, remaining)
         return True
 
+    def check(self, request: RequestTunnel, reply_to: ReplyTo) -> None:
+        """Find out for another router whether this one reaches a server."""
+        server = self.registered.value.servers.get(request.server)
+        if server is None or server.incarnation != request.incarnation:
+            reply_to.put(TunnelRefused(TunnelRefusal.NOT_ACCEPTING))
+            return
+        address = SocketAddress(self.host, self.port)
+
+        def reply(reach: Reach) -> None:
+            reply_to.put(reply_to_check(reach, address))
+
+        self.checks.tell(Ask(CheckReach(server), ReplyCallback(reply)))
+
     def open(self, request: RequestTunnel, reply_to: ReplyTo) -> None:
         """Connect to a server for another router, or refuse."""
         now = self.clock.monotonic()
--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -244,8 +244,7 @@
             self.send_pending()
         except OSError as error:
             reason = f"{type(error).__name__}: {error.strerror}"
-            # A tunnel that breaks tells nothing of the server.
-            return ServerFailed(reason, connection_lost=self.tunnel is None)
+            return ServerFailed(reason, connection_lost=True)
         return None
 
     def receive_available(self) -> None:
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -22,7 +22,9 @@
 from hawthornstage.actors.servers.crashing_parts import CheckCrashLog, CrashingPartsTask
 from hawthornstage.actors.servers.failures import ServerFailuresTask
 from hawthornstage.actors.servers.links import LinkProber, ServerLinksTask
+from hawthornstage.actors.servers.lost_servers import LostServersTask
 from hawthornstage.actors.servers.notices import ServerNoticesTask
+from hawthornstage.actors.servers.reach_checks import ReachChecks
 from hawthornstage.actors.servers.registry import ServerRegistry
 from hawthornstage.actors.servers.selection import ServerSelectionTask
 from hawthornstage.actors.servers.stream_versions import StreamVersionsTask
@@ -78,6 +80,7 @@
     SocketAddress,
     StoreBounds,
 )
+from hawthornstage.messages.lost_servers import StopChecks
 from hawthornstage.messages.server_limits import (
     LimitAnnounced,
     RequestPermit,
@@ -163,6 +166,7 @@
         self.start_tasks(secret)
         self.peers.start()
         self.tunnels.start()
+        self.reach_checks.start()
         self.watch_store()
         self.events.emit("router_started", metrics_port=self.metrics_http.port)
 
@@ -205,6 +209,7 @@
             **self.shared,
         )
         self.start_links()
+        self.start_lost_servers()
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
         self.start_members(secret)
         self.store_epoch.subscribe(
@@ -258,8 +263,15 @@
             LinkProber.start(),
             **self.shared,
         )
+        self.reach_checks = ReachChecks(
+            self.settings.node,
+            self.registered_servers,
+            self.server_links_known,
+            self.clock,
+        )
         self.tunnels = TunnelsTask(
             self.settings.tunnels,
+            self.reach_checks,
             self.server_links,
             registered=self.registered_servers,
             notices=self.server_notices_in_force,
@@ -268,6 +280,19 @@
             **self.shared,
         )
 
+    def start_lost_servers(self) -> None:
+        """Start the task that finds out which servers crashed during calls."""
+        self.lost_servers = LostServersTask.start(
+            self.reach_checks,
+            self.peers,
+            self.server_failures,
+            self.crashing_parts,
+            self.server_links,
+            links=self.server_links_known,
+            timers=self.timers,
+            **self.shared,
+        )
+
     def start_members(self, secret: str) -> None:
         """Start the task that registers this router and finds the others.
 
@@ -352,7 +377,12 @@
         ).start()
         ServerRegistry(
             self.store(),
-            (self.server_selection, self.stream_versions, self.server_links),
+            (
+                self.server_selection,
+                self.stream_versions,
+                self.server_links,
+                self.lost_servers,
+            ),
             self.registered_servers,
             self.routers,
             self.store_bounds,
@@ -416,7 +446,7 @@
         reports = AttemptReports(
             self.server_selection,
             self.server_failures,
-            self.crashing_parts,
+            self.lost_servers,
             choice,
             permits,
             dialer,
@@ -459,5 +489,6 @@
         shutdown.run(self.live_settings.value.grace_s)
         self.peers.stop()
         self.tunnels.tell(StopTunnels())
+        self.reach_checks.tell(StopChecks())
         self.readiness.stop()
         self.metrics_http.stop()
--- a/src/hawthornstage/decisions/crashing_parts.py
+++ b/src/hawthornstage/decisions/crashing_parts.py
@@ -78,7 +78,9 @@
         return len(self.crashes) >= limit
 
     def add_crash(self, server: str, at: float) -> None:
-        """Count a crash unless it coincides with one that was counted."""
+        """Count a crash unless an answer refutes it or it coincides with another."""
+        if at <= self.answered_at:
+            return
         coincides = any(
             abs(at - other) < MIN_INTERVAL_S for other in self.crashes.values()
         )
--- a/src/hawthornstage/decisions/server_failures.py
+++ b/src/hawthornstage/decisions/server_failures.py
@@ -3,8 +3,9 @@
 Server failures during a call are counted by the call's fingerprint: on the router that
 sent it, and on a few others that the fingerprint chooses, so that they add up although
 a repeated call comes to other routers. A call with `MAX_SERVER_FAILURES` failures is
-blocked, which all routers are told. An answer to the call resets its count. Times are
-seconds of the monotonic clock.
+blocked, which all routers are told. An answer to the call resets its count, and
+failures soon after it do not count, as the same sound call may come from many callers.
+Times are seconds of the monotonic clock.
 """
 
 from __future__ import annotations
@@ -21,7 +22,9 @@
 FAILURE_TTL_S = 120.0
 # Routers that count a call's failures, beside the one that sent it.
 COUNTING_ROUTERS = 4
-# Calls with recorded failures; the oldest are dropped first.
+# Time for which an answer shows that a call crashes no servers, in seconds.
+ANSWER_TTL_S = 10.0
+# Calls with recorded failures, and with recorded answers; the oldest are dropped first.
 MAX_TRACKED_CALLS = 4_096
 
 
@@ -38,12 +41,25 @@
 
 @dataclass
 class ServerFailures:
-    """Times of the latest server failures known to a router, by fingerprint."""
+    """What a router knows of calls and the servers that failed during them.
+
+    Args:
+        failure_times: Times of the latest server failures, by fingerprint.
+        answer_times: Time of the latest answer on this router, by fingerprint.
+    """
 
     failure_times: OrderedDict[str, list[float]] = field(default_factory=OrderedDict)
+    answer_times: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+    def is_answered(self, fingerprint: str, now: float) -> bool:
+        """Whether a call was answered not long ago."""
+        answered_at = self.answer_times.get(fingerprint, float("-inf"))
+        return now - answered_at < ANSWER_TTL_S
 
     def record_failure(self, fingerprint: str, now: float) -> None:
-        """Record a server failure during a call."""
+        """Record a server failure during a call, unless the call is known as sound."""
+        if self.is_answered(fingerprint, now):
+            return
         failure_times = self.failure_times.pop(fingerprint, [])
         self.failure_times[fingerprint] = [*failure_times, now][-MAX_SERVER_FAILURES:]
         while len(self.failure_times) > MAX_TRACKED_CALLS:
@@ -54,12 +70,16 @@
         for _ in range(MAX_SERVER_FAILURES):
             self.record_failure(fingerprint, now)
 
-    def clear_failures(self, fingerprint: str) -> bool:
-        """Drop the recorded failures of a call that was answered.
+    def record_answer(self, fingerprint: str, now: float) -> bool:
+        """Record that a call was answered, and drop its failures.
 
         Returns:
             Whether there were any.
         """
+        self.answer_times.pop(fingerprint, None)
+        self.answer_times[fingerprint] = now
+        while len(self.answer_times) > MAX_TRACKED_CALLS:
+            self.answer_times.popitem(last=False)
         return self.failure_times.pop(fingerprint, None) is not None
 
     def blocked_calls(self, now: float) -> BlockedCalls:
--- a/src/hawthornstage/decisions/server_links.py
+++ b/src/hawthornstage/decisions/server_links.py
@@ -39,7 +39,8 @@
         node: This router.
         failed: Servers whose links fail, and how, by incarnation.
         lost_at: Latest loss of a connection, by incarnation.
-        unreachable: Servers that a helper doesn't reach either, by incarnation.
+        unreachable: Servers that crashed or that a helper doesn't reach, either, by
+            incarnation.
         helpers: Routers to ask for tunnels.
         avoided_until: Time until which a helper is not asked, by its name and server.
     """
@@ -77,6 +78,10 @@
         self.unreachable.discard(incarnation)
         return self.failed.pop(incarnation, None) is not None
 
+    def record_crash(self, incarnation: str) -> None:
+        """Record that a server crashed, so that its link tells nothing of others."""
+        self.unreachable.add(incarnation)
+
     def is_isolated(self, now: float) -> bool:
         """Whether this router's links fail, rather than single servers."""
         lost = {
--- a/src/hawthornstage/decisions/tunnels.py
+++ b/src/hawthornstage/decisions/tunnels.py
@@ -1,12 +1,21 @@
-"""Decides whether this router opens a tunnel to a server for another router."""
+"""Decides whether this router opens a tunnel, or says that it reaches a server."""
 
 from __future__ import annotations
 
+from typing import Any
+
 from hawthornstage.decisions.server_acceptance import why_not_accepting
+from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.lost_servers import Reach
 from hawthornstage.messages.server_links import ServerLinks
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import RegisteredServers
-from hawthornstage.messages.tunnels import RequestTunnel, TunnelRefusal
+from hawthornstage.messages.tunnels import (
+    RequestTunnel,
+    TunnelOpened,
+    TunnelRefusal,
+    TunnelRefused,
+)
 
 # Most tunnels at a time: a router that helps many still has to serve its own callers.
 MAX_TUNNELS = 192
@@ -46,3 +55,32 @@
     if stopping or open_tunnels >= MAX_TUNNELS:
         return TunnelRefusal.BUSY
     return None
+
+
+def reply_to_check(
+    reach: Reach, address: SocketAddress
+) -> TunnelOpened | TunnelRefused:
+    """Return the reply to a router that asked whether a server is reached.
+
+    Args:
+        reach: Whether this router reaches it.
+        address: Where this router accepts tunnels.
+    """
+    match reach:
+        case Reach.REACHED:
+            return TunnelOpened(address.host, address.port, token="")
+        case Reach.UNREACHED:
+            return TunnelRefused(TunnelRefusal.UNREACHABLE)
+        case Reach.UNKNOWN:
+            return TunnelRefused(TunnelRefusal.ISOLATED)
+
+
+def reach_of_reply(reply: Any) -> Reach:
+    """Return what another router's reply to a check tells of the server."""
+    match reply:
+        case TunnelOpened():
+            return Reach.REACHED
+        case TunnelRefused(TunnelRefusal.UNREACHABLE):
+            return Reach.UNREACHED
+        case _:
+            return Reach.UNKNOWN
--- a/src/hawthornstage/filters/attempt_reports.py
+++ b/src/hawthornstage/filters/attempt_reports.py
@@ -20,8 +20,6 @@
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.messages.backends import BackendServer
-from hawthornstage.messages.crashing_parts import CrashDuringCall
-from hawthornstage.messages.fleet import ServerFailedDuringCall
 from hawthornstage.messages.forward import (
     Delivery,
     ForwardExchange,
@@ -29,6 +27,7 @@
     ResponseHead,
     ServerFailed,
 )
+from hawthornstage.messages.lost_servers import LostCall, ServerLost
 from hawthornstage.messages.server_selection import CallEnded, ServerChosen
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
@@ -41,17 +40,17 @@
     Args:
         serving: Task that chooses servers.
         server_failures: Task that counts server failures by call fingerprint.
-        crashing_parts: Task that finds prompt parts which crash servers.
+        lost_servers: Task that finds out which servers crashed during calls.
         choice: Ends the lease that an attempt may hold.
         permits: Is told what servers say of themselves.
-        dialer: Knows whether it is this router's links that fail.
+        dialer: Is told of broken connections.
         events: Structured event log.
         metrics: Counts attempts.
     """
 
     serving: pykka.ActorRef
     server_failures: pykka.ActorRef
-    crashing_parts: pykka.ActorRef
+    lost_servers: pykka.ActorRef
     choice: ServerChoice
     permits: Permits
     dialer: ServerDialer
@@ -110,10 +109,12 @@
             )
         )
         match outcome:
-            case ServerFailed(_, connection_lost):
-                self.report_failure(exchange, choice, delivery, connection_lost)
+            case ServerFailed(connection_lost=True):
+                self.report_loss(exchange, choice, delivery)
             case Delivered():
-                self.server_failures.tell(CallAnswered(exchange.fingerprint))
+                answered = CallAnswered(exchange.fingerprint)
+                self.server_failures.tell(answered)
+                self.lost_servers.tell(answered)
         if not isinstance(outcome, Delivered):
             self.events.emit(
                 "attempt_failed",
@@ -126,31 +127,19 @@
                 reason=getattr(outcome, "reason", ""),
             )
 
-    def report_failure(
-        self,
-        exchange: ForwardExchange,
-        choice: ServerChosen,
-        delivery: Delivery,
-        connection_lost: bool,
+    def report_loss(
+        self, exchange: ForwardExchange, choice: ServerChosen, delivery: Delivery
     ) -> None:
-        """Report that a server failed during a call, unless this router's links did.
-
-        An end that another router has passed on is the server's own.
+        """Report that the connection to a server broke during a call.
 
         Args:
             exchange: The call.
             choice: The server.
             delivery: What was done for the call.
-            connection_lost: Whether the connection to the server broke.
         """
         server = choice.server
-        if connection_lost and delivery.through_router is None:
+        if delivery.through_router is None:
             self.dialer.note_loss(server.incarnation)
-            if self.dialer.is_isolated:
-                return
-        self.server_failures.tell(
-            ServerFailedDuringCall(exchange.fingerprint, server.id)
-        )
-        parts = exchange.shared_ids
-        if parts and connection_lost and not delivery.answer_began:
-            self.crashing_parts.tell(CrashDuringCall(server.incarnation, parts))
+        parts = () if delivery.answer_began else exchange.shared_ids
+        call = LostCall(exchange.fingerprint, parts)
+        self.lost_servers.tell(ServerLost(server, call))
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -174,7 +174,10 @@
                         last_event_at = now
                     self.send_events(head, events)
                 case ResponseEnd(closed) if closed and splitter.rest:
-                    return ServerFailed("the stream ended in the middle of an event")
+                    return ServerFailed(
+                        "the stream ended in the middle of an event",
+                        connection_lost=True,
+                    )
                 case ResponseEnd():
                     self.send_stream_end(head, splitter.rest)
                     return Delivered(head.status)
--- a/src/hawthornstage/messages/crashing_parts.py
+++ b/src/hawthornstage/messages/crashing_parts.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True)
 class CrashDuringCall:
-    """A server's connection broke before it had begun to answer a call.
+    """A server crashed before it had begun to answer a call.
 
     Args:
         server: The incarnation of the server; a restart begins another one.
@@ -18,6 +18,19 @@
     parts: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class CrashConfirmed:
+    """A crash during a call, told once it is certain.
+
+    Args:
+        crash: The crash.
+        at: Monotonic time at which the connection broke, in seconds.
+    """
+
+    crash: CrashDuringCall
+    at: float
+
+
 @dataclass(frozen=True)
 class AnswerBegan:
     """A server has begun to answer a call, so none of its parts crashes servers.
--- a/src/hawthornstage/messages/tunnels.py
+++ b/src/hawthornstage/messages/tunnels.py
@@ -15,6 +15,9 @@
 class RequestTunnel:
     """Asks a router to connect to a server; it replies with one of the classes below.
 
+    With no time left it only asks whether the router reaches the server: the connection
+    is closed at once. A router that does not know this case closes it a little later.
+
     Args:
         server: The server's id.
         incarnation: The server's incarnation.
@@ -25,6 +28,11 @@
     incarnation: str
     time_left_s: float
 
+    @property
+    def is_check(self) -> bool:
+        """Whether it only asks whether the router reaches the server."""
+        return self.time_left_s <= 0
+
 
 @dataclass(frozen=True)
 class TunnelOpened:
@@ -33,7 +41,8 @@
     Args:
         host: IP address to connect to.
         port: Port to connect to.
-        token: Secret to send first; it is valid once and for a short time.
+        token: Secret to send first; it is valid once and for a short time. Empty after
+            a check, as there is no tunnel.
     """
 
     host: str
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,7 +1,8 @@
 """A stand-in for a backend server on the users' platform.
 
 It responds to a call with `done:` and the call's body, streams events if the call has
-the header X-Token-Counts, and refuses calls that target another server.
+the header X-Token-Counts, and refuses calls that target another server. A call whose
+body is `deadly` ends the process.
 `POST /standin/behave` sets `full` (refuses all calls), `event_s` (interval between
 events, in seconds), `calls_per_s` (the limit that its responses name, or None),
 `break_after` (a stream that begins here ends in the middle of the event after so many,
@@ -14,6 +15,7 @@
 
 from __future__ import annotations
 
+import os
 import threading
 import time
 from collections import Counter, deque
@@ -29,6 +31,8 @@
     serve,
 )
 
+# Body of a call that crashes the server.
+DEADLY = b"deadly"
 # Time for which a server that has failed is down, in seconds.
 DOWN_S = 2.0
 
@@ -120,6 +124,8 @@
 
     def run(self, environ: dict[str, Any], body: bytes, start: StartResponse) -> Any:
         """Run one call."""
+        if body == DEADLY:
+            os._exit(1)
         request_id = environ["HTTP_X_REQUEST_ID"]
         owner = environ.get("HTTP_X_TENANT", "")
         headers = [("X-Request-Id", request_id), ("X-Response-Seal", f"s-{request_id}")]
--- a/tests/test_blocked_calls.py
+++ b/tests/test_blocked_calls.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from hawthornstage.actors.servers.failures import ServerFailuresTask
+from hawthornstage.actors.servers.failures import CallAnswered, ServerFailuresTask
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.server_failures import (
+    ANSWER_TTL_S,
     FAILURE_TTL_S,
     MAX_SERVER_FAILURES,
     BlockedCalls,
@@ -42,6 +43,10 @@
         """Let a server fail during the call on a router."""
         self.tasks[router].handle(ServerFailedDuringCall("call", server))
 
+    def answer(self, router: str) -> None:
+        """Let a server answer the call on a router."""
+        self.tasks[router].handle(CallAnswered("call"))
+
     def deliver(self) -> int:
         """Deliver messages until none is left; return their number."""
         delivered = 0
@@ -83,3 +88,31 @@
     fleet = Fleet(195, clock, events)
     fleet.fail("edge-7", "engine-1")
     assert fleet.deliver() <= 4
+
+
+def test_sound_call_of_many_callers_is_not_blocked_by_crashes_under_it(
+    clock: ManualClock, events: EventLog
+) -> None:
+    fleet = Fleet(8, clock, events)
+    for number in range(MAX_SERVER_FAILURES + 1):
+        for name in fleet.names:
+            fleet.answer(name)
+        clock.advance(ANSWER_TTL_S / 2)
+        fleet.fail(fleet.names[number], f"engine-{number}")
+        fleet.deliver()
+    assert fleet.allowing() == fleet.names
+
+
+def test_block_is_not_adopted_by_a_router_that_got_an_answer(
+    clock: ManualClock, events: EventLog
+) -> None:
+    fleet = Fleet(8, clock, events)
+    fleet.answer("edge-0")
+    for number in range(MAX_SERVER_FAILURES):
+        fleet.fail("edge-7", f"engine-{number}")
+    fleet.deliver()
+    assert fleet.allowing() == ["edge-0"]
+    clock.advance(ANSWER_TTL_S)
+    for number in range(MAX_SERVER_FAILURES):
+        fleet.fail("edge-0", f"engine-{number}")
+    assert fleet.allowing() == []
