Decode chunks in time that grows with their bytes, and refuse tiny ones

Cause: ChunkedDecoder copied what was left of its buffer for each chunk, 64 KB for each byte of a body. Class: a bound for one item where what runs out, the processor, is shared by all calls. EventSplitter copied and searched the bytes of an event again for each piece; the same class, mended as well.

Change: the decoder walks through its buffer. More than 1,024 chunks that are smaller than 8 bytes on average are no answer: the attempt fails, the server is avoided, and a repeatable call goes on elsewhere.

--- a/src/hawthornstage/border/chunked_body.py
+++ b/src/hawthornstage/border/chunked_body.py
@@ -10,6 +10,10 @@
 # Longest line of a size or a trailer field, and longest trailer, in bytes.
 MAX_LINE_BYTES = 4_096
 MAX_TRAILER_BYTES = 16_384
+# Chunks after which a body is refused whose chunks are smaller than this on average, in
+# bytes: each costs far more to decode than it brings.
+MAX_SMALL_CHUNKS = 1_024
+SMALL_CHUNK_BYTES = 8
 LINE_END = b"\r\n"
 
 
@@ -30,13 +34,18 @@
 class ChunkedDecoder:
     """Decodes one chunked body.
 
-    `rest` holds the bytes after the body once `finished` is true.
+    The time that it takes grows with the bytes only: what has been decoded is dropped
+    once for each call of `feed`, not for each chunk.
     """
 
     def __init__(self) -> None:
         self.expected = Expected.SIZE
         self.buffer = b""
+        # Bytes of the buffer that are decoded.
+        self.position = 0
         self.chunk_left = 0
+        self.chunks = 0
+        self.body_bytes = 0
         self.trailer_bytes = 0
 
     @property
@@ -46,16 +55,18 @@
 
     @property
     def rest(self) -> bytes:
-        """The bytes received after the end of the body."""
-        return self.buffer
+        """The bytes received that are not decoded; all after the body's end."""
+        return self.buffer[self.position :]
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the part of the body that they complete.
 
         Raises:
-            ChunkError: The bytes are invalid, or a line does not end.
+            ChunkError: The bytes are invalid, a line does not end, or the body is in
+                very many tiny chunks.
         """
-        self.buffer += data
+        self.buffer = self.rest + data
+        self.position = 0
         parts: list[bytes] = []
         while self.step(parts):
             pass
@@ -77,12 +88,14 @@
 
     def read_line(self) -> bytes | None:
         """Take one line without its end, or return None if it is incomplete."""
-        line, end, rest = self.buffer.partition(LINE_END)
-        if len(line) > MAX_LINE_BYTES:
+        end = self.buffer.find(LINE_END, self.position)
+        line_bytes = (end if end >= 0 else len(self.buffer)) - self.position
+        if line_bytes > MAX_LINE_BYTES:
             raise ChunkError(f"a line exceeds {MAX_LINE_BYTES} bytes")
-        if not end:
+        if end < 0:
             return None
-        self.buffer = rest
+        line = self.buffer[self.position : end]
+        self.position = end + len(LINE_END)
         return line
 
     def read_size(self) -> bool:
@@ -94,15 +107,24 @@
         if found is None:
             raise ChunkError(f"invalid chunk size {line[:20]!r}")
         self.chunk_left = int(found[1], 16)
+        self.count_chunk()
         self.expected = Expected.DATA if self.chunk_left else Expected.TRAILER
         return True
 
+    def count_chunk(self) -> None:
+        """Count a chunk, and refuse the body if most of it is sizes of chunks."""
+        self.chunks += 1
+        self.body_bytes += self.chunk_left
+        small = self.body_bytes < self.chunks * SMALL_CHUNK_BYTES
+        if self.chunks > MAX_SMALL_CHUNKS and small:
+            raise ChunkError(f"more than {MAX_SMALL_CHUNKS} chunks, most of them tiny")
+
     def read_data(self, parts: list[bytes]) -> bool:
         """Take what has arrived of the current chunk."""
-        if not self.buffer:
+        part = self.buffer[self.position : self.position + self.chunk_left]
+        if not part:
             return False
-        part = self.buffer[: self.chunk_left]
-        self.buffer = self.buffer[len(part) :]
+        self.position += len(part)
         self.chunk_left -= len(part)
         parts.append(part)
         if not self.chunk_left:
@@ -111,11 +133,11 @@
 
     def read_data_end(self) -> bool:
         """Read the line end after a chunk."""
-        if len(self.buffer) < len(LINE_END):
+        if len(self.buffer) - self.position < len(LINE_END):
             return False
-        if not self.buffer.startswith(LINE_END):
+        if not self.buffer.startswith(LINE_END, self.position):
             raise ChunkError("a chunk is longer than its size")
-        self.buffer = self.buffer[len(LINE_END) :]
+        self.position += len(LINE_END)
         self.expected = Expected.SIZE
         return True
 
--- a/src/hawthornstage/border/sse.py
+++ b/src/hawthornstage/border/sse.py
@@ -6,6 +6,8 @@
 
 # Ends a stream of chat completion chunks.
 DONE_EVENT = b"data: [DONE]\n\n"
+# Ends an event.
+EVENT_END = b"\n\n"
 # Largest event, in bytes.
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -17,11 +19,16 @@
 class EventSplitter:
     """Splits a byte stream into whole events and leaves every byte unchanged.
 
-    `rest` holds the bytes after the last whole event.
+    The time that it takes grows with the bytes, in however small pieces they come.
     """
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.buffer = bytearray()
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes after the last whole event."""
+        return bytes(self.buffer)
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes and return the events that they complete.
@@ -35,12 +42,18 @@
         Raises:
             EventTooLargeError: The incomplete event exceeds `MAX_EVENT_BYTES`.
         """
-        *events, self.rest = (self.rest + data).split(b"\n\n")
-        if len(self.rest) > MAX_EVENT_BYTES:
+        # The end of an event may have begun with the last byte before.
+        searched = max(0, len(self.buffer) - len(EVENT_END) + 1)
+        self.buffer += data
+        events: list[bytes] = []
+        if self.buffer.find(EVENT_END, searched) >= 0:
+            *whole, self.buffer = self.buffer.split(EVENT_END)
+            events = [bytes(each) + EVENT_END for each in whole]
+        if len(self.buffer) > MAX_EVENT_BYTES:
             raise EventTooLargeError(
                 f"server-sent event exceeds {MAX_EVENT_BYTES} bytes"
             )
-        return [event + b"\n\n" for event in events]
+        return events
 
 
 def read_events(chunks: Iterable[bytes]) -> Iterator[bytes]:
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,89 @@
+"""A server whose answers never end harms no other call, and fills no memory."""
+
+from __future__ import annotations
+
+import threading
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hawthornstage.border.chunked_body import (
+    MAX_SMALL_CHUNKS,
+    ChunkedDecoder,
+    ChunkError,
+    encode_chunk,
+)
+from hawthornstage.border.sse import MAX_EVENT_BYTES, EventSplitter, EventTooLargeError
+from standins.endless import SHAPES, WHOLE_BODY
+from tests.conftest import StartFleet
+from tools.fleet import IDEMPOTENT_PATH, STREAM_PATH, Fleet, FleetCallResult
+
+# Memory of the smallest host on the users' platform, in bytes.
+SMALLEST_HOST_BYTES = 136_000_000
+# Calls in progress at a time, and rounds of them for each shape.
+CALLERS, ROUNDS = 8, 4
+
+
+def peak_memory(fleet: Fleet, name: str) -> int:
+    """Return the most memory that a router has used, in bytes."""
+    status = Path(f"/proc/{fleet.processes[name].popen.pid}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) * 1024
+
+
+def call_at_once(
+    fleet: Fleet, path: str, name: str, *, callers: int = CALLERS, **options: Any
+) -> list[Any]:
+    """Send calls from several callers at once, and return their results."""
+    results: list[FleetCallResult] = []
+
+    def send(number: int) -> None:
+        for each in range(ROUNDS):
+            call_id = f"{name}-{number}-{each}"
+            results.append(fleet.call("edge-1", path, call_id, **options))
+
+    threads = [threading.Thread(target=send, args=(n,)) for n in range(callers)]
+    for each in threads:
+        each.start()
+    for each in threads:
+        each.join()
+    return results
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+def test_answers_without_end_cost_other_calls_nothing(
+    shape: str, start_fleet: StartFleet
+) -> None:
+    fleet = start_fleet(routers=1, servers=1)
+    for service in ("desk", "models"):
+        faulty = f"{service}-faulty"
+        fleet.add_stand_in(faulty, "endless", "--port", "0")
+        fleet.control(faulty, "shape", {"shape": shape})
+        fleet.add_server(service, faulty)
+    # A repeatable call goes on at the sound server.
+    orders = call_at_once(fleet, IDEMPOTENT_PATH, "o", body=b"b")
+    whole = {(200, b"done:b"), (200, WHOLE_BODY)}
+    assert {(each.status, each.body) for each in orders} <= whole
+    call_at_once(fleet, STREAM_PATH, "s", tokens=(10, 5))
+    assert fleet.control("desk-faulty", "shape", {})["calls"] > 0
+    assert peak_memory(fleet, "edge-1") < SMALLEST_HOST_BYTES
+
+
+def test_many_tiny_chunks_are_refused_but_not_many_chunks_of_a_stream() -> None:
+    decoder = ChunkedDecoder()
+    decoder.feed(encode_chunk(b"z") * MAX_SMALL_CHUNKS)
+    with pytest.raises(ChunkError):
+        decoder.feed(encode_chunk(b"z"))
+    sound = ChunkedDecoder()
+    event = encode_chunk(b"id: 1\ndata: a\n\n")
+    for _ in range(3):
+        sound.feed(event * MAX_SMALL_CHUNKS)
+
+
+def test_event_without_end_is_refused_in_small_pieces() -> None:
+    splitter = EventSplitter()
+    piece = b"z" * 64
+    for _ in range(MAX_EVENT_BYTES // len(piece)):
+        assert splitter.feed(piece) == []
+    with pytest.raises(EventTooLargeError):
+        splitter.feed(piece)
