Limit the memory that all large responses of a router take together

What operators would see: a router over the memory of its host is ended, and all its calls with it. 100 responses without end at once, 200 KB a second each, took one to 157.8 MB; the smallest host in use has 136 MB.

Cause: each response may take 1 MB while it is read, and nothing bounds their sum. Class: a bound for one item where what runs out is shared by all.

Change: a response asks for memory beyond 64 KB, in steps. One task owns the 16 MB that all have, and lets each hold as much as it leaves free, so that many that only grow leave room for others. Denied, the attempt fails.

Ruled out: a smaller limit for each response, as sound ones may be large.

--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -18,6 +18,7 @@
 from hawthornstage.actors.ledger import LedgerTask
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
+from hawthornstage.actors.response_memory import ResponseMemoryTask
 from hawthornstage.actors.servers.crash_logs import CrashLogsWatch, CrashLogWriter
 from hawthornstage.actors.servers.crashing_parts import CheckCrashLog, CrashingPartsTask
 from hawthornstage.actors.servers.failures import ServerFailuresTask
@@ -52,6 +53,7 @@
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
+from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
@@ -210,6 +212,7 @@
         )
         self.start_links()
         self.start_lost_servers()
+        self.response_memory = ResponseMemoryTask.start(self.events)
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
         self.start_members(secret)
         self.store_epoch.subscribe(
@@ -466,6 +469,7 @@
                 permits=permits,
                 dialer=dialer,
                 reports=reports,
+                memory=ResponseMemory(self.response_memory, self.clock),
                 registered=self.registered_servers,
                 clock=self.clock,
                 metrics=self.metrics,
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -23,6 +23,7 @@
     ResponseRelay,
 )
 from hawthornstage.filters.permits import Permits
+from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
@@ -63,6 +64,7 @@
         permits: Permits for servers that have named a limit.
         dialer: Opens connections to servers.
         reports: Tells how each attempt went.
+        memory: Memory of responses.
         registered: The servers that may get calls, read right before each send.
         clock: Source of time and timeouts.
         metrics: Records errors of the wait estimate.
@@ -76,6 +78,7 @@
     permits: Permits
     dialer: ServerDialer
     reports: AttemptReports
+    memory: ResponseMemory
     registered: LatestValue[RegisteredServers]
     clock: Clock
     metrics: Metrics
@@ -276,10 +279,11 @@
                 self.crashing_parts.tell(AnswerBegan(exchange.shared_ids))
             return self.note_stream_version(exchange, choice.server, delivery)
 
-        relay = ResponseRelay(
-            exchange, connection, delivery, retryable, on_answer_began
-        )
-        return relay.relay(head)
+        with self.memory.hold(call.id) as memory:
+            relay = ResponseRelay(
+                exchange, connection, delivery, retryable, memory, on_answer_began
+            )
+            return relay.relay(head)
 
     def note_stream_version(
         self, exchange: ForwardExchange, server: BackendServer, delivery: Delivery
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -8,6 +8,7 @@
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.border.sse import EventSplitter, EventTooLargeError
+from hawthornstage.filters.response_memory import HeldMemory
 from hawthornstage.messages.forward import (
     CallerDisconnected,
     DeadlineExceeded,
@@ -25,6 +26,8 @@
 DEADLINE_GRACE_S = 0.1
 # Largest response that is buffered before it is passed on, in bytes.
 MAX_BUFFERED_BYTES = 1024 * 1024
+# Why a response is given up whose memory was denied.
+NO_MEMORY = "there is no memory for so large a response"
 
 
 @dataclass(frozen=True)
@@ -84,6 +87,7 @@
         connection: Connection to the server.
         delivery: What the caller has received, including parts from earlier servers.
         retryable: Whether the call may still be sent to another server.
+        memory: Memory of the response.
         on_answer_began: Called once a success has more than its head; returns why the
             rest must not be passed on, or None if it may.
     """
@@ -92,6 +96,7 @@
     connection: ServerConnection
     delivery: Delivery
     retryable: bool
+    memory: HeldMemory
     on_answer_began: Callable[[], str | None]
 
     @property
@@ -135,6 +140,8 @@
                         return ServerFailed(
                             f"the response exceeds {MAX_BUFFERED_BYTES} bytes"
                         )
+                    if not self.memory.grow(size):
+                        return ServerFailed(NO_MEMORY)
                     parts.append(data)
                 case ResponseEnd():
                     break
@@ -173,6 +180,8 @@
                         self.delivery.longest_pause_s = pause
                         last_event_at = now
                     self.send_events(head, events)
+                    if not self.memory.grow(len(splitter.buffer)):
+                        return ServerFailed(NO_MEMORY)
                 case ResponseEnd(closed) if closed and splitter.rest:
                     return ServerFailed(
                         "the stream ended in the middle of an event",
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -28,6 +28,7 @@
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.forward_relay import belongs_to_call
 from hawthornstage.filters.permits import Permits
+from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
@@ -166,6 +167,7 @@
         reports=AttemptReports(
             tasks, tasks, tasks, choice, permits, dialer, events, metrics
         ),
+        memory=ResponseMemory(tasks, clock),
         registered=tasks.registered,
         clock=clock,
         metrics=metrics,
