Repeat a registration under the same lease, and look for the own entry

Cause: a router's registration whose answer was lost was repeated under a new lease. The store did the first write late and bound the entry to the first lease, which nobody renews; it ended 30 s later and never came back, since the router renews its lease with success and leaves its own entry out of what it reads. Class: a write of unknown outcome is repeated as another write.

Change: the same lease until the write is confirmed; an entry that is missing or not the router's own 12 s after it was written is written again. Ruled out: a condition on the write, which a late write meets as well.

--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -30,6 +30,8 @@
 MEMBERS_PREFIX = "hawthornstage/routers/"
 # Lease of an entry, in seconds: a router that does not renew it is removed.
 LEASE_S = 30.0
+# Time after which reads show an entry that was written, in seconds.
+ENTRY_SETTLING_S = 12.0
 # Time after a restoration of the store within which all routers register again, in
 # seconds.
 REREGISTRATION_S = 12.0
@@ -89,6 +91,8 @@
         self.events = events
         self.restored_at = float("-inf")
         self.lease: int | None = None
+        # Time at which the entry was written, or None while it is not known to be.
+        self.registered_at: float | None = None
         self.urls: dict[str, str] | None = None
         self.ticks = 0
 
@@ -108,7 +112,7 @@
         In the first 12 ticks the entries are read every time until another router is
         found.
         """
-        if self.lease is None:
+        if self.registered_at is None:
             self.register()
         elif self.ticks % RENEWAL_TICKS == 0:
             self.renew()
@@ -122,7 +126,7 @@
         The lease's id may belong to another router by now.
         """
         self.restored_at = self.clock.monotonic()
-        self.lease = None
+        self.lease = self.registered_at = None
         self.restore_secret()
         self.register()
 
@@ -135,14 +139,25 @@
                 self.events.emit("secret_differs")
 
     def register(self) -> None:
-        """Write this router's entry under a new lease."""
-        match self.store.grant_lease(LEASE_S):
-            case LeaseGranted(lease, _):
-                entry = Put(MEMBERS_PREFIX + self.node, self.url.encode(), lease)
-                outcome = self.store.transact({}, puts=(entry,))
-                if isinstance(outcome, Committed):
+        """Write this router's entry under its lease, or under a new one.
+
+        A write without a response is repeated under the same lease: it may be done
+        later, and would bind the entry to a lease that nobody renews.
+        """
+        if self.lease is None:
+            match self.store.grant_lease(LEASE_S):
+                case LeaseGranted(lease, _):
                     self.lease = lease
-                    self.events.emit("registered", lease=lease)
+                case StoreRefused(reason) | StoreNoResponse(reason):
+                    self.events.emit("registration_failed", reason=reason[:120])
+                    return
+        entry = Put(MEMBERS_PREFIX + self.node, self.url.encode(), self.lease)
+        match self.store.transact({}, puts=(entry,)):
+            case Committed():
+                self.registered_at = self.clock.monotonic()
+                self.events.emit("registered", lease=self.lease)
+            case LeaseLost():
+                self.lease = None
             case StoreRefused(reason) | StoreNoResponse(reason):
                 self.events.emit("registration_failed", reason=reason[:120])
 
@@ -152,11 +167,27 @@
         match self.store.renew_lease(self.lease):
             case LeaseLost():
                 self.events.emit("lease_lost", lease=self.lease)
-                self.lease = None
+                self.lease = self.registered_at = None
                 self.register()
             case StoreRefused(reason) | StoreNoResponse(reason):
                 self.events.emit("renewal_failed", reason=reason[:120])
 
+    def check_entry(self, url: str | None) -> None:
+        """Have the entry written again if it is not as it was written.
+
+        A write of a process before this one may have been done late.
+
+        Args:
+            url: What the entry holds, or None if it is missing.
+        """
+        if self.registered_at is None or url == self.url:
+            return
+        if self.clock.monotonic() - self.registered_at < ENTRY_SETTLING_S:
+            # The entries that were read may be older.
+            return
+        self.events.emit("registration_missing", url=url or "")
+        self.registered_at = None
+
     def discover_routers(self) -> None:
         """Read the registered routers, and publish them if they have changed."""
         outcome = self.store.list(MEMBERS_PREFIX, stale=True)
@@ -166,7 +197,7 @@
             item.key.removeprefix(MEMBERS_PREFIX): item.value.decode("ascii", "replace")
             for item in outcome.items
         }
-        found.pop(self.node, None)
+        self.check_entry(found.pop(self.node, None))
         if self.clock.monotonic() - self.restored_at < REREGISTRATION_S:
             # The others have yet to register again.
             found = {**(self.urls or {}), **found}
--- /dev/null
+++ b/tests/test_fleet_members.py
@@ -0,0 +1,107 @@
+"""A router that runs stays registered, whatever becomes of its writes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from hawthornstage.actors.fleet_members import (
+    ENTRY_SETTLING_S,
+    LEASE_S,
+    MEMBERS_PREFIX,
+    FleetMembers,
+    MembershipTick,
+)
+from hawthornstage.clock import ManualClock
+from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.store import Put
+from hawthornstage.observe.events import EventLog
+from tests.draws_world import FakeClient, FakeStore, Inbox
+
+# Interval of the task's ticks, in seconds.
+TICK_S = 1.0
+
+
+class MoodyClient(FakeClient):
+    """A client whose next writes are done in a mood of the store."""
+
+    moods: tuple[str, ...] = ()
+
+    def transact(self, expected: Any, *, puts: Any = (), removes: Any = ()) -> Any:
+        """Write in the next mood."""
+        self.store.mood, *rest = self.moods or ("well",)
+        self.moods = tuple(rest)
+        try:
+            return super().transact(expected, puts=puts, removes=removes)
+        finally:
+            self.store.mood = "well"
+
+
+class World:
+    """A router's task that registers it, and the store."""
+
+    def __init__(self, clock: ManualClock, events: EventLog) -> None:
+        self.clock = clock
+        self.store = FakeStore(clock)
+        self.client: Any = MoodyClient(self.store, "a")
+        peers: Any = Inbox()
+        self.members: Any = FleetMembers(
+            "a",
+            "ws://a",
+            store=self.client,
+            peers=peers,
+            routers=LatestValue(0),
+            subscribers=(),
+            secret=Put("secret", b"s"),
+            clock=clock,
+            events=events,
+        )
+
+    def run(self, seconds: float) -> list[bool]:
+        """Let time pass; return for each tick whether the router is registered."""
+        registered = []
+        for _ in range(int(seconds / TICK_S)):
+            self.members.handle(MembershipTick())
+            self.clock.advance(TICK_S)
+            self.store.settle()
+            registered.append(MEMBERS_PREFIX + "a" in self.store.items)
+        return registered
+
+
+@pytest.fixture
+def world(clock: ManualClock, events: EventLog) -> World:
+    """Return a router's task that registers it."""
+    return World(clock, events)
+
+
+@pytest.mark.parametrize(
+    "moods",
+    [("late",), ("mute",), ("late", "late", "well"), ("late", "mute"), ("refuses",)],
+)
+def test_router_stays_registered_after_a_write_that_is_done_late(
+    moods: tuple[str, ...], world: World
+) -> None:
+    world.client.moods = moods
+    world.run(10.0)
+    assert all(world.run(3 * LEASE_S))
+
+
+def test_router_registers_again_when_its_entry_has_vanished(world: World) -> None:
+    world.run(ENTRY_SETTLING_S)
+    # A write of the process before this one, under a lease that nobody renews.
+    lease = FakeClient(world.store, "a").grant_lease(LEASE_S).lease
+    put = Put(MEMBERS_PREFIX + "a", b"ws://a", lease)
+    world.store.write({}, (put,))
+    world.run(LEASE_S + ENTRY_SETTLING_S)
+    assert all(world.run(3 * LEASE_S))
+
+
+def test_router_registers_under_a_new_lease_when_its_lease_has_ended(
+    world: World,
+) -> None:
+    world.run(ENTRY_SETTLING_S)
+    world.store.leases.clear()
+    world.store.items.clear()
+    world.run(ENTRY_SETTLING_S)
+    assert all(world.run(3 * LEASE_S))
