Refuse chunks below 4 bytes on average only, and none of a tunnel's

Read as a newcomer: a sound server that flushes each line of an event by itself has chunks of 5 bytes on average, and would have been refused after 341 events; a tunnel's chunks are what the other router reads at a time, so a server that writes in small pieces would have lost long streams there.

Change: the mean below which a body of more than 1,024 chunks is refused is 4 bytes instead of 8; the reader of a tunnel refuses none.

--- a/src/hawthornstage/border/chunked_body.py
+++ b/src/hawthornstage/border/chunked_body.py
@@ -13,7 +13,7 @@
 # Chunks after which a body is refused whose chunks are smaller than this on average, in
 # bytes: each costs far more to decode than it brings.
 MAX_SMALL_CHUNKS = 1_024
-SMALL_CHUNK_BYTES = 8
+SMALL_CHUNK_BYTES = 4
 LINE_END = b"\r\n"
 
 
@@ -36,9 +36,13 @@
 
     The time that it takes grows with the bytes only: what has been decoded is dropped
     once for each call of `feed`, not for each chunk.
+
+    Args:
+        refuse_small: Whether a body in very many tiny chunks is refused.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, refuse_small: bool = True) -> None:
+        self.refuse_small = refuse_small
         self.expected = Expected.SIZE
         self.buffer = b""
         # Bytes of the buffer that are decoded.
@@ -116,7 +120,7 @@
         self.chunks += 1
         self.body_bytes += self.chunk_left
         small = self.body_bytes < self.chunks * SMALL_CHUNK_BYTES
-        if self.chunks > MAX_SMALL_CHUNKS and small:
+        if self.refuse_small and self.chunks > MAX_SMALL_CHUNKS and small:
             raise ChunkError(f"more than {MAX_SMALL_CHUNKS} chunks, most of them tiny")
 
     def read_data(self, parts: list[bytes]) -> bool:
--- a/src/hawthornstage/border/tunnel.py
+++ b/src/hawthornstage/border/tunnel.py
@@ -37,7 +37,8 @@
     """Takes the server's bytes out of a tunnel."""
 
     def __init__(self) -> None:
-        self.decoder = ChunkedDecoder()
+        # Each read of the other router is a chunk, however little a server sends.
+        self.decoder = ChunkedDecoder(refuse_small=False)
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the parts of the server's bytes, b'' last if the server has closed.
