Tell the checks of one server apart, and the responses of one id

Found by reading: the end of the wait for other routers' replies to one check of a server could end the next check of it before it had begun, so that a crash 0.1 to 0.75 s after a reset connection counted for nothing. And two calls with the same id shared their memory, so that the end of one freed the other's.

Change: all messages of a check name it by the server and the time of the loss; each response has a number of its own.

Failed before, on: test_replies_that_are_overdue_for_one_check_do_not_end_the_next_one.

--- a/src/hawthornstage/actors/response_memory.py
+++ b/src/hawthornstage/actors/response_memory.py
@@ -32,7 +32,7 @@
             case Ask(message=RequestMemory(holder, size), reply_to=reply_to):
                 granted = self.quota.request(holder, size)
                 if not granted:
-                    self.events.emit("memory_denied", request_id=holder, size=size)
+                    self.events.emit("memory_denied", holder=holder, size=size)
                 reply_to.put(MemoryGranted() if granted else MemoryDenied())
             case ReleaseMemory(holder):
                 self.quota.release(holder)
--- a/src/hawthornstage/actors/servers/lost_servers.py
+++ b/src/hawthornstage/actors/servers/lost_servers.py
@@ -15,8 +15,8 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.lost_servers import (
     CHECK_DELAY_S,
-    CheckNeeded,
     LossBook,
+    LossCheck,
     LossJudged,
     Verdict,
 )
@@ -24,7 +24,6 @@
 from hawthornstage.decisions.tunnels import reach_of_reply
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
-from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.crashing_parts import CrashConfirmed, CrashDuringCall
 from hawthornstage.messages.fleet import ServerFailedDuringCall
 from hawthornstage.messages.lost_servers import (
@@ -44,33 +43,33 @@
 
 @dataclass(frozen=True)
 class BeginCheck:
-    """Triggers the check of a server whose connections broke."""
+    """Triggers a check."""
 
-    server: BackendServer
+    check: LossCheck
 
 
 @dataclass(frozen=True)
 class OwnCheckEnded:
-    """Tells whether this router reaches a server."""
+    """Tells whether this router reaches the server."""
 
-    server: BackendServer
+    check: LossCheck
     reach: Reach
 
 
 @dataclass(frozen=True)
 class RouterReplied:
-    """Tells what another router replied, by the server's incarnation."""
+    """Tells what another router replied."""
 
-    incarnation: str
+    check: LossCheck
     node: str
     reply: Any
 
 
 @dataclass(frozen=True)
 class RepliesOverdue:
-    """Ends the wait for other routers' replies, by the server's incarnation."""
+    """Ends the wait for other routers' replies."""
 
-    incarnation: str
+    check: LossCheck
 
 
 class LostServersTask(Task):
@@ -120,17 +119,17 @@
         match message:
             case ServerLost():
                 self.add(message, now)
-            case BeginCheck(server):
-                reply_to = ReplyCallback(partial(self.own_check_ended, server))
-                self.checks.tell(Ask(CheckReach(server), reply_to))
-            case OwnCheckEnded(server, reach):
-                self.conclude(self.book.record_own(server.incarnation, reach, now))
-                self.ask_routers(server, now)
-            case RouterReplied(incarnation, node, reply):
+            case BeginCheck(check):
+                reply_to = ReplyCallback(partial(self.own_check_ended, check))
+                self.checks.tell(Ask(CheckReach(check.server), reply_to))
+            case OwnCheckEnded(check, reach):
+                self.conclude(self.book.record_own(check, reach, now))
+                self.ask_routers(check, now)
+            case RouterReplied(check, node, reply):
                 reach = reach_of_reply(reply)
-                self.conclude(self.book.record_reply(incarnation, node, reach, now))
-            case RepliesOverdue(incarnation):
-                self.conclude(self.book.end_check(incarnation, now))
+                self.conclude(self.book.record_reply(check, node, reach, now))
+            case RepliesOverdue(check):
+                self.conclude(self.book.end_check(check, now))
             case CallAnswered(fingerprint):
                 self.book.record_answer(fingerprint)
             case RegisteredServers(servers):
@@ -140,35 +139,34 @@
     def add(self, lost: ServerLost, now: float) -> None:
         """Record a loss, and have the server checked if it is the first one."""
         match self.book.add(lost, now):
-            case CheckNeeded():
-                check = BeginCheck(lost.server)
-                self.timers.after(CHECK_DELAY_S, self.actor_ref, check)
+            case LossCheck() as check:
+                self.timers.after(CHECK_DELAY_S, self.actor_ref, BeginCheck(check))
             case LossJudged() as judged:
                 self.count(judged)
 
-    def own_check_ended(self, server: BackendServer, reach: Reach) -> None:
+    def own_check_ended(self, check: LossCheck, reach: Reach) -> None:
         """Pass a check's result to this task; may be called by any thread."""
-        self.actor_ref.tell(OwnCheckEnded(server, reach))
+        self.actor_ref.tell(OwnCheckEnded(check, reach))
 
-    def ask_routers(self, server: BackendServer, now: float) -> None:
+    def ask_routers(self, check: LossCheck, now: float) -> None:
         """Ask other routers whether they reach a server, if that is still open."""
-        incarnation = server.incarnation
-        count = self.book.routers_to_ask(incarnation)
+        count = self.book.routers_to_ask(check)
         if not count:
             return
+        server, incarnation = check.server.id, check.server.incarnation
         nodes = helpers_to_ask(self.links.value, incarnation, incarnation, count, now)
-        self.conclude(self.book.record_asked(incarnation, nodes, now))
-        question = RequestTunnel(server.id, incarnation, time_left_s=0.0)
+        self.conclude(self.book.record_asked(check, nodes, now))
+        question = RequestTunnel(server, incarnation, time_left_s=0.0)
         for node in nodes:
-            reply_to = ReplyCallback(partial(self.router_replied, incarnation, node))
+            reply_to = ReplyCallback(partial(self.router_replied, check, node))
             self.peers.tell(Send(node, question, reply_to))
         if nodes:
-            overdue = RepliesOverdue(incarnation)
+            overdue = RepliesOverdue(check)
             self.timers.after(REPLIES_TIMEOUT_S, self.actor_ref, overdue)
 
-    def router_replied(self, incarnation: str, node: str, reply: Any) -> None:
+    def router_replied(self, check: LossCheck, node: str, reply: Any) -> None:
         """Pass another router's reply to this task; may be called by any thread."""
-        self.actor_ref.tell(RouterReplied(incarnation, node, reply))
+        self.actor_ref.tell(RouterReplied(check, node, reply))
 
     def conclude(self, judged: LossJudged | None) -> None:
         """Log a verdict, and count the calls if the server has crashed."""
--- a/src/hawthornstage/decisions/lost_servers.py
+++ b/src/hawthornstage/decisions/lost_servers.py
@@ -60,8 +60,18 @@
 
 
 @dataclass(frozen=True)
-class CheckNeeded:
-    """The server has to be checked, `CHECK_DELAY_S` from now."""
+class LossCheck:
+    """One check of a server, which has to begin `CHECK_DELAY_S` after the loss.
+
+    What belongs to an earlier check of the same server says nothing of a later one.
+
+    Args:
+        server: The server.
+        began_at: Time of the loss.
+    """
+
+    server: BackendServer
+    began_at: float
 
 
 @dataclass(frozen=True)
@@ -136,7 +146,7 @@
 
     losses: dict[str, Loss] = field(default_factory=dict)
 
-    def add(self, lost: ServerLost, now: float) -> CheckNeeded | LossJudged | None:
+    def add(self, lost: ServerLost, now: float) -> LossCheck | LossJudged | None:
         """Record that a connection broke during a call.
 
         Returns:
@@ -154,7 +164,7 @@
             self.losses[lost.server.incarnation] = Loss(
                 lost.server, now, [*kept, broken]
             )
-            return CheckNeeded()
+            return LossCheck(lost.server, now)
         if loss.verdict is Verdict.CRASHED:
             return LossJudged(loss.server, loss.verdict, None, {}, (broken,))
         if len(loss.calls) < MAX_CALLS_PER_LOSS:
@@ -162,18 +172,18 @@
         return None
 
     def record_own(
-        self, incarnation: str, reach: Reach, now: float
+        self, check: LossCheck, reach: Reach, now: float
     ) -> LossJudged | None:
         """Record whether this router reaches a server; return a verdict on it."""
-        loss = self.pending(incarnation)
+        loss = self.pending(check)
         if loss is None:
             return None
         loss.own = reach
         return self.settle(loss, loss.judge(), now)
 
-    def routers_to_ask(self, incarnation: str) -> int:
+    def routers_to_ask(self, check: LossCheck) -> int:
         """Return how many other routers have to be asked now for a verdict."""
-        loss = self.pending(incarnation)
+        loss = self.pending(check)
         if loss is None or loss.own is None or loss.asked is not None:
             return 0
         if loss.own is Reach.UNREACHED:
@@ -181,28 +191,28 @@
         return ROUTERS_ASKED
 
     def record_asked(
-        self, incarnation: str, nodes: tuple[str, ...], now: float
+        self, check: LossCheck, nodes: tuple[str, ...], now: float
     ) -> LossJudged | None:
         """Record the other routers that are asked; return a verdict if none is."""
-        loss = self.pending(incarnation)
+        loss = self.pending(check)
         if loss is None:
             return None
         loss.asked = nodes
         return self.settle(loss, loss.judge(), now)
 
     def record_reply(
-        self, incarnation: str, node: str, reach: Reach, now: float
+        self, check: LossCheck, node: str, reach: Reach, now: float
     ) -> LossJudged | None:
         """Record whether another router reaches a server; return a verdict on it."""
-        loss = self.pending(incarnation)
+        loss = self.pending(check)
         if loss is None or node not in (loss.asked or ()):
             return None
         loss.replies[node] = reach
         return self.settle(loss, loss.judge(), now)
 
-    def end_check(self, incarnation: str, now: float) -> LossJudged | None:
+    def end_check(self, check: LossCheck, now: float) -> LossJudged | None:
         """Decide without the replies that are missing; return a verdict."""
-        loss = self.pending(incarnation)
+        loss = self.pending(check)
         if loss is None:
             return None
         return self.settle(loss, loss.judge(overdue=True), now)
@@ -227,10 +237,12 @@
                 each for each in loss.calls if each.call.fingerprint != fingerprint
             ]
 
-    def pending(self, incarnation: str) -> Loss | None:
-        """Return the loss of a server that is being checked, or None."""
-        loss = self.losses.get(incarnation)
-        return loss if loss and loss.verdict is Verdict.PENDING else None
+    def pending(self, check: LossCheck) -> Loss | None:
+        """Return the loss for which a check is going on, or None if it is over."""
+        loss = self.losses.get(check.server.incarnation)
+        if loss is None or loss.began_at != check.began_at:
+            return None
+        return loss if loss.verdict is Verdict.PENDING else None
 
     def settle(self, loss: Loss, verdict: Verdict, now: float) -> LossJudged | None:
         """Set the verdict on a loss and return it, unless it is pending."""
--- a/src/hawthornstage/filters/response_memory.py
+++ b/src/hawthornstage/filters/response_memory.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import count
 
 import pykka
 
@@ -59,14 +60,21 @@
     Args:
         task: Task that owns the memory of all responses.
         clock: Source of timeouts.
+        numbers: Tell responses apart, as callers may use the same id twice.
     """
 
     task: pykka.ActorRef
     clock: Clock
+    numbers: Iterator[int] = field(default_factory=count)
 
     @contextmanager
-    def hold(self, holder: str) -> Iterator[HeldMemory]:
-        """Return the memory of one response, which is released at the end."""
+    def hold(self, call_id: str) -> Iterator[HeldMemory]:
+        """Return the memory of one response, which is released at the end.
+
+        Args:
+            call_id: Id of the call.
+        """
+        holder = f"{call_id}#{next(self.numbers)}"
         memory = HeldMemory(self.task, self.clock, holder)
         try:
             yield memory
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -13,7 +13,10 @@
 
 from hawthornstage.actors.peers.messages import Send
 from hawthornstage.actors.servers.failures import CallAnswered
-from hawthornstage.actors.servers.lost_servers import LostServersTask
+from hawthornstage.actors.servers.lost_servers import (
+    REPLIES_TIMEOUT_S,
+    LostServersTask,
+)
 from hawthornstage.actors.servers.reach_checks import ReachChecks
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import Clock, ManualClock
@@ -223,6 +226,25 @@
     assert world.counted == 6
 
 
+def test_replies_that_are_overdue_for_one_check_do_not_end_the_next_one(
+    world: World,
+) -> None:
+    world.lose(server("i-1"))
+    world.check(Reach.UNREACHED, OPENED)
+    world.peers.messages = []
+    world.wait(REPLIES_TIMEOUT_S - 2 * CHECK_DELAY_S)
+    world.lose(server("i-1"))
+    # The first check's wait ends while the second one is about to begin.
+    world.wait(CHECK_DELAY_S)
+    world.wait(CHECK_DELAY_S)
+    for each in world.checks.messages:
+        each.reply_to.put(Reach.UNREACHED)
+    world.deliver()
+    world.peers.messages[0].reply_to.put(UNREACHABLE)
+    world.deliver()
+    assert world.counted == 1
+
+
 def test_crash_counts_from_the_moment_at_which_the_connection_broke(
     world: World, clock: ManualClock
 ) -> None:
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -121,7 +121,7 @@
     failure = forwarder.deliver(exchange_for("/letters/x"), pair.connection, delivery)
     assert isinstance(failure, Failure)
     assert failure.kind is ErrorKind.SERVER_FAILED
-    assert tasks.told.count(ReleaseMemory("r1")) == 1
+    assert tasks.told.count(ReleaseMemory("r1#0")) == 1
 
 
 def is_memory_request(message: Any) -> bool:
