Move what several test modules share out of two of them

Test modules imported servers, stand-in tasks and a forwarder from test_delivery.py, a port from test_tunnels.py and a load from test_endless_answers.py; they are in delivery_world.py and fleet_load.py now.

--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -4,9 +4,8 @@
 
 import math
 import socket
-import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -18,40 +17,21 @@
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.crashing_parts import BlockedParts
-from hawthornstage.decisions.forwarding import resolve_call
-from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters import forward_choice
-from hawthornstage.filters.attempt_reports import AttemptReports
-from hawthornstage.filters.forward import BlockCrashingCalls
-from hawthornstage.filters.forward_attempt import Forwarder
-from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.forward_relay import belongs_to_call
-from hawthornstage.filters.permits import Permits
-from hawthornstage.filters.response_memory import ResponseMemory
-from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
-from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.crashing_parts import AnswerBegan
 from hawthornstage.messages.forward import (
     CallerDisconnected,
     Delivery,
-    ForwardExchange,
-    PlacementBasis,
 )
-from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.lost_servers import ServerLost
-from hawthornstage.messages.server_links import ServerLinks
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
     CallEnded,
-    NoServerAvailable,
     RegisteredServers,
-    ServerChosen,
 )
-from hawthornstage.observe.events import EventLog
-from hawthornstage.observe.metrics import Metrics
-from hawthornstage.platform.desired_state import decode_desired_state
 from hawthornstage.platform.headers import parse_response_head
 from tests.connection_pair import (
     EVENTS,
@@ -61,130 +41,24 @@
     CallerPair,
     sealed,
 )
-from tests.test_forwarding import document, make_call
+from tests.delivery_world import (
+    ScriptedServer,
+    Tasks,
+    exchange_for,
+    make_forwarder,
+    read_all,
+    server_at,
+    server_id,
+)
 
 SERVER_ERROR = SEALED.replace(b"200 OK", b"500 Failed") + b"Content-Length: 0\r\n\r\n"
 REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
 
 
-@dataclass
-class ScriptedServer:
-    """A backend server that sends prepared bytes to each connection in turn.
-
-    Args:
-        answers: For each connection its bytes, or None to wait for the end.
-        reset: Whether connections end with a reset.
-        seen: What came in.
-        left: Set when a connection was closed by the router.
-    """
-
-    answers: list[bytes | None]
-    reset: bool = False
-    seen: list[bytes] = field(default_factory=list)
-    left: threading.Event = field(default_factory=threading.Event)
-
-    def start(self) -> SocketAddress:
-        """Listen in a thread of its own."""
-        self.socket = socket.create_server(("127.0.0.1", 0))
-        threading.Thread(target=self.run, daemon=True).start()
-        return SocketAddress(*self.socket.getsockname())
-
-    def run(self) -> None:
-        """Serve the connections."""
-        for answer in self.answers:
-            connection, _ = self.socket.accept()
-            with connection:
-                data = b""
-                while not data.endswith(b"text") and (chunk := connection.recv(65_536)):
-                    data += chunk
-                self.seen.append(data)
-                if answer is None:
-                    if not connection.recv(1):
-                        self.left.set()
-                    continue
-                connection.sendall(answer)
-                if self.reset:
-                    linger = b"\x01\0\0\0\0\0\0\0"
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
-def server_id(address: SocketAddress) -> str:
-    """Return the id of the server at an address."""
-    return f"i-{address.port}"
-
-
-def server_at(address: SocketAddress, *, leaving: bool = False) -> BackendServer:
-    """Return the server at an address."""
-    return BackendServer(
-        server_id(address), "models", address.host, address.port, "z", 1, leaving, 1
-    )
-
-
-class Tasks:
-    """Stands for the tasks that choose servers and count breaks."""
-
-    def __init__(self, addresses: list[SocketAddress]) -> None:
-        self.addresses = addresses
-        servers = {server_id(each): server_at(each) for each in addresses}
-        self.registered = LatestValue(RegisteredServers(servers))
-        self.blocked_calls = LatestValue(BlockedCalls())
-        self.blocked_parts = LatestValue(BlockedParts())
-        self.notices = LatestValue(ServerNotices())
-        self.links = LatestValue(ServerLinks())
-        self.peers: Any = self
-        self.told: list[Any] = []
-
-    def tell(self, message: Any) -> None:
-        """Take a message; give the next server to who asks for one."""
-        self.told.append(message)
-        reply_to = getattr(message, "reply_to", None)
-        if reply_to is None:
-            return
-        if not self.addresses:
-            reply_to.put(NoServerAvailable("none is left"))
-            return
-        server = server_at(self.addresses.pop(0))
-        reply_to.put(ServerChosen(server, PlacementBasis()))
-
-
-def make_forwarder(tasks: Any, clock: Clock) -> Forwarder:
-    """Return a forwarder whose tasks are all stood for by one object."""
-    block = BlockCrashingCalls(tasks.blocked_calls, tasks.blocked_parts, clock)
-    permits = Permits(tasks, tasks.peers, tasks.notices, clock)
-    metrics = Metrics()
-    events = EventLog("a", clock)
-    choice = ServerChoice(tasks, permits, clock, metrics)
-    dialer = ServerDialer(tasks.links, tasks, tasks.peers, clock, events, metrics)
-    return Forwarder(
-        serving=tasks,
-        crashing_parts=tasks,
-        stream_versions=tasks,
-        choice=choice,
-        block=block,
-        permits=permits,
-        dialer=dialer,
-        reports=AttemptReports(
-            tasks, tasks, tasks, choice, permits, dialer, events, metrics
-        ),
-        memory=ResponseMemory(tasks, clock),
-        registered=tasks.registered,
-        clock=clock,
-        metrics=metrics,
-    )
-
-
 DeliverToHolder = Callable[..., tuple[Failure | None, Delivery]]
 
 
-def exchange_for(target: str, *, arrived: float = 10.0) -> ForwardExchange:
-    """Return a call that has passed the filters."""
-    call = replace(make_call(target), arrived=arrived)
-    exchange = resolve_call(call, decode_desired_state(document()))
-    assert not isinstance(exchange, Failure)
-    return exchange
-
-
 @pytest.fixture
 def deliver(pair: CallerPair) -> DeliverToHolder:
     """Return a function that forwards one call to scripted servers."""
@@ -204,15 +78,6 @@
     return run
 
 
-def read_all(pair: CallerPair) -> bytes:
-    """Close the router's end and return what the caller got."""
-    pair.connection.close()
-    data = b""
-    while chunk := pair.caller.recv(65_536):
-        data += chunk
-    return data
-
-
 def test_stream_is_passed_on_with_seal_and_whole(
     deliver: DeliverToHolder, pair: CallerPair
 ) -> None:
--- a/tests/test_failed_links.py
+++ b/tests/test_failed_links.py
@@ -37,14 +37,15 @@
     CallerPair,
     sealed,
 )
-from tests.test_delivery import (
+from tests.delivery_world import (
     ScriptedServer,
     Tasks,
+    closed_port,
     exchange_for,
     make_forwarder,
     server_at,
 )
-from tests.test_tunnels import closed_port, server
+from tests.test_tunnels import server
 from tools.cluster import wait_until
 from tools.fleet import (
     IDEMPOTENT_PATH,
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -46,8 +46,8 @@
 from hawthornstage.observe.events import EventLog
 from tests.conftest import StartFleet
 from tests.connection_pair import SOON
+from tests.delivery_world import closed_port
 from tests.draws_world import Inbox
-from tests.test_tunnels import closed_port
 from tools.cluster import wait_until
 from tools.fleet import STREAM_PATH
 
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -27,13 +27,13 @@
 )
 from tests.conftest import StartFleet
 from tests.connection_pair import REQUEST, CallerPair, sealed
-from tests.test_delivery import (
+from tests.delivery_world import (
     ScriptedServer,
     Tasks,
     exchange_for,
     make_forwarder,
 )
-from tests.test_endless_answers import (
+from tests.fleet_load import (
     SMALLEST_HOST_BYTES,
     call_at_once,
     peak_memory,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -48,8 +48,8 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.server_entries import decode_entry
 from tests.conftest import StartFleet
+from tests.delivery_world import exchange_for
 from tests.draws_world import Inbox, Reply
-from tests.test_delivery import exchange_for
 from tests.test_forwarding import make_call
 from tools.fleet import RESUMABLE_PATH, Fleet
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -51,15 +51,16 @@
     CallerPair,
     sealed,
 )
-from tests.draws_world import Inbox
-from tests.test_delivery import (
+from tests.delivery_world import (
     ScriptedServer,
     Tasks,
+    closed_port,
     exchange_for,
     make_forwarder,
     read_all,
     server_at,
 )
+from tests.draws_world import Inbox
 
 
 class Helper:
@@ -248,12 +249,6 @@
     assert helper.links_inbox.messages == []
 
 
-def closed_port() -> int:
-    """Return a port on which nothing listens."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
-
-
 def test_token_is_valid_once(start_helper: StartHelper) -> None:
     address = ScriptedServer([None]).start()
     helper = start_helper(address)
