--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -144,6 +144,20 @@
     assert re.search(r'attempts_total\{outcome="Delivered",server="[^"]+"', text)
 
 
+def test_metrics_port_of_a_router_that_has_yet_to_log_it_is_waited_for(
+    tmp_path: Path,
+) -> None:
+    fleet = Fleet(routers=1)
+    fleet.folder = tmp_path
+    log = tmp_path / "edge-1.log"
+    log.write_text("timestamp=2026-01-01T00:00:21.2Z event=server_seen\n")
+    line = "event=router_started metrics_port=4711\n"
+    timer = threading.Timer(0.2, lambda: log.write_text(line))
+    timer.start()
+    assert fleet.metrics_url("edge-1").endswith(":4711/metrics")
+    timer.join()
+
+
 def test_counts_of_servers_that_are_gone_are_dropped() -> None:
     metrics = Metrics()
     metrics.count_attempt("models", "a", "Delivered")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -216,7 +216,14 @@
         return (self.folder / f"{name}.log").read_text()
 
     def metrics_url(self, name: str) -> str:
-        """Return the URL of a router's metrics, with the port from its log."""
+        """Return the URL of a router's metrics, with the port from its log.
+
+        A router is ready before it logs that it has started.
+        """
+        wait_until(
+            lambda: "metrics_port=" in self.read_log(name),
+            description=f"{name} to log its metrics port",
+        )
         port = self.read_log(name).rpartition("metrics_port=")[2].split()[0]
         return f"http://{self.host}:{port}/metrics"
 
