Count calls to the store by the part of the router that makes them

The metric told only kinds, so that the watches of three parts and the reads of two could not be told apart. Each client of the store has a name; a line every 10 s tells the calls since the line before. The watch of the desired state passes the operators' other keys on to tasks that follow them, so that they need no watch of their own.

--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -32,7 +32,7 @@
     RequestDesiredState,
 )
 from hawthornstage.messages.host_settings import StoreBounds
-from hawthornstage.messages.store import Item, Removal
+from hawthornstage.messages.store import Item, ItemsChanged, ItemsListed, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.desired_state import (
     DESIRED_STATE_KEY,
@@ -232,7 +232,7 @@
 
 
 class DesiredStateWatch(StoreWatch):
-    """Owns the watch for the desired state.
+    """Owns the watch for the desired state and the operators' other keys.
 
     Args:
         store: A client used by this thread only.
@@ -240,6 +240,7 @@
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
+        followers: Get `ItemsListed` and `ItemsChanged` of all keys below the prefix.
     """
 
     def __init__(
@@ -249,20 +250,31 @@
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
+        *,
+        followers: tuple[pykka.ActorRef, ...] = (),
     ) -> None:
         super().__init__(DESIRED_STATE_PREFIX, store, bounds, clock, events)
         self.task = task
+        self.followers = followers
 
     def effect_bound(self) -> float:
         """Return the time from a version until it is in force, in seconds."""
         return self.bounds().desired_state_s
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
-        """Pass the listed desired state to the task."""
-        self.apply_changes(items)
+        """Pass the listed desired state to the task, and all items to the followers."""
+        self.pass_desired_state(items)
+        for follower in self.followers:
+            follower.tell(ItemsListed(items))
 
     def apply_changes(self, changes: tuple[Item | Removal, ...]) -> None:
-        """Pass each changed version of the desired state to the task."""
+        """Pass changes of the desired state to the task, and all to the followers."""
+        self.pass_desired_state(changes)
+        for follower in self.followers:
+            follower.tell(ItemsChanged(changes))
+
+    def pass_desired_state(self, changes: tuple[Item | Removal, ...]) -> None:
+        """Pass each version of the desired state to the task."""
         for change in changes:
             if isinstance(change, Item) and change.key == DESIRED_STATE_KEY:
                 self.task.tell(DesiredStateReceived(change.value, "store"))
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -35,6 +35,11 @@
     SHARED_SECRET_STORE_KEY,
     load_shared_secret,
 )
+from hawthornstage.actors.store_call_log import (
+    LogStoreCalls,
+    StoreCallEnded,
+    StoreCallLog,
+)
 from hawthornstage.actors.task import MessageDispatcher
 from hawthornstage.actors.timers import Timers
 from hawthornstage.actors.token_accounts import (
@@ -114,6 +119,7 @@
 CRASH_LOG_CHECK_INTERVAL_S = 0.1
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
+STORE_CALLS_LOG_INTERVAL_S = 10.0
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -165,7 +171,8 @@
         self.readiness.start()
         self.metrics_http.start()
         self.timers.start()
-        secret = load_shared_secret(self.store(), self.clock)
+        self.store_call_log = StoreCallLog.start(metrics=self.metrics, **self.shared)
+        secret = load_shared_secret(self.store("secret"), self.clock)
         self.start_tasks(secret)
         self.peers.start()
         self.tunnels.start()
@@ -234,7 +241,9 @@
     def start_token_accounts(self) -> None:
         """Start the tasks that hold and draw tokens."""
         node = self.settings.node
-        self.ledger = LedgerTask.start(node, self.store(), self.peers, **self.shared)
+        self.ledger = LedgerTask.start(
+            node, self.store("ledger"), self.peers, **self.shared
+        )
         self.token_accounts = TokenAccountsTask.start(
             node=node,
             ledger=self.ledger,
@@ -250,7 +259,9 @@
         self.server_failures = ServerFailuresTask.start(
             node, self.blocked_calls, self.peers, **self.shared
         )
-        self.crash_log_writer = CrashLogWriter.start(node, self.store(), **self.shared)
+        self.crash_log_writer = CrashLogWriter.start(
+            node, self.store("crash_log"), **self.shared
+        )
         self.crashing_parts = CrashingPartsTask.start(
             node,
             self.blocked_parts,
@@ -307,7 +318,7 @@
         self.members = FleetMembers.start(
             self.settings.node,
             f"ws://{peers.host}:{peers.port}",
-            store=self.store(),
+            store=self.store("members"),
             peers=self.peers,
             routers=self.routers,
             subscribers=(
@@ -363,6 +374,7 @@
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
+        every(STORE_CALLS_LOG_INTERVAL_S, self.store_call_log, LogStoreCalls())
 
     def retry_terms(self) -> RetryLimits:
         """Return the current settings of the fleet's retries."""
@@ -374,14 +386,14 @@
     def watch_store(self) -> None:
         """Start the watches of the store, each with its own connection."""
         DesiredStateWatch(
-            self.store(),
+            self.store("desired_state"),
             self.desired_states,
             self.store_bounds,
             self.clock,
             self.events,
         ).start()
         ServerRegistry(
-            self.store(),
+            self.store("servers"),
             (
                 self.server_selection,
                 self.stream_versions,
@@ -395,7 +407,7 @@
             self.events,
         ).start()
         CrashLogsWatch(
-            self.store(),
+            self.store("crash_logs"),
             self.crashing_parts,
             self.routers,
             self.store_bounds,
@@ -407,13 +419,15 @@
         """Return the current times within which changes in the store take effect."""
         return self.live_settings.value.store_bounds
 
-    def store(self) -> StoreClient:
-        """Return a new client of the store that counts its calls in the metrics."""
+    def store(self, client: str) -> StoreClient:
+        """Return a new client of the store whose calls are counted.
+
+        Args:
+            client: Name of the part that uses it, for the counts.
+        """
 
         def count(kind: str, outcome: str) -> None:
-            self.metrics.store_calls.labels(kind, outcome).inc()
-            if outcome.isdigit():
-                self.metrics.store_answered.set(self.clock.wall())
+            self.store_call_log.tell(StoreCallEnded(client, kind, outcome))
 
         return StoreClient(
             lambda: self.live_settings.value.store,
--- a/src/hawthornstage/messages/store.py
+++ b/src/hawthornstage/messages/store.py
@@ -44,6 +44,20 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class ItemsListed:
+    """All items that a watch covers, for a task that follows some of them."""
+
+    items: tuple[Item, ...]
+
+
+@dataclass(frozen=True)
+class ItemsChanged:
+    """Changes in order that a watch has read, for a task that follows some of them."""
+
+    changes: tuple[Item | Removal, ...]
+
+
 @dataclass(frozen=True)
 class HistoryCompacted:
     """The store has discarded the changes since the requested revision."""
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -62,8 +62,8 @@
         )
         self.store_calls = Counter(
             "hawthornstage_store_calls_total",
-            "Calls to the platform's store by kind and outcome",
-            ["kind", "outcome"],
+            "Calls to the platform's store by the part that calls, kind and outcome",
+            ["client", "kind", "outcome"],
             registry=self.registry,
         )
         self.free_tokens = Gauge(
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -12,6 +12,7 @@
     STORE_HEAD_START_S,
     DesiredStateReceived,
     DesiredStateTask,
+    DesiredStateWatch,
     FetchNewerVersion,
     SendVersion,
 )
@@ -26,8 +27,19 @@
     KnownRouters,
     RequestCompressedState,
 )
+from hawthornstage.messages.host_settings import StoreBounds
+from hawthornstage.messages.store import (
+    Changes,
+    Item,
+    ItemsChanged,
+    ItemsListed,
+    Listing,
+    Removal,
+)
 from hawthornstage.observe.events import EventLog
+from hawthornstage.platform.desired_state import DESIRED_STATE_KEY
 from tests.draws_world import Inbox, Reply
+from tests.scripted_store import ScriptedStore
 
 
 def document(version: int) -> bytes:
@@ -151,3 +163,21 @@
     assert fleet.versions() == {5}
     fleet.tasks["edge-0"].handle(CompressedStateOffered(whole))
     assert fleet.versions() == {9}
+
+
+def test_one_watch_serves_the_desired_state_and_the_operators_other_keys(
+    clock: ManualClock, events: EventLog
+) -> None:
+    state = Item(DESIRED_STATE_KEY, document(3), 5)
+    other = Item("op/other/a", b"{}", 6)
+    gone = Removal("op/other/a", 7)
+    store: Any = ScriptedStore(Listing((state, other), 6), Changes((gone,), 7))
+    task: Any = Inbox()
+    follower: Any = Inbox()
+    watch = DesiredStateWatch(
+        store, task, StoreBounds, clock, events, followers=(follower,)
+    )
+    watch.step()
+    watch.step()
+    assert task.messages == [DesiredStateReceived(document(3), "store")]
+    assert follower.messages == [ItemsListed((state, other)), ItemsChanged((gone,))]
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -14,6 +14,11 @@
 from prometheus_client import generate_latest
 
 from hawthornstage.actors.settings_watch import SettingsWatch
+from hawthornstage.actors.store_call_log import (
+    LogStoreCalls,
+    StoreCallEnded,
+    StoreCallLog,
+)
 from hawthornstage.clock import ManualClock
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.observe.events import EventLog
@@ -144,6 +149,19 @@
     assert re.search(r'attempts_total\{outcome="Delivered",server="[^"]+"', text)
 
 
+def test_store_calls_are_logged_by_part_and_kind(
+    clock: ManualClock, events: EventLog
+) -> None:
+    task = StoreCallLog(metrics=Metrics(), clock=clock, events=events)
+    for _ in range(2):
+        task.handle(StoreCallEnded("members", "lease", "200"))
+        task.handle(StoreCallEnded("ledger", "write", "StoreSilent"))
+    for _ in range(2):
+        task.handle(LogStoreCalls())
+    logged = [each.fields for each in events.select() if each.name == "store_calls"]
+    assert logged == [{"members.lease": 2, "ledger.write": 2}]
+
+
 def test_metrics_port_of_a_router_that_has_yet_to_log_it_is_waited_for(
     tmp_path: Path,
 ) -> None:
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -33,27 +33,11 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import RESPONSE_TIMEOUT_S
 from tests.draws_world import Inbox
+from tests.scripted_store import ScriptedStore
 
 BOUNDS = StoreBounds()
 
 
-class ScriptedStore:
-    """Gives prepared outcomes to a watch."""
-
-    epoch = 1
-
-    def __init__(self, *outcomes: Any) -> None:
-        self.outcomes = list(outcomes)
-
-    def list(self, prefix: str) -> Any:
-        """Return the next outcome."""
-        return self.outcomes.pop(0)
-
-    def watch(self, prefix: str, after: int, wait_s: float) -> Any:
-        """Return the next outcome."""
-        return self.outcomes.pop(0)
-
-
 class SilentStore:
     """A store that loses the response of one watch, and then answers each at once.
 
