Let few routers of a large fleet watch the store for the others

Each router's three watches made the store's calls grow with the routers, although all read the same changes. From 16 routers on, four readers of each prefix, by rendezvous hashing, watch it; the others ask one of them, which replies when the store has responded to it. A router without a reply asks the store in time for the bound of the change; so do routers of a small fleet, and routers of an earlier build are not asked.

--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -9,6 +9,7 @@
 import pykka
 
 from hawthornstage.actors.peers.messages import Send
+from hawthornstage.actors.shared_watches import MakeWatchShare
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.border.compression import (
@@ -240,6 +241,7 @@
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
+        share: Makes this watch's part in sharing, or None if it is not shared.
         followers: Get `ItemsListed` and `ItemsChanged` of all keys below the prefix.
     """
 
@@ -250,10 +252,11 @@
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
+        share: MakeWatchShare | None = None,
         *,
         followers: tuple[pykka.ActorRef, ...] = (),
     ) -> None:
-        super().__init__(DESIRED_STATE_PREFIX, store, bounds, clock, events)
+        super().__init__(DESIRED_STATE_PREFIX, store, bounds, clock, events, share)
         self.task = task
         self.followers = followers
 
--- a/src/hawthornstage/actors/servers/crash_logs.py
+++ b/src/hawthornstage/actors/servers/crash_logs.py
@@ -8,6 +8,7 @@
 import pykka
 
 from hawthornstage.actors.held_lease import HeldLease, renew_lease
+from hawthornstage.actors.shared_watches import MakeWatchShare
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.border.stored_values import (
@@ -97,6 +98,7 @@
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
+        share: Makes this watch's part in sharing, or None if it is not shared.
     """
 
     def __init__(
@@ -107,8 +109,9 @@
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
+        share: MakeWatchShare | None = None,
     ) -> None:
-        super().__init__(CRASH_LOGS_PREFIX, store, bounds, clock, events)
+        super().__init__(CRASH_LOGS_PREFIX, store, bounds, clock, events, share)
         self.task = task
         self.routers = routers
 
--- a/src/hawthornstage/actors/servers/registry.py
+++ b/src/hawthornstage/actors/servers/registry.py
@@ -7,6 +7,7 @@
 
 import pykka
 
+from hawthornstage.actors.shared_watches import MakeWatchShare
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.store_news import (
@@ -46,6 +47,7 @@
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
+        share: Makes this watch's part in sharing, or None if it is not shared.
     """
 
     def __init__(
@@ -57,8 +59,9 @@
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
+        share: MakeWatchShare | None = None,
     ) -> None:
-        super().__init__(ENTRIES_PREFIX, store, bounds, clock, events)
+        super().__init__(ENTRIES_PREFIX, store, bounds, clock, events, share)
         self.subscribers = subscribers
         self.registered = registered
         self.routers = routers
@@ -86,6 +89,10 @@
             return 0.0
         return watch_pause(self.routers.value)
 
+    def may_ask_reader(self) -> bool:
+        """Whether a reader may be asked; not while lapsed entries may return."""
+        return super().may_ask_reader() and not self.drop_times
+
     def effect_bound(self) -> float:
         """Return the time from a server's leaving until it gets nothing new."""
         return self.bounds().drain_s
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -7,8 +7,10 @@
 
 import structlog
 
+from hawthornstage.actors.shared_watches import MakeWatchShare, SharedNews
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.store_news import longest_watch
+from hawthornstage.decisions.watch_sharing import READER_PAUSE_S, reader_wait
 from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.store import (
     Changes,
@@ -34,12 +36,16 @@
 class StoreWatch(threading.Thread):
     """Lists all items below a key prefix, then follows their changes.
 
+    In a large fleet it asks one of the prefix's readers for changes, and the store only
+    if that reader cannot tell in time.
+
     Args:
         prefix: The key prefix.
         store: A client used by this thread only.
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
+        share: Makes this watch's part in sharing, or None if it is not shared.
     """
 
     def __init__(
@@ -49,6 +55,7 @@
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
+        share: MakeWatchShare | None = None,
     ) -> None:
         super().__init__(name=f"watch {prefix}", daemon=True)
         self.prefix = prefix
@@ -63,11 +70,12 @@
         self.heard_at = float("-inf")
         self.down_at = float("-inf")
         self.epoch = store.epoch
+        self.share = share(prefix) if share else None
 
     def run(self) -> None:
         """List, then watch from that revision; list again if its history is lost."""
         while True:
-            pause = self.pause() if self.try_step() else RETRY_PAUSE_S
+            pause = self.next_pause() if self.try_step() else RETRY_PAUSE_S
             if pause:
                 sleep(self.clock, pause)
 
@@ -81,12 +89,48 @@
             return False
 
     def step(self) -> bool:
+        """Make one call; return False if the store failed."""
+        news = self.ask_reader()
+        if news is None or self.store.epoch != self.epoch:
+            return self.ask_store()
+        self.revision = news.changes.revision
+        self.apply_changes(news.changes.events)
+        self.heard_at = news.heard_at
+        return True
+
+    def ask_reader(self) -> SharedNews | None:
+        """Return the changes that a reader tells, or None if the store is to be asked.
+
+        A reader's word that the store has failed counts like a failed call of this
+        router, which did not call it.
+        """
+        if self.share is None or self.revision is None or not self.may_ask_reader():
+            return None
+        news = self.share.ask(
+            self.epoch,
+            self.revision,
+            known_at=self.heard_at,
+            bound_s=self.effect_bound(),
+        )
+        if isinstance(news, SharedNews):
+            return news
+        if news.store_failed:
+            self.down_at = self.clock.monotonic()
+            self.record_failure("a reader's calls to the store failed")
+        return None
+
+    def may_ask_reader(self) -> bool:
+        """Whether a reader may be asked now in place of the store."""
+        return not self.unavailable
+
+    def ask_store(self) -> bool:
         """Make one call to the store; return False if it failed."""
         began_at = self.clock.monotonic()
-        if self.revision is None:
+        after = self.revision
+        if after is None:
             outcome = self.store.list(self.prefix)
         else:
-            outcome = self.store.watch(self.prefix, self.revision, self.watch_timeout())
+            outcome = self.store.watch(self.prefix, after, self.next_watch_timeout())
         if self.store.epoch != self.epoch:
             self.restart_after_restore()
             return not isinstance(outcome, StoreRefused | StoreNoResponse)
@@ -95,21 +139,35 @@
                 self.record_success()
                 self.revision = revision
                 self.apply_listing(items)
-                self.heard_at = self.clock.monotonic()
+                self.note_read(revision, Changes((), revision))
             case Changes(changes, revision):
                 self.record_success()
                 self.revision = revision
                 self.apply_changes(changes)
-                self.heard_at = self.clock.monotonic()
+                assert after is not None
+                self.note_read(after, outcome)
             case HistoryCompacted():
                 self.events.emit("watch_restarted", prefix=self.prefix)
                 self.revision = None
             case StoreRefused(reason) | StoreNoResponse(reason):
                 self.down_at = began_at
                 self.record_failure(reason)
+                if self.share is not None:
+                    self.share.tell_lost()
                 return False
         return True
 
+    def note_read(self, after: int, changes: Changes) -> None:
+        """Note the time of the store's response, and tell it to those who wait for it.
+
+        Args:
+            after: Revision after which the changes are complete.
+            changes: What the store returned.
+        """
+        self.heard_at = self.clock.monotonic()
+        if self.share is not None:
+            self.share.tell_read(self.epoch, after, changes, at=self.heard_at)
+
     def restart_after_restore(self) -> None:
         """List again: revisions of the epoch before mean nothing in this one.
 
@@ -121,6 +179,29 @@
         self.down_at = self.clock.monotonic()
         self.on_store_restored()
 
+    def next_pause(self) -> float:
+        """Return the pause before the next call, in seconds.
+
+        There is none before a reader is asked, as it replies when it has news.
+        """
+        if self.share is None or self.revision is None:
+            return self.pause()
+        if self.share.is_reader:
+            return min(READER_PAUSE_S, self.pause())
+        if self.may_ask_reader() and self.share.reader() is not None:
+            return 0.0
+        return self.pause()
+
+    def next_watch_timeout(self) -> float:
+        """Return the timeout of the next watch call, in seconds.
+
+        A reader's is shorter, so that the others can rely on it within their bounds.
+        """
+        timeout = self.watch_timeout()
+        if self.share is not None and self.share.is_reader:
+            return min(timeout, reader_wait(self.effect_bound()))
+        return timeout
+
     def pause(self) -> float:
         """Return the pause before the next call after a successful one, in seconds."""
         return 0.0
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -20,6 +20,7 @@
     members,
     server_limits,
     server_notices,
+    shared_watches,
     stream_versions,
     tunnels,
 )
@@ -80,6 +81,9 @@
     "StreamVersionNoted": stream_versions.StreamVersionNoted,
     "RequestStreamVersion": stream_versions.RequestStreamVersion,
     "StreamVersionReply": stream_versions.StreamVersionReply,
+    "RequestChanges": shared_watches.RequestChanges,
+    "ChangesRead": shared_watches.ChangesRead,
+    "ChangesUnavailable": shared_watches.ChangesUnavailable,
 }
 FRAME_NAMES = {message_type: name for name, message_type in FRAME_MESSAGES.items()}
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -35,6 +35,7 @@
     SHARED_SECRET_STORE_KEY,
     load_shared_secret,
 )
+from hawthornstage.actors.shared_watches import SharedWatches, WatchShare
 from hawthornstage.actors.store_call_log import (
     LogStoreCalls,
     StoreCallEnded,
@@ -53,6 +54,7 @@
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
+from hawthornstage.decisions.watch_sharing import SHARING_PATH, WatchReaders
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
@@ -99,6 +101,7 @@
     ServerNotices,
 )
 from hawthornstage.messages.server_selection import RegisteredServers
+from hawthornstage.messages.shared_watches import RequestChanges
 from hawthornstage.messages.store import Put
 from hawthornstage.messages.stream_versions import (
     RequestStreamVersion,
@@ -153,6 +156,7 @@
         self.server_notices_in_force = LatestValue(ServerNotices())
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
+        self.watch_readers = LatestValue(WatchReaders(settings.node))
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
@@ -222,6 +226,9 @@
         self.start_lost_servers()
         self.response_memory = ResponseMemoryTask.start(self.events)
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
+        self.shared_watches = SharedWatches.start(
+            node, self.watch_readers, **self.shared
+        )
         self.start_members(secret)
         self.store_epoch.subscribe(
             self.members, self.ledger, self.crash_log_writer, self.crashing_parts
@@ -317,7 +324,7 @@
         peers = self.settings.peers
         self.members = FleetMembers.start(
             self.settings.node,
-            f"ws://{peers.host}:{peers.port}",
+            f"ws://{peers.host}:{peers.port}{SHARING_PATH}",
             store=self.store("members"),
             peers=self.peers,
             routers=self.routers,
@@ -329,6 +336,7 @@
                 self.server_notices,
                 self.stream_versions,
                 self.server_links,
+                self.shared_watches,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
             **self.shared,
@@ -359,6 +367,7 @@
             ),
         )
         register(self.tunnels, (RequestTunnel,))
+        register(self.shared_watches, (RequestChanges,))
         register(self.stream_versions, (StreamVersionNoted, RequestStreamVersion))
 
     def schedule_periodic_work(self) -> None:
@@ -385,12 +394,9 @@
 
     def watch_store(self) -> None:
         """Start the watches of the store, each with its own connection."""
+        shared = (self.store_bounds, self.clock, self.events, self.share_watch)
         DesiredStateWatch(
-            self.store("desired_state"),
-            self.desired_states,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            self.store("desired_state"), self.desired_states, *shared
         ).start()
         ServerRegistry(
             self.store("servers"),
@@ -402,19 +408,18 @@
             ),
             self.registered_servers,
             self.routers,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            *shared,
         ).start()
         CrashLogsWatch(
-            self.store("crash_logs"),
-            self.crashing_parts,
-            self.routers,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            self.store("crash_logs"), self.crashing_parts, self.routers, *shared
         ).start()
 
+    def share_watch(self, prefix: str) -> WatchShare:
+        """Return a watch's part in sharing what it reads with other routers."""
+        return WatchShare(
+            prefix, self.shared_watches, self.watch_readers, self.peers, self.clock
+        )
+
     def store_bounds(self) -> StoreBounds:
         """Return the current times within which changes in the store take effect."""
         return self.live_settings.value.store_bounds
