Decide which servers may get a call in a module of its own

Slow start, evacuations and homes each add a reason why a server gets no call. What decides that moves from server_selection.py, which stays with the choice among those left.

No change of behaviour: test_serving, test_server_limits, test_fragile_servers and test_stream_versions pass as before.

--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -10,12 +10,16 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from hawthornstage.decisions.permit_demand import PermitDemand
+from hawthornstage.decisions.server_eligibility import (
+    ServerEligibility,
+    digest,
+    jitter,
+)
 from hawthornstage.decisions.server_loads import SentCall, ServerLoad
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import PlacementBasis, Prompt
@@ -44,11 +48,6 @@
 MAX_PROMPT_PARTS = 4_096
 # Time that each running call adds to the estimate, in seconds.
 CALL_COST_S = 0.004
-# Servers with a limit that may deny one attempt a permit.
-MAX_PERMITS_DENIED = 4
-# Time over which refused callers are spread that return once a server has room, in
-# seconds.
-RETURN_SPREAD_S = 0.5
 # Time that a server in another failure domain adds to the estimate, in seconds.
 CROSS_DOMAIN_COST_S = 0.004
 
@@ -80,6 +79,11 @@
         """The registered servers, by id."""
         return self.registered.servers
 
+    @property
+    def eligibility(self) -> ServerEligibility:
+        """Decides which servers may get a call, by what is known now."""
+        return ServerEligibility(self.registered, self.notices, self.loads)
+
     def replace_servers(self, registered: RegisteredServers) -> None:
         """Replace the registered servers; a restarted one starts with an empty load."""
         servers = registered.servers
@@ -102,38 +106,10 @@
             limit: Largest number of this router's calls on one server.
             now: Monotonic time in seconds.
         """
-        accepting = [
-            server
-            for server in self.servers.values()
-            if server.service == want.service
-            and self.registered.accepts_calls(server.id, now)
-            and server.incarnation not in self.notices.leaving
-            and not self.loads[server.id].address_reused
-        ]
-        compatible = [each for each in accepting if self.fits_version(each, want)]
-        if want.version is not None and not compatible:
-            return NoServerAvailable(
-                f"service {want.service!r} has no server left of version "
-                f"{want.version!r}",
-                version_gone=True,
-            )
-        eligible = [each for each in compatible if each.id not in want.excluded]
-        if not eligible:
-            return NoServerAvailable(
-                f"service {want.service!r} has no registered server that is neither "
-                f"leaving nor already attempted"
-            )
-        eligible = [
-            server for server in eligible if self.loads[server.id].running < limit
-        ]
-        if not eligible:
-            return NoServerAvailable(
-                f"each server has the limit of {limit} calls of this router"
-            )
-        with_room = [s for s in eligible if self.has_room(s, want, now)]
-        if not with_room:
-            return self.no_room(eligible, want, now)
-        eligible = self.leave_to_larger(with_room, want, now)
+        outcome = self.eligibility.eligible(want, limit, now)
+        if isinstance(outcome, NoServerAvailable):
+            return outcome
+        eligible = self.leave_to_larger(outcome, want, now)
         not_avoided = [s for s in eligible if self.loads[s.id].avoid_until <= now]
         preferred = self.preferred_server(want.service, want.prompt)
         estimates = {
@@ -152,21 +128,6 @@
         self.record_sent(server, want, preferred, now)
         return ServerChosen(server, basis)
 
-    def fits_version(self, server: BackendServer, want: RequestServer) -> bool:
-        """Whether a server has the version that a call needs, if it needs one.
-
-        Servers that name none fit only if the whole service names none.
-        """
-        if want.version is None:
-            return True
-        if not want.version and any(
-            each.version
-            for each in self.servers.values()
-            if each.service == want.service
-        ):
-            return False
-        return server.version == want.version
-
     def replace_notices(self, notices: ServerNotices) -> None:
         """Replace what servers have said of themselves."""
         self.notices = notices
@@ -188,20 +149,6 @@
         """Whether a server has named a limit."""
         return server.incarnation in self.notices.calls_per_s
 
-    def has_room(self, server: BackendServer, want: RequestServer, now: float) -> bool:
-        """Whether a server wants calls now and may have room within its limit, if any.
-
-        A call that was denied many permits gets no further server with a limit.
-        """
-        if not self.notices.accepts_calls(server.incarnation, now):
-            return False
-        is_fragile = server.incarnation in self.notices.fragile
-        if not (is_fragile or self.is_limited(server)):
-            return True
-        if want.permits_denied >= MAX_PERMITS_DENIED:
-            return False
-        return self.loads[server.id].room_at <= now
-
     def leave_to_larger(
         self, servers: list[BackendServer], want: RequestServer, now: float
     ) -> list[BackendServer]:
@@ -224,27 +171,6 @@
             return unlimited
         return servers
 
-    def no_room(
-        self, servers: Iterable[BackendServer], want: RequestServer, now: float
-    ) -> NoServerAvailable:
-        """Return the refusal of a call whose servers are all at their limits.
-
-        Callers return at different times, as the servers take them one by one.
-        """
-        closed_until = self.notices.closed_until
-        room_at = min(
-            max(
-                self.loads[server.id].room_at, closed_until.get(server.incarnation, now)
-            )
-            for server in servers
-        )
-        soonest = max(0.0, room_at - now)
-        spread = jitter(want.call_id, want.service) * RETURN_SPREAD_S
-        return NoServerAvailable(
-            "all servers want no calls now or have reached the limits that they named",
-            soonest + spread,
-        )
-
     def estimate(
         self, server: BackendServer, want: RequestServer, preferred: str, now: float
     ) -> float:
@@ -383,14 +309,3 @@
 def rendezvous(name: str, servers: Iterable[str]) -> str:
     """Return the server with the highest rendezvous hash for a name, or ''."""
     return max(servers, key=lambda server: digest(name, server), default="")
-
-
-def jitter(name: str, server: str) -> float:
-    """Return a number in [0, 1) that spreads calls over equal servers."""
-    return digest(name, server) / 2**64
-
-
-def digest(name: str, server: str) -> int:
-    """Return a 64-bit hash of a name and a server."""
-    data = f"{name}\0{server}".encode()
-    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
