Let a router's limit of calls on a server follow its demand

Each router had an equal part of a server's connections, so that one with several times the mean of the callers refused calls ("each server has the limit of 5 calls of this router") while its servers had turned few away. The limit begins at four equal parts, rises by successes at it up to half of the connections, and halves with a refusal or a reset, to an equal part at least.

--- a/src/hawthornstage/actors/servers/selection.py
+++ b/src/hawthornstage/actors/servers/selection.py
@@ -8,6 +8,7 @@
 from hawthornstage.actors.servers.connection_pool import ConnectionPool
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.connection_share import start_limit
 from hawthornstage.decisions.retry_share import RetryShare
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.latest_value import LatestValue
@@ -24,8 +25,8 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
-# Most idle connections pooled for each server, and the same as a fraction of this
-# router's share of the connections that the server accepts.
+# Most idle connections pooled for each server, and the same as a fraction of an equal
+# part of the connections that the server accepts.
 MAX_POOLED_PER_SERVER = 4
 POOLED_FRACTION = 0.25
 
@@ -88,16 +89,18 @@
     def choose(self, request: RequestServer, now: float) -> Any:
         """Choose a server for a request; a retry also uses this router's retry share.
 
-        Pooled connections count towards this router's share of a server's connections,
-        so that share, less the pool's limit, bounds its calls there.
+        Pooled connections count towards a server's connections, so the limit of the
+        calls there is that much lower.
         """
         if not self.count_attempt(request, now):
             return NoServerAvailable(
                 "this router's share of the fleet's retries is exhausted"
             )
-        share = request.max_connections_per_server // self.routers.value
+        routers = self.routers.value
+        share = request.max_connections_per_server // routers
         max_pooled = min(MAX_POOLED_PER_SERVER, int(share * POOLED_FRACTION))
-        choice = self.serving.choose(request, max(1, share - max_pooled), now)
+        limit = start_limit(request.max_connections_per_server, routers) - max_pooled
+        choice = self.serving.choose(request, max(1, limit), now)
         if not isinstance(choice, ServerChosen):
             return choice
         self.max_pooled[choice.server.id] = max_pooled
--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -46,7 +46,7 @@
 
         Args:
             want: The call.
-            limit: Largest number of this router's calls on one server.
+            limit: Number of this router's calls on a server that it knows nothing of.
             now: Monotonic time in seconds.
         """
         accepting = self.accepting(want.service, now)
@@ -63,14 +63,20 @@
                 f"service {want.service!r} has no registered server that is neither "
                 f"leaving nor already attempted"
             )
-        eligible = [each for each in eligible if self.loads[each.id].running < limit]
+        eligible = [each for each in eligible if self.has_share(each, limit)]
         if not eligible:
             return NoServerAvailable(
-                f"each server has the limit of {limit} calls of this router"
+                f"each server has as many calls of this router as it may have,"
+                f" {limit} at first"
             )
         with_room = [each for each in eligible if self.has_room(each, want, now)]
         return with_room or self.no_room(eligible, want, now)
 
+    def has_share(self, server: BackendServer, limit: int) -> bool:
+        """Whether a server may have a further call of this router."""
+        load = self.loads[server.id]
+        return load.running < load.call_limit.allowed(limit)
+
     def accepting(self, service: str, now: float) -> list[BackendServer]:
         """Return the servers of a service that accept calls."""
         return [
--- a/src/hawthornstage/decisions/server_loads.py
+++ b/src/hawthornstage/decisions/server_loads.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field
 
+from hawthornstage.decisions.connection_share import CallLimit, LimitRange
+
 
 @dataclass
 class ServerLoad:
@@ -23,6 +25,7 @@
             registers again.
         prompt_parts: Time at which each prompt part was last sent there, by part.
         room_at: Time until which it has no room within the limit that it named.
+        call_limit: Limit of this router's calls there.
     """
 
     calls: dict[str, int] = field(default_factory=dict)
@@ -34,6 +37,7 @@
     address_reused: bool = False
     prompt_parts: dict[str, float] = field(default_factory=dict)
     room_at: float = 0.0
+    call_limit: CallLimit = field(default_factory=CallLimit)
 
 
 @dataclass
@@ -44,10 +48,12 @@
         server: The server's id.
         at: Time at which it was sent.
         expected_s: Expected time to its first byte on a server without a queue.
+        limits: The range of the limit of calls on the server.
         first_byte_received: Whether the first byte of the answer has arrived.
     """
 
     server: str
     at: float
     expected_s: float
+    limits: LimitRange
     first_byte_received: bool = False
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from hawthornstage.decisions.connection_share import LimitRange, most_calls
 from hawthornstage.decisions.permit_demand import PermitDemand
 from hawthornstage.decisions.server_eligibility import (
     ServerEligibility,
@@ -103,7 +104,7 @@
 
         Args:
             want: The call.
-            limit: Largest number of this router's calls on one server.
+            limit: Number of this router's calls on a server that it knows nothing of.
             now: Monotonic time in seconds.
         """
         outcome = self.eligibility.eligible(want, limit, now)
@@ -125,7 +126,8 @@
             running=load.running,
             last_answer_age_s=now - load.lateness_at if load.lateness_at else None,
         )
-        self.record_sent(server, want, preferred, now)
+        limits = LimitRange(limit, most_calls(want.max_connections_per_server))
+        self.record_sent(server, want, preferred, limits, now)
         return ServerChosen(server, basis)
 
     def replace_notices(self, notices: ServerNotices) -> None:
@@ -250,7 +252,12 @@
         return [server.id for server in unlimited or staying]
 
     def record_sent(
-        self, server: BackendServer, want: RequestServer, preferred: str, now: float
+        self,
+        server: BackendServer,
+        want: RequestServer,
+        preferred: str,
+        limits: LimitRange,
+        now: float,
     ) -> None:
         """Record a call that is sent to a server."""
         load = self.loads[server.id]
@@ -266,7 +273,7 @@
         load.calls[want.call_id] = tokens
         load.running += 1
         expected = tokens / PREFILL_TOKENS_PER_S
-        self.sent[want.call_id] = SentCall(server.id, now, expected)
+        self.sent[want.call_id] = SentCall(server.id, now, expected, limits)
 
     def record_first_byte(self, call_id: str, now: float) -> None:
         """Record the first byte of an answer, and its lateness."""
@@ -293,7 +300,8 @@
         if sent is None or load is None:
             return None
         load.calls.pop(ended.call_id, None)
-        load.running = max(0, load.running - 1)
+        running = load.running
+        load.running = max(0, running - 1)
         if ended.address_reused:
             load.address_reused = True
             self.preferred.clear()
@@ -301,8 +309,10 @@
             load.failures += 1
             pause = INITIAL_AVOIDANCE_S * 2 ** min(load.failures - 1, 6)
             load.avoid_until = now + min(pause, MAX_AVOIDANCE_S)
+            load.call_limit.lower_after_refusal(sent.limits, running)
         elif sent.first_byte_received:
             load.failures = 0
+            load.call_limit.raise_after_success(sent.limits, running)
         return sent.server
 
 
