Let calls wait for a slow draw while the budget has tokens

A call waited 0.15 s for tokens, and the first draw of a router that has just started ends up to 0.5 s later; a router without processor time draws as slowly.

test_call_waits_for_a_slow_draw_while_the_budget_has_tokens failed first on the code before, in both cases: TokensUnavailable after 0.15 s with 200000 tokens undrawn.

--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -44,6 +44,11 @@
     update_drawn_totals,
 )
 from hawthornstage.decisions.token_holders import HolderDirectory
+from hawthornstage.decisions.token_waits import (
+    MAX_WAIT_S,
+    TokenSupply,
+    longest_wait,
+)
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import DISCARD_REPLY, ReplyCallback, ReplyTo
 from hawthornstage.messages.desired import WorkspaceSpec
@@ -71,12 +76,9 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
-# Longest time that a call waits for tokens, in seconds: on a router that holds spare
-# tokens of its workspace, on one that does while the store is unavailable, and on any
-# other.
-MAX_WAIT_S = 0.15
-MAX_OUTAGE_WAIT_S = 0.07
-MAX_HOLDER_WAIT_S = 0.25
+# Shortest time that a call may wait on a router that asks others for its tokens, in
+# seconds.
+HOLDER_WAIT_S = 0.25
 # Time without a holder's reply after which the next one is asked, in seconds.
 HOLDER_TIMEOUT_S = 0.08
 # Delay after a failed write, in seconds.
@@ -282,15 +284,32 @@
             return
         if self.grant(request, reply_to, now):
             return
-        wait = MAX_OUTAGE_WAIT_S if self.store_unavailable else MAX_WAIT_S
+        wait = self.longest_wait(request)
+        if not wait:
+            reply_to.put(self.refusal(request, now))
+            return
         pending = PendingRequest(request, reply_to, now + wait)
         self.waiting.append(pending)
         if isinstance(request, RequestReservation) and self.ask_holder(pending, now):
-            pending.deadline = now + MAX_HOLDER_WAIT_S
+            pending.deadline = now + max(wait, HOLDER_WAIT_S)
             return
         self.write_record(now)
         self.request_transfers(request, now)
 
+    def longest_wait(self, request: TokenRequest) -> float:
+        """Return how long a request may wait, in seconds; 0 if it would be in vain.
+
+        A router that asks this one for tokens soon asks the next one.
+        """
+        budget = self.budgets.get(request.workspace)
+        account = account_of(self.token_accounts, request.workspace)
+        undrawn = max(0, (budget or 0) - account.drawn)
+        supply = TokenSupply(budget, undrawn + account.free, self.store_unavailable)
+        time_left_s = 0.0
+        if isinstance(request, RequestReservation):
+            time_left_s = request.time_left_s
+        return longest_wait(request.tokens, time_left_s, supply)
+
     def grant(self, request: TokenRequest, reply_to: ReplyTo, now: float) -> bool:
         """Grant a request if enough tokens are free; return whether it is granted."""
         workspace, tokens = request.workspace, request.tokens
@@ -530,8 +549,13 @@
             self.metrics.record_age.set(age)
 
     def handle_write_failure(self, reason: str, now: float) -> None:
-        """Delay the next write and mark the store as unavailable."""
+        """Delay the next write and mark the store as unavailable.
+
+        What waits for a draw that the store was expected to make waits no longer.
+        """
         self.next_write_at = now + WRITE_RETRY_DELAY_S
+        for each in self.waiting:
+            each.deadline = min(each.deadline, now + MAX_WAIT_S)
         if not self.store_unavailable:
             self.store_unavailable = True
             self.events.emit("draws_stopped", reason=reason[:120])
--- a/src/hawthornstage/filters/forward.py
+++ b/src/hawthornstage/filters/forward.py
@@ -119,9 +119,10 @@
             return exchange
         name = exchange.workspace.name
         max_tokens = prompt.tokens + prompt.max_output
+        time_left_s = exchange.deadline - self.clock.monotonic()
         reply = ask(
             self.token_account,
-            RequestReservation(name, max_tokens),
+            RequestReservation(name, max_tokens, time_left_s),
             self.clock,
             timeout=TASK_TIMEOUT_S,
         )
--- a/src/hawthornstage/messages/draws.py
+++ b/src/hawthornstage/messages/draws.py
@@ -17,10 +17,12 @@
     Args:
         workspace: The workspace that pays for the call.
         tokens: Upper bound of what the call can use.
+        time_left_s: Time until the call's deadline, in seconds.
     """
 
     workspace: str
     tokens: int
+    time_left_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -17,12 +17,20 @@
 from hawthornstage.actors.ledger import MAX_COUNTS_PER_WRITE, MAX_WRITE_ENTRIES
 from hawthornstage.actors.task import Ask
 from hawthornstage.actors.token_accounts import (
-    MAX_WAIT_S,
+    CheckTokenAccounts,
     ReturnAllTokens,
     StopDrawingAhead,
 )
 from hawthornstage.decisions import draw_plans, draws
 from hawthornstage.decisions.draw_plans import reclaimable_tokens
+from hawthornstage.decisions.token_waits import (
+    DRAW_WAIT_FRACTION,
+    MAX_DRAW_WAIT_S,
+    MAX_OUTAGE_WAIT_S,
+    MAX_WAIT_S,
+    TokenSupply,
+    longest_wait,
+)
 from hawthornstage.messages.desired import DesiredState, WorkspaceSpec
 from hawthornstage.messages.draws import (
     ClockReading,
@@ -98,6 +106,70 @@
     assert isinstance(reply.value, TokensUnavailable)
 
 
+# A draw that takes longer than a call waits if the tokens may not be there.
+SLOW_DRAW_S = 0.4
+
+
+@pytest.mark.parametrize("restarted", [True, False])
+def test_call_waits_for_a_slow_draw_while_the_budget_has_tokens(
+    world: DrawsWorld, restarted: bool
+) -> None:
+    host = world.hosts["a"]
+    tokens = 1_000
+    if restarted:
+        host.start()
+    else:
+        tokens = world.free("a") + 1_000
+    reply = Reply()
+    request = RequestReservation(WORKSPACE, tokens, time_left_s=4.0)
+    host.token_accounts.handle(Ask(request, reply))
+    for _ in range(4):
+        world.clock.advance(SLOW_DRAW_S / 4)
+        host.token_accounts.handle(CheckTokenAccounts())
+    assert reply.value is None
+    host.pump()
+    assert reply.value == TokensReserved(tokens)
+
+
+def test_call_larger_than_its_budget_is_refused_at_once(world: DrawsWorld) -> None:
+    reply = Reply()
+    request = RequestReservation(WORKSPACE, BUDGET + 1, time_left_s=4.0)
+    world.hosts["a"].token_accounts.handle(Ask(request, reply))
+    assert isinstance(reply.value, TokensUnavailable)
+
+
+def test_call_waits_no_longer_for_a_draw_that_fails(world: DrawsWorld) -> None:
+    host = world.hosts["a"]
+    reply = Reply()
+    tokens = world.free("a") + 1_000
+    request = RequestReservation(WORKSPACE, tokens, time_left_s=4.0)
+    host.token_accounts.handle(Ask(request, reply))
+    world.store.mood = "refuses"
+    host.pump()
+    assert reply.value is None
+    world.clock.advance(MAX_WAIT_S)
+    host.check()
+    assert isinstance(reply.value, TokensUnavailable)
+
+
+@pytest.mark.parametrize(
+    ("tokens", "time_left_s", "supply", "wait_s"),
+    [
+        (500, 2.0, TokenSupply(9_000, 600, False), 2.0 * DRAW_WAIT_FRACTION),
+        (500, 60.0, TokenSupply(9_000, 600, False), MAX_DRAW_WAIT_S),
+        (500, 0.1, TokenSupply(9_000, 600, False), MAX_WAIT_S),
+        (700, 60.0, TokenSupply(9_000, 600, False), MAX_WAIT_S),
+        (500, 60.0, TokenSupply(None, 0, False), MAX_WAIT_S),
+        (500, 60.0, TokenSupply(9_000, 600, True), MAX_OUTAGE_WAIT_S),
+        (9_001, 60.0, TokenSupply(9_000, 600, False), 0.0),
+    ],
+)
+def test_wait_for_tokens_follows_what_can_be_had(
+    tokens: int, time_left_s: float, supply: TokenSupply, wait_s: float
+) -> None:
+    assert longest_wait(tokens, time_left_s, supply) == wait_s
+
+
 def test_workspace_without_a_budget_reserves_nothing(world: DrawsWorld) -> None:
     host = world.hosts["a"]
     unlimited = WorkspaceSpec(WORKSPACE, frozenset({"key"}), None, None)
