Ask holders for tokens ahead where a router has many calls of a workspace

In a large fleet a router that holds no spare tokens asked a holder for each call, so that each call of a router with much demand waited for a message. It now asks for a second of its demand beyond the call if that is two calls or more; the rests go back as before once demand falls.

test_router_with_many_calls_asks_for_tokens_ahead_of_them failed first on the code before: each of 40 calls asked.

--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -27,6 +27,7 @@
     largest,
     make_record,
     plan_draws,
+    tokens_ahead,
 )
 from hawthornstage.decisions.draws import (
     TokenAccounts,
@@ -341,7 +342,11 @@
             return False
         pending.asked += 1
         pending.asked_at = now
-        request = RequestCallTokens(workspace, self.missing_tokens(pending, now))
+        tokens = self.missing_tokens(pending, now)
+        if pending.asked == 1:
+            account = account_of(self.token_accounts, workspace)
+            tokens += tokens_ahead(account, self.budgets.get(workspace, 0), now)
+        request = RequestCallTokens(workspace, tokens)
         reply_to = ReplyCallback(
             lambda reply: self.actor_ref.tell(HolderReplied(pending, holder, reply))
         )
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -51,6 +51,10 @@
 # A router returns its surplus when that exceeds this fraction of the target plus an
 # average call.
 SURPLUS_FRACTION = 0.3
+# Seconds of its demand that a router asks a holder for ahead, and the number of calls
+# below which it does not.
+AHEAD_S = 1.0
+MIN_CALLS_AHEAD = 2.0
 # Records that all routers together store regularly, per second, and the shortest and
 # longest interval of one router's records, in seconds.
 FLEET_RECORDS_PER_S = 9.0
@@ -171,6 +175,7 @@
             allowed_surplus = target_free * SURPLUS_FRACTION + account.mean_call_tokens
         elif keep_rests and not ahead:
             allowed_surplus = account.mean_call_tokens
+            allowed_surplus += tokens_ahead(account, budget, now)
         if needed > 0 or account.free < target_free * LOW_WATER_FRACTION:
             fair_amount = int(
                 left * MAX_DRAW_FRACTION / terms.holders + account.mean_call_tokens
@@ -234,6 +239,18 @@
     return int(max(spare_tokens, initial_tokens) * supply_factor(account, budget))
 
 
+def tokens_ahead(account: TokenAccount, budget: int, now: float) -> int:
+    """Return what a router that holds no spare tokens asks for beyond a call's tokens.
+
+    Only a router with many calls of a workspace does so: each question costs its caller
+    time, and a holder's refusal more.
+    """
+    ahead = account.rate_at(now) * AHEAD_S
+    if ahead < account.mean_call_tokens * MIN_CALLS_AHEAD:
+        return 0
+    return int(ahead * supply_factor(account, budget))
+
+
 def supply_factor(account: TokenAccount, budget: int) -> float:
     """Return 1 while a budget is not scarce, falling to 0 as it runs out."""
     if not budget:
--- a/tests/test_token_holders.py
+++ b/tests/test_token_holders.py
@@ -14,6 +14,7 @@
 from hawthornstage.messages.draws import (
     RequestCallTokens,
     RequestReservation,
+    TokensReserved,
     TokensUsed,
 )
 from hawthornstage.messages.members import PeerUnreachable
@@ -125,6 +126,23 @@
     assert [tokens for _, tokens in questions(host)] == [700]
 
 
+def test_router_with_many_calls_asks_for_tokens_ahead_of_them(
+    world: DrawsWorld,
+) -> None:
+    world.top_up(10_000_000)
+    host = asker(world)
+    tokens, unasked = 5_000, 0
+    for _ in range(40):
+        reply = Reply()
+        host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, tokens), reply))
+        unasked += not questions(host)
+        deliver(world, host)
+        assert isinstance(reply.value, TokensReserved)
+        host.token_accounts.handle(TokensUsed(WORKSPACE, tokens, tokens))
+        world.clock.advance(0.05)
+    assert unasked >= 10
+
+
 def test_silent_and_unreachable_holders_are_passed_over(world: DrawsWorld) -> None:
     host = asker(world)
     reply = Reply()
