--- a/src/hawthornstage/decisions/watch_sharing.py
+++ b/src/hawthornstage/decisions/watch_sharing.py
@@ -19,7 +19,7 @@
 
 # Routers that read one prefix, and the smallest fleet that shares its watches.
 READERS = 4
-MIN_ROUTERS = 16
+MIN_ROUTERS = 12
 # Path in the address of a router that can share watches; earlier builds cannot.
 SHARING_PATH = "/shared-watches"
 # Pause between two watches of a reader, in seconds: changes that come together are told
