Ask the next reader before the store, and log why a reader is avoided

A reader that could not tell cost each router that asked it a call to the store; the next reader is asked while there is time. A reader's word of an outage counts once in 5 s, so that a store which failed for one router is not called anew by all others. Three readers for each prefix instead of four.

--- a/src/hawthornstage/actors/shared_watches.py
+++ b/src/hawthornstage/actors/shared_watches.py
@@ -192,6 +192,7 @@
         readers: The routers that read for others.
         peers: Sends messages to other routers.
         clock: The runtime's clock.
+        events: The event log.
         avoided: Monotonic time until which readers are not asked, in seconds.
     """
 
@@ -200,6 +201,7 @@
     readers: LatestValue[WatchReaders]
     peers: Recipient
     clock: Clock
+    events: EventLog
     avoided: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -215,7 +217,7 @@
     def ask(
         self, epoch: int, after: int, *, known_at: float, bound_s: float
     ) -> SharedNews | ChangesUnavailable:
-        """Ask a reader for changes; wait until the store has responded to it.
+        """Ask readers for changes; wait until the store has responded to one of them.
 
         Args:
             epoch: The store's epoch.
@@ -223,24 +225,47 @@
             known_at: Monotonic time up to which all changes are known, in seconds.
             bound_s: Time within which a change must take effect, in seconds.
         """
-        reader = self.reader()
-        asked_at = self.clock.monotonic()
-        timeout = known_at + reply_timeout(bound_s) - asked_at
-        if reader is None or timeout <= 0:
-            return ChangesUnavailable(store_failed=False)
+        ends_at = known_at + reply_timeout(bound_s)
         request = RequestChanges(self.prefix, epoch, after)
+        while True:
+            reader = self.reader()
+            if reader is None or self.clock.monotonic() >= ends_at:
+                return ChangesUnavailable(store_failed=False)
+            outcome = self.ask_one(reader, request, ends_at)
+            if isinstance(outcome, SharedNews):
+                return outcome
+            self.avoid(reader, outcome)
+            if isinstance(outcome, ChangesUnavailable) and outcome.store_failed:
+                return outcome
+
+    def ask_one(self, reader: str, request: RequestChanges, ends_at: float) -> Any:
+        """Ask one reader.
+
+        Returns:
+            Its news, or else the reply that was no news; None after the timeout.
+        """
+        asked_at = self.clock.monotonic()
+        timeout = ends_at - asked_at
         reply = ask_router(self.peers, reader, request, self.clock, timeout=timeout)
-        now = self.clock.monotonic()
         match reply:
-            case ChangesRead(changes, revision, held_s):
+            case ChangesRead(changes, revision, held_s) if revision >= request.after:
+                now = self.clock.monotonic()
                 heard_at = complete_until(asked_at, held_s, now, news=bool(changes))
-                if heard_at is not None and revision >= after:
+                if heard_at is not None:
                     events = tuple(each.to_change() for each in changes)
                     return SharedNews(Changes(events, revision), heard_at)
-        self.avoided[reader] = now + AVOIDANCE_S
-        if isinstance(reply, ChangesUnavailable):
-            return reply
-        return ChangesUnavailable(store_failed=False)
+        return reply
+
+    def avoid(self, reader: str, reply: Any) -> None:
+        """Ask a reader nothing for some time, as it could not tell of changes."""
+        self.avoided[reader] = self.clock.monotonic() + AVOIDANCE_S
+        self.events.emit(
+            "watch_reader_avoided",
+            prefix=self.prefix,
+            reader=reader,
+            reply=type(reply).__name__,
+            store_failed=getattr(reply, "store_failed", False),
+        )
 
     def tell_read(self, epoch: int, after: int, changes: Changes, *, at: float) -> None:
         """Tell what a call to the store has returned."""
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -10,7 +10,11 @@
 from hawthornstage.actors.shared_watches import MakeWatchShare, SharedNews
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.store_news import longest_watch
-from hawthornstage.decisions.watch_sharing import READER_PAUSE_S, reader_wait
+from hawthornstage.decisions.watch_sharing import (
+    AVOIDANCE_S,
+    READER_PAUSE_S,
+    reader_wait,
+)
 from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.store import (
     Changes,
@@ -65,10 +69,11 @@
         self.events = events
         self.revision: int | None = None
         self.unavailable = False
-        # Times at which the state below the prefix was last heard of, and at which the
-        # last failed call began.
+        # Times at which the state below the prefix was last heard of, at which the last
+        # failed call began, and at which a reader told of one of its own.
         self.heard_at = float("-inf")
         self.down_at = float("-inf")
+        self.reader_failed_at = float("-inf")
         self.epoch = store.epoch
         self.share = share(prefix) if share else None
 
@@ -114,8 +119,9 @@
         )
         if isinstance(news, SharedNews):
             return news
-        if news.store_failed:
-            self.down_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        if news.store_failed and now - self.reader_failed_at >= AVOIDANCE_S:
+            self.reader_failed_at = self.down_at = now
             self.record_failure("a reader's calls to the store failed")
         return None
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -417,7 +417,11 @@
     def share_watch(self, prefix: str) -> WatchShare:
         """Return a watch's part in sharing what it reads with other routers."""
         return WatchShare(
-            prefix, self.shared_watches, self.watch_readers, self.peers, self.clock
+            prefix,
+            self.shared_watches,
+            self.watch_readers,
+            self.peers,
+            **self.shared,
         )
 
     def store_bounds(self) -> StoreBounds:
--- a/src/hawthornstage/decisions/watch_sharing.py
+++ b/src/hawthornstage/decisions/watch_sharing.py
@@ -18,7 +18,7 @@
 from hawthornstage.messages.shared_watches import SharedChange
 
 # Routers that read one prefix, and the smallest fleet that shares its watches.
-READERS = 4
+READERS = 3
 MIN_ROUTERS = 12
 # Path in the address of a router that can share watches; earlier builds cannot.
 SHARING_PATH = "/shared-watches"
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -122,7 +122,9 @@
             StoreBounds,
             self.clock,
             events,
-            lambda prefix: WatchShare(prefix, inbox, readers, peers, self.clock),
+            lambda prefix: WatchShare(
+                prefix, inbox, readers, peers, clock=self.clock, events=events
+            ),
         )
 
     def deliver(self) -> None:
@@ -291,7 +293,12 @@
     assert other.share is not None
     peers: Any = LatePeers()
     share = WatchShare(
-        ENTRIES_PREFIX, other.share.task, other.share.readers, peers, world.clock
+        ENTRIES_PREFIX,
+        other.share.task,
+        other.share.readers,
+        peers,
+        clock=world.clock,
+        events=other.events,
     )
     known_at = world.clock.monotonic()
     outcome = share.ask(1, 2, known_at=known_at, bound_s=BOUNDS.drain_s)
@@ -307,7 +314,12 @@
     assert other.share is not None
     peers: Any = NoPeers()
     other.share = WatchShare(
-        ENTRIES_PREFIX, other.share.task, other.share.readers, peers, world.clock
+        ENTRIES_PREFIX,
+        other.share.task,
+        other.share.readers,
+        peers,
+        clock=world.clock,
+        events=other.events,
     )
     calls = world.store.calls
     world.remove_server()
