Limit cold servers by the permits of limits that servers name

A server that has just started may get only so many calls in any second from all routers together. Its entry's cold time and its service's rate were not read at all. A cold server is now a server with a limit until it is warm: read before the server may be chosen, told to neighbours and with each request for a permit, issued by id from one bucket. A process that may have started again counts as cold until an entry says otherwise.

--- a/src/hawthornstage/actors/probe_server.py
+++ b/src/hawthornstage/actors/probe_server.py
@@ -15,6 +15,7 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.observe.metrics import Metrics
 
 # Threads of one server.
@@ -55,11 +56,13 @@
         metrics: The metrics.
         desired: The desired state, or None before one is known.
         routers: Number of routers known.
+        notices: What servers have said of themselves.
     """
 
     metrics: Metrics
     desired: LatestValue[DesiredState | None]
     routers: LatestValue[int]
+    notices: LatestValue[ServerNotices]
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -68,6 +71,7 @@
         state = self.desired.value
         self.metrics.desired_version.set(state.version if state else 0)
         self.metrics.known_routers.set(self.routers.value)
+        self.metrics.cold_servers.set(len(self.notices.value.slow_starts))
         body = generate_latest(self.metrics.registry)
         return send_response(start_response, 200, "text/plain; version=0.0.4", body)
 
--- a/src/hawthornstage/actors/servers/links.py
+++ b/src/hawthornstage/actors/servers/links.py
@@ -7,7 +7,7 @@
 
 import pykka
 
-from hawthornstage.actors.task import Ask, Task
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.server_links import LinkBook
 from hawthornstage.latest_value import LatestValue
@@ -19,11 +19,13 @@
     ConnectionLost,
     HelperFailed,
     LinkFailed,
+    LinkFault,
     LinkWorked,
     ProbeLinks,
     ServerLinks,
 )
 from hawthornstage.messages.server_selection import RegisteredServers
+from hawthornstage.messages.slow_start import ServerInDoubt
 from hawthornstage.observe.events import EventLog
 
 # Timeout of a probe's connection, in seconds.
@@ -37,6 +39,7 @@
         node: This router's name.
         links: Where they are published for the request pipe.
         prober: Task that connects to servers whose links failed.
+        doubts: Get `ServerInDoubt` of servers that may have started again.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -46,6 +49,7 @@
         node: str,
         links: LatestValue[ServerLinks],
         prober: pykka.ActorRef,
+        doubts: tuple[Recipient, ...] = (),
         *,
         clock: Clock,
         events: EventLog,
@@ -56,6 +60,7 @@
         self.events = events
         self.book = LinkBook(node)
         self.prober = prober
+        self.doubts = doubts
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
@@ -65,14 +70,18 @@
                     self.events.emit(
                         "server_link_failed", server=server.id, fault=fault.value
                     )
+                    if fault is LinkFault.REFUSED:
+                        self.doubt(ServerInDoubt(server.incarnation))
             case LinkWorked(incarnation):
                 if self.book.record_success(incarnation):
                     self.events.emit("server_link_works", server=incarnation)
+                    self.doubt(ServerInDoubt(incarnation))
                     self.probe()
             case ConnectionLost(incarnation):
                 self.book.record_loss(incarnation, now)
             case ServerCrashed(incarnation):
                 self.book.record_crash(incarnation)
+                self.doubt(ServerInDoubt(incarnation, crashed=True))
             case HelperFailed(node, incarnation):
                 self.book.avoid_helper(node, incarnation or "", now)
             case RegisteredServers(servers):
@@ -83,6 +92,11 @@
                 self.probe()
         self.publish(now)
 
+    def doubt(self, doubt: ServerInDoubt) -> None:
+        """Tell that a server may have started again."""
+        for recipient in self.doubts:
+            recipient.tell(doubt)
+
     def probe(self) -> None:
         """Have the next failed link probed, if there is one.
 
--- a/src/hawthornstage/actors/servers/notices.py
+++ b/src/hawthornstage/actors/servers/notices.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import pykka
 
 from hawthornstage.actors.peers.messages import Send
-from hawthornstage.actors.servers.issuing import Issuing, announcement
+from hawthornstage.actors.servers.issuing import Issuing
+from hawthornstage.actors.servers.slow_starts import SlowStarts
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.peer_links import neighbours
@@ -24,7 +26,7 @@
     FragileAnnounced,
     RequestCallLease,
 )
-from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.messages.fleet import DesiredStateInUse, KnownRouters
 from hawthornstage.messages.server_limits import (
     AcquirePermit,
     IssuerUnresponsive,
@@ -37,6 +39,12 @@
     NoticeObserved,
     ServerNotices,
 )
+from hawthornstage.messages.slow_start import (
+    EndSlowStarts,
+    EntriesRead,
+    ServerInDoubt,
+    SlowStartBounds,
+)
 from hawthornstage.observe.events import EventLog
 
 # Time for which a new neighbour is told that a server leaves, in seconds.
@@ -53,6 +61,7 @@
         notices: Where what servers say is published for the request pipe.
         subscribers: Get `ServerNotices` after each change.
         peers: Sends messages to other routers.
+        slow_start_bounds: Returns what a cold server may get in any one second.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -64,6 +73,7 @@
         subscribers: tuple[pykka.ActorRef, ...],
         peers: Recipient,
         *,
+        slow_start_bounds: Callable[[], SlowStartBounds] = SlowStartBounds,
         clock: Clock,
         events: EventLog,
     ) -> None:
@@ -78,7 +88,10 @@
         self.events = events
         self.limits = ValueBook()
         self.fragile = ValueBook()
-        self.issuing = Issuing(node, self.limits, self.fragile, clock, events)
+        self.slow_starts = SlowStarts(slow_start_bounds, events)
+        self.issuing = Issuing(
+            node, self.limits, self.fragile, self.slow_starts, clock, events
+        )
         self.neighbours: tuple[str, ...] = ()
         self.announced_at: dict[str, float] = {}
 
@@ -108,7 +121,8 @@
                 reply_to.put(self.issuing.acquire(server, priority, now))
             case Ask(message=RequestPermit(limit, priority), reply_to=reply_to):
                 self.hear(limit, now)
-                reply_to.put(self.issuing.issue(limit.incarnation, priority, now))
+                told = limit.slow_start
+                reply_to.put(self.issuing.issue(limit.incarnation, told, priority, now))
             case Ask(message=FragileAnnounced() as fragile, reply_to=reply_to):
                 self.hear_fragile(fragile, now)
                 reply_to.put(Acknowledged())
@@ -120,6 +134,18 @@
             case Ask(message=CallLeaseEnded() as ended, reply_to=reply_to):
                 self.issuing.end_lease(ended, now)
                 reply_to.put(Acknowledged())
+            case Ask(message=EntriesRead(servers), reply_to=reply_to):
+                told = self.slow_starts.read(servers, now)
+                self.refresh_slow_starts(told, now)
+                reply_to.put(Acknowledged())
+            case ServerInDoubt():
+                self.slow_starts.doubt(message, now)
+                self.refresh_slow_starts([], now)
+            case DesiredStateInUse(state, _):
+                self.slow_starts.update_terms(state.slow_starts)
+                self.refresh_slow_starts([], now)
+            case EndSlowStarts():
+                self.refresh_slow_starts([], now)
             case IssuerUnresponsive(node):
                 self.issuing.issuers.avoid(node, now)
             case KnownRouters(urls):
@@ -130,6 +156,25 @@
         """Record a limit that another router told of."""
         known = KnownValue(limit.calls_per_s, now - max(0.0, limit.age_s))
         self.observe_limit(limit.incarnation, known, now)
+        if self.slow_starts.hear(limit.incarnation, limit.slow_start, now):
+            self.refresh_slow_starts([limit.incarnation], now)
+
+    def refresh_slow_starts(self, told: list[str], now: float) -> None:
+        """Publish changed limits of cold servers, and tell the neighbours of some.
+
+        Args:
+            told: The incarnations that other routers should know of.
+            now: Monotonic time in seconds.
+        """
+        before = set(self.slow_starts.in_force)
+        if self.slow_starts.refresh(now):
+            for server in before - self.slow_starts.in_force.keys():
+                self.issuing.buckets.pop(server, None)
+            self.publish()
+        for incarnation in told:
+            for node in self.neighbours:
+                limit = self.issuing.announcement(incarnation, now)
+                self.peers.tell(Send(node, limit))
 
     def observe_limit(self, incarnation: str, limit: KnownValue, now: float) -> None:
         """Record a limit; publish and announce it if it has changed."""
@@ -143,7 +188,7 @@
             age_ms=int((now - limit.observed_at) * 1000),
         )
         if limit.value is None:
-            self.issuing.buckets.pop(incarnation, None)
+            self.issuing.forget_bucket(incarnation)
         self.announce(incarnation, now)
 
     def hear_fragile(self, fragile: FragileAnnounced, now: float) -> None:
@@ -212,6 +257,7 @@
             dict(self.leaving),
             dict(self.closed_until),
             frozenset(self.fragile.in_force()),
+            self.slow_starts.in_force,
         )
         self.notices.publish(notices)
         for subscriber in self.subscribers:
@@ -220,7 +266,7 @@
     def announce(self, incarnation: str, now: float) -> None:
         """Tell the neighbours of a changed limit, which tell theirs."""
         last = self.announced_at.get(incarnation)
-        limit = announcement(incarnation, self.limits, now)
+        limit = self.issuing.announcement(incarnation, now)
         ended = limit.calls_per_s is None
         if not ended and last is not None and now - last < ANNOUNCEMENT_INTERVAL_S:
             return
--- a/src/hawthornstage/actors/servers/registry.py
+++ b/src/hawthornstage/actors/servers/registry.py
@@ -7,6 +7,7 @@
 
 import pykka
 
+from hawthornstage.actors.ask import ask
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.store_news import (
@@ -18,6 +19,7 @@
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.server_selection import RegisteredServers
+from hawthornstage.messages.slow_start import EntriesRead
 from hawthornstage.messages.store import Item, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.server_entries import ENTRIES_PREFIX, decode_entry
@@ -29,6 +31,8 @@
 # Time for which a server's leaving is remembered, in seconds: a store may be restored
 # from a copy that is older.
 DEPARTURE_MEMORY_S = 120.0
+# Longest wait until the limits of cold servers are in force, in seconds.
+SLOW_START_TIMEOUT_S = 0.2
 
 
 class ServerRegistry(StoreWatch):
@@ -46,6 +50,7 @@
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
+        slow_starts: Task that keeps which servers are cold, or None.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
+        slow_starts: pykka.ActorRef | None = None,
     ) -> None:
         super().__init__(ENTRIES_PREFIX, store, bounds, clock, events)
         self.subscribers = subscribers
@@ -70,6 +76,8 @@
         self.departed: dict[str, float] = {}
         self.brought_back: dict[str, int] = {}
         self.restored = False
+        self.slow_starts = slow_starts
+        self.entries_read: list[BackendServer] = []
 
     def step(self) -> bool:
         """Make one call to the store, then drop entries whose grace time is over."""
@@ -112,6 +120,7 @@
             changed |= self.remove(name)
         for item in items:
             changed |= self.update_entry(item)
+        self.tell_entries()
         if changed:
             self.publish()
 
@@ -124,9 +133,17 @@
                     changed |= self.update_entry(change)
                 case Removal(key, _):
                     changed |= self.remove(key.removeprefix(ENTRIES_PREFIX))
+        self.tell_entries()
         if changed:
             self.publish()
 
+    def tell_entries(self) -> None:
+        """Have the limits of cold servers in force before the servers get calls."""
+        entries, self.entries_read = self.entries_read, []
+        if entries and self.slow_starts is not None:
+            read = EntriesRead(tuple(entries))
+            ask(self.slow_starts, read, self.clock, timeout=SLOW_START_TIMEOUT_S)
+
     def update_entry(self, item: Item) -> bool:
         """Apply one entry, or remove its server if it is invalid.
 
@@ -139,6 +156,9 @@
         if isinstance(entry, str):
             self.events.emit("entry_refused", server=name, reason=entry[:160])
             return self.servers.pop(name, None) is not None
+        for note in entry.invalid:
+            self.events.emit("entry_value_refused", server=name, reason=note)
+        self.entries_read.append(entry)
         if self.brought_back.get(name) == item.revision:
             entry = replace(entry, leaving=True)
         else:
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -86,6 +86,8 @@
 
 # Order of the values in a row that encodes one gossip entry.
 GOSSIP_COLUMNS = tuple(each.name for each in fields(members.GossipEntry))
+# Fields that are left out where they are empty, as older builds do.
+OPTIONAL_FIELDS = frozenset({"slow_start"})
 
 
 class FrameError(Exception):
@@ -130,6 +132,17 @@
     return {**body, "rumours": entries}
 
 
+def _drop_empty(value: Any) -> Any:
+    """Drop the optional fields that are empty from a message and what it holds."""
+    if not isinstance(value, dict):
+        return value
+    return {
+        name: _drop_empty(each)
+        for name, each in value.items()
+        if not (name in OPTIONAL_FIELDS and each is None)
+    }
+
+
 def encode_frame(frame: Frame) -> bytes:
     """Return a frame as CBOR."""
     message_type = type(frame.message)
@@ -138,8 +151,10 @@
         "r": frame.reply,
         "t": [frame.stamp.millis, frame.stamp.counter, frame.stamp.node],
         "k": FRAME_NAMES[message_type],
-        "m": _pack_gossip(
-            _adapter(message_type).dump_python(frame.message, mode="python")
+        "m": _drop_empty(
+            _pack_gossip(
+                _adapter(message_type).dump_python(frame.message, mode="python")
+            )
         ),
     }
     return dumps(body)
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -94,6 +94,7 @@
     ServerNotices,
 )
 from hawthornstage.messages.server_selection import RegisteredServers
+from hawthornstage.messages.slow_start import EndSlowStarts
 from hawthornstage.messages.store import Put
 from hawthornstage.messages.stream_versions import (
     RequestStreamVersion,
@@ -114,6 +115,7 @@
 CRASH_LOG_CHECK_INTERVAL_S = 0.1
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
+SLOW_START_CHECK_INTERVAL_S = 0.25
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -157,7 +159,10 @@
         )
         metrics = SocketAddress(settings.callers.host, metrics_port)
         self.metrics_http = ProbeServer(
-            metrics, MetricsPage(self.metrics, self.desired, self.routers)
+            metrics,
+            MetricsPage(
+                self.metrics, self.desired, self.routers, self.server_notices_in_force
+            ),
         )
 
     def start(self) -> None:
@@ -190,13 +195,6 @@
         )
         self.start_token_accounts()
         self.start_failure_tasks()
-        self.desired_states = DesiredStateTask.start(
-            node,
-            self.desired,
-            peers=self.peers,
-            subscribers=(self.token_accounts,),
-            **self.shared,
-        )
         self.server_selection = ServerSelectionTask.start(
             ServerSelector(self.settings.failure_domain),
             RetryShare(self.retry_terms),
@@ -209,6 +207,14 @@
             self.server_notices_in_force,
             (self.server_selection,),
             self.peers,
+            slow_start_bounds=lambda: self.live_settings.value.slow_start_bounds,
+            **self.shared,
+        )
+        self.desired_states = DesiredStateTask.start(
+            node,
+            self.desired,
+            peers=self.peers,
+            subscribers=(self.token_accounts, self.server_notices),
             **self.shared,
         )
         self.start_links()
@@ -265,6 +271,7 @@
             self.settings.node,
             self.server_links_known,
             LinkProber.start(),
+            (self.server_notices,),
             **self.shared,
         )
         self.reach_checks = ReachChecks(
@@ -362,6 +369,7 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
 
     def retry_terms(self) -> RetryLimits:
@@ -393,6 +401,7 @@
             self.store_bounds,
             self.clock,
             self.events,
+            self.server_notices,
         ).start()
         CrashLogsWatch(
             self.store(),
--- a/src/hawthornstage/decisions/server_limits.py
+++ b/src/hawthornstage/decisions/server_limits.py
@@ -103,7 +103,11 @@
 
 
 def issue_permit(
-    bucket: PermitBucket, rate: float, priority: int, now: float
+    bucket: PermitBucket,
+    rate: float,
+    priority: int,
+    now: float,
+    burst_s: float = BURST_S,
 ) -> tuple[PermitBucket, PermitGranted | PermitDenied]:
     """Issue a permit or deny it.
 
@@ -112,12 +116,14 @@
         rate: Permits per second that this router issues for it.
         priority: Priority of the call; 0 is the most urgent.
         now: Monotonic time in seconds.
+        burst_s: Permits that may be issued at once after a pause, in seconds of the
+            rate.
 
     Returns:
         The new state and the decision.
     """
     gained = max(0.0, now - bucket.updated_at) * rate
-    available = min(BURST_CALLS + BURST_S * rate, bucket.available + gained)
+    available = min(BURST_CALLS + burst_s * rate, bucket.available + gained)
     bucket = replace(bucket, available=available, updated_at=now)
     if priority > bucket.kept_for and now < bucket.kept_until:
         return bucket, PermitDenied(bucket.kept_until - now)
@@ -149,7 +155,7 @@
         views: The latest views of the fleet, oldest first; the first one is without
             routers, as a router that starts may have missed what happened before.
         unresponsive_until: Time until which a router is not asked, by name.
-        orders: Cache of the issuers by server incarnation.
+        orders: Cache of the issuers by the name by which they are chosen.
     """
 
     node: str
@@ -164,20 +170,24 @@
             del self.views[0]
         self.orders.clear()
 
-    def issuers(self, incarnation: str) -> tuple[str, ...]:
-        """Return the routers that issue a server's permits, the first one first."""
-        order = self.orders.get(incarnation)
+    def issuers(self, key: str) -> tuple[str, ...]:
+        """Return the routers that issue a server's permits, the first one first.
+
+        Args:
+            key: The name by which they are chosen, see `Issuing`.
+        """
+        order = self.orders.get(key)
         if order is None:
             if len(self.orders) >= MAX_VALUES:
                 self.orders.clear()
             routers = self.views[-1].routers
-            ranked = rendezvous_order(incarnation, routers)
-            order = self.orders[incarnation] = tuple(ranked[:ISSUERS_PER_SERVER])
+            ranked = rendezvous_order(key, routers)
+            order = self.orders[key] = tuple(ranked[:ISSUERS_PER_SERVER])
         return order
 
-    def issuer_to_ask(self, incarnation: str, now: float) -> str | None:
+    def issuer_to_ask(self, key: str, now: float) -> str | None:
         """Return the first issuer that responds; None if none does."""
-        for node in self.issuers(incarnation):
+        for node in self.issuers(key):
             if self.unresponsive_until.get(node, now) <= now:
                 return node
         return None
@@ -187,13 +197,13 @@
         if node != self.node:
             self.unresponsive_until[node] = now + UNRESPONSIVE_S
 
-    def issuing_fraction(self, incarnation: str, now: float) -> float:
+    def issuing_fraction(self, key: str, now: float) -> float:
         """Return the part of a server's limit that this router issues."""
         for position, view in enumerate(self.views):
             later = self.views[position + 1 :]
             if later and later[0].since <= now - VIEW_SETTLING_S:
                 continue
-            first = rendezvous_order(incarnation, view.routers)[:1]
+            first = rendezvous_order(key, view.routers)[:1]
             if first != [self.node]:
                 return STANDBY_FRACTION
         return 1.0
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -185,8 +185,8 @@
         return self.permit_demand.setdefault(service, PermitDemand())
 
     def is_limited(self, server: BackendServer) -> bool:
-        """Whether a server has named a limit."""
-        return server.incarnation in self.notices.calls_per_s
+        """Whether a server has named a limit, or is cold."""
+        return self.notices.is_limited(server.incarnation)
 
     def has_room(self, server: BackendServer, want: RequestServer, now: float) -> bool:
         """Whether a server wants calls now and may have room within its limit, if any.
@@ -310,7 +310,8 @@
     def staying(self, service: str) -> list[str]:
         """Return the ids of a service's servers that are expected to stay.
 
-        Those that name a limit are left out while there are others.
+        Those that name a limit are left out while there are others. Cold ones are not:
+        they are warm soon, and calls would then have to move back.
         """
         staying = [
             server
@@ -320,7 +321,8 @@
             and server.incarnation not in self.notices.leaving
             and not self.loads[server.id].address_reused
         ]
-        unlimited = [each for each in staying if not self.is_limited(each)]
+        named = self.notices.calls_per_s
+        unlimited = [each for each in staying if each.incarnation not in named]
         return [server.id for server in unlimited or staying]
 
     def record_sent(
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -194,7 +194,6 @@
     ) -> AttemptOutcome:
         """Send a call to one server and relay its response."""
         delivery.attempted_servers = (*delivery.attempted_servers, choice.server)
-        has_permit = self.choice.needs_permit(choice)
         try:
             connection = self.dialer.connect(
                 exchange.call.id,
@@ -210,9 +209,11 @@
         if refusal is not None:
             connection.close()
             return NotSent(f"{choice.server.id} accepts no call any more: {refusal}")
-        if not has_permit and self.choice.acquire_permit(exchange, choice, delivery):
-            connection.close()
-            return NotSent(f"{choice.server.id} has named a limit since it was chosen")
+        if self.choice.lacks_permit(choice, delivery):
+            denied = self.choice.acquire_permit(exchange, choice, delivery)
+            if denied is not None:
+                connection.close()
+                return NotSent(f"{choice.server.id} has reached its limit since then")
         delivery.attempts += 1
         delivery.through_router = connection.through_router
         ran_before, delivery.may_have_run = delivery.may_have_run, True
--- a/src/hawthornstage/filters/forward_choice.py
+++ b/src/hawthornstage/filters/forward_choice.py
@@ -8,6 +8,7 @@
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.slow_start import PERMIT_VALIDITY_S
 from hawthornstage.filters.forward import TASK_TIMEOUT_S
 from hawthornstage.filters.permits import Permits
 from hawthornstage.messages.desired import Idempotency
@@ -73,10 +74,12 @@
         Returns:
             The denial, or None if the call may be sent.
         """
+        delivery.permit_asked_at = None
         if not self.needs_permit(choice):
             return None
         denied = None
         if self.permits.is_limited(choice.server.incarnation):
+            delivery.permit_asked_at = self.clock.monotonic()
             denied = self.permits.acquire(choice.server.incarnation, exchange.priority)
         if denied is None and self.permits.is_fragile(choice.server.incarnation):
             denied = self.acquire_lease(exchange, choice, delivery)
@@ -84,6 +87,19 @@
         self.metrics.permits.labels(outcome).inc()
         return denied
 
+    def lacks_permit(self, choice: ServerChosen, delivery: Delivery) -> bool:
+        """Whether a call that is about to be sent has no permit that still holds."""
+        incarnation = choice.server.incarnation
+        if self.permits.is_fragile(incarnation) and delivery.lease is None:
+            return True
+        if not self.permits.is_limited(incarnation):
+            return False
+        asked_at = delivery.permit_asked_at
+        if asked_at is None:
+            return True
+        age_s = self.clock.monotonic() - asked_at
+        return self.permits.is_cold(incarnation) and age_s > PERMIT_VALIDITY_S
+
     def acquire_lease(
         self, exchange: ForwardExchange, choice: ServerChosen, delivery: Delivery
     ) -> PermitDenied | None:
--- a/src/hawthornstage/filters/permits.py
+++ b/src/hawthornstage/filters/permits.py
@@ -69,8 +69,12 @@
         return self.is_limited(incarnation) or self.is_fragile(incarnation)
 
     def is_limited(self, incarnation: str) -> bool:
-        """Whether a server has named a limit, so that calls need permits."""
-        return incarnation in self.notices.value.calls_per_s
+        """Whether a server has a limit, so that calls need permits."""
+        return self.notices.value.is_limited(incarnation)
+
+    def is_cold(self, incarnation: str) -> bool:
+        """Whether a server is cold, so that a permit holds for a short time only."""
+        return self.notices.value.is_cold(incarnation)
 
     def is_fragile(self, incarnation: str) -> bool:
         """Whether a server is fragile, so that calls need leases."""
--- a/src/hawthornstage/messages/backends.py
+++ b/src/hawthornstage/messages/backends.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -20,6 +20,9 @@
         started_ms: Start time of its process, in milliseconds since the Unix epoch; a
             process that restarts under the same id has lost its cache and its queue.
         version: Version of its software, an opaque text; empty if it names none.
+        cold_left_s: Time until it is warm, in seconds, when its entry was read; None if
+            that is not known.
+        invalid: Values of its entry that were not used as they are, for the log.
     """
 
     id: str
@@ -31,8 +34,15 @@
     leaving: bool
     started_ms: int
     version: str = ""
+    cold_left_s: float | None = field(default=0.0, compare=False)
+    invalid: tuple[str, ...] = field(default=(), compare=False)
 
     @property
     def incarnation(self) -> str:
         """Identifies the server's process, also if a restart keeps the id."""
         return f"{self.id}@{self.started_ms}"
+
+
+def server_of(incarnation: str) -> str:
+    """Return the id of the server whose process an incarnation identifies."""
+    return incarnation.rpartition("@")[0]
--- a/src/hawthornstage/messages/desired.py
+++ b/src/hawthornstage/messages/desired.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from functools import cached_property
 
+from hawthornstage.messages.slow_start import SlowStartTerms
+
 
 class Idempotency(Enum):
     """Whether the calls of a route may run more than once."""
@@ -74,11 +76,19 @@
 
 @dataclass(frozen=True)
 class ServiceSpec:
-    """A group of interchangeable backend servers."""
+    """A group of interchangeable backend servers.
+
+    Args:
+        name: The service's name.
+        max_connections: Connections that one server accepts from all routers.
+        engine: Properties of its engines, or None.
+        slow_start: What its cold servers tolerate, or None if it names nothing.
+    """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    slow_start: SlowStartTerms | None = None
 
 
 @dataclass(frozen=True)
@@ -146,6 +156,12 @@
             by_host.setdefault(route.host, []).append(route)
         return {host: tuple(routes) for host, routes in by_host.items()}
 
+    @cached_property
+    def slow_starts(self) -> Mapping[str, SlowStartTerms]:
+        """What cold servers tolerate, by service, of those that name it."""
+        terms = {each.name: each.slow_start for each in self.services}
+        return {name: each for name, each in terms.items() if each is not None}
+
     @cached_property
     def workspaces_by_key(self) -> Mapping[str, WorkspaceSpec]:
         """The workspace of each valid API key."""
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -307,6 +307,8 @@
         through_router: The router that carried the latest attempt, or None.
         failed_to_connect: Whether a server could not be connected to.
         lease: The lease of the server that the call is sent to, if it is fragile.
+        permit_asked_at: Time at which the permit for that server was asked for, or None
+            if it needed none.
     """
 
     attempts: int = 0
@@ -327,3 +329,4 @@
     through_router: str | None = None
     failed_to_connect: bool = False
     lease: CallLease | None = None
+    permit_asked_at: float | None = None
--- a/src/hawthornstage/messages/host_settings.py
+++ b/src/hawthornstage/messages/host_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from hawthornstage.messages.slow_start import SlowStartBounds
+
 
 @dataclass(frozen=True)
 class SocketAddress:
@@ -47,6 +49,7 @@
         retry_ratio: Fleet-wide retries allowed for each request to a service.
         retry_slack: Fleet-wide retries allowed in addition.
         retry_window_s: Length of the window in which retries are counted, in seconds.
+        slow_start_bounds: What a cold server may get in any one second.
     """
 
     node: str
@@ -61,6 +64,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    slow_start_bounds: SlowStartBounds = SlowStartBounds()
 
     @property
     def listen_addresses(self) -> tuple[SocketAddress, ...]:
--- a/src/hawthornstage/messages/server_limits.py
+++ b/src/hawthornstage/messages/server_limits.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from hawthornstage.messages.call_leases import RequestCallLease
+from hawthornstage.messages.slow_start import SlowStartNews
 
 
 @dataclass(frozen=True)
@@ -15,11 +16,14 @@
         incarnation: The server's incarnation.
         calls_per_s: The limit in calls per second, or None if it has ended.
         age_s: Time since the response that named it, in seconds.
+        slow_start: The limit while the server is cold, or None if it is not cold as far
+            as is known.
     """
 
     incarnation: str
     calls_per_s: float | None
     age_s: float
+    slow_start: SlowStartNews | None = None
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/messages/server_notices.py
+++ b/src/hawthornstage/messages/server_notices.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from hawthornstage.messages.backends import server_of
+
 
 @dataclass(frozen=True)
 class ServerNotice:
@@ -71,17 +73,28 @@
     A server that starts again has another incarnation, for which nothing is known.
 
     Args:
-        calls_per_s: Calls per second that a server accepts from all routers together.
+        calls_per_s: Calls per second that a server named, from all routers together.
         leaving: Servers that said that they leave, with the time since when.
         closed_until: Monotonic time until which a server must get no calls of this
             router, in seconds.
         fragile: Servers that fail if they have to reject many calls.
+        slow_starts: Calls per second that a cold server tolerates from all routers
+            together, by the server's id.
     """
 
     calls_per_s: Mapping[str, float] = field(default_factory=dict)
     leaving: Mapping[str, float] = field(default_factory=dict)
     closed_until: Mapping[str, float] = field(default_factory=dict)
     fragile: frozenset[str] = frozenset()
+    slow_starts: Mapping[str, float] = field(default_factory=dict)
+
+    def is_cold(self, incarnation: str) -> bool:
+        """Whether a server is cold, or may be."""
+        return bool(self.slow_starts) and server_of(incarnation) in self.slow_starts
+
+    def is_limited(self, incarnation: str) -> bool:
+        """Whether a server gets calls only with permits."""
+        return incarnation in self.calls_per_s or self.is_cold(incarnation)
 
     def accepts_calls(self, incarnation: str, now: float) -> bool:
         """Whether new calls may be sent to a server, as far as it said itself.
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -103,6 +103,11 @@
             "Tries after the first",
             registry=self.registry,
         )
+        self.cold_servers = Gauge(
+            "hawthornstage_cold_servers",
+            "Servers that get calls only within the limit of a slow start",
+            registry=self.registry,
+        )
         self.peer_bytes = Counter(
             "hawthornstage_peer_bytes_total",
             "Bytes of frames between routers",
--- a/src/hawthornstage/platform/desired_state.py
+++ b/src/hawthornstage/platform/desired_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from pydantic import BaseModel, Field, ValidationError
 
 from hawthornstage.border.json_values import load_json
@@ -15,6 +17,7 @@
     TrafficShare,
     WorkspaceSpec,
 )
+from hawthornstage.messages.slow_start import SlowStartTerms
 
 # Key of the current desired state, and the prefix to watch.
 DESIRED_STATE_PREFIX = "op/"
@@ -89,6 +92,8 @@
     name: str
     max_connections: int = Field(alias="max-connections", default=100)
     engine: EngineModel | None = None
+    cold_s: float = Field(alias="cold-s", default=0.0)
+    cold_per_s: float = Field(alias="cold-per-s", default=0.0)
 
     def to_service(self) -> ServiceSpec:
         """Convert to the service that the rest of the code uses."""
@@ -99,7 +104,10 @@
                 kv_cache_tokens=self.engine.kv_capacity,
                 tokens_per_event=self.engine.stride,
             )
-        return ServiceSpec(self.name, self.max_connections, engine)
+        slow_start = None
+        if 0.0 < self.cold_per_s < math.inf:
+            slow_start = SlowStartTerms(self.cold_per_s, max(0.0, self.cold_s))
+        return ServiceSpec(self.name, self.max_connections, engine, slow_start)
 
 
 class LimitsModel(BaseModel):
--- a/src/hawthornstage/platform/server_entries.py
+++ b/src/hawthornstage/platform/server_entries.py
@@ -4,7 +4,8 @@
 
 import hashlib
 import ipaddress
-from typing import Annotated, Literal
+import math
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -20,6 +21,8 @@
 MAX_BORN_MS = 10**15
 # Longest version that is kept as it is, in characters.
 MAX_VERSION_LENGTH = 64
+# Longest time until a server is warm that is kept as it is, in seconds.
+MAX_COLD_LEFT_S = 600.0
 
 
 class EntryModel(BaseModel):
@@ -34,6 +37,8 @@
     state: Literal["ready", "draining"]
     version: str = ""
     born: Annotated[int, Field(ge=0, le=MAX_BORN_MS)] = 0
+    # Whatever it holds, the server counts.
+    cold_left_ms: Any = Field(alias="cold-left-ms", default=0)
 
 
 def decode_entry(key: str, document: bytes) -> BackendServer | str:
@@ -49,6 +54,7 @@
     try:
         model = EntryModel.model_validate(load_json(document))
         address = parse_address(model.address)
+        cold_left_s = bounded_cold_left_s(model.cold_left_ms)
         return BackendServer(
             id=key.removeprefix(ENTRIES_PREFIX),
             service=model.service,
@@ -59,6 +65,8 @@
             leaving=model.state == "draining",
             started_ms=model.born,
             version=bounded_version(model.version),
+            cold_left_s=cold_left_s,
+            invalid=invalid_cold_left(model.cold_left_ms, cold_left_s),
         )
     except (ValueError, ValidationError) as error:
         return str(error).replace("\n", " ")
@@ -73,6 +81,22 @@
     return hashlib.blake2b(data, digest_size=16).hexdigest()
 
 
+def bounded_cold_left_s(value: Any) -> float | None:
+    """Return the time until a server is warm, in seconds; None if it is no number."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    if isinstance(value, float) and math.isnan(value):
+        return None
+    return min(max(0, value), MAX_COLD_LEFT_S * 1000) / 1000
+
+
+def invalid_cold_left(value: Any, cold_left_s: float | None) -> tuple[str, ...]:
+    """Return a note for the log if the time until a server is warm was not used."""
+    if cold_left_s is not None and 0 <= value <= MAX_COLD_LEFT_S * 1000:
+        return ()
+    return (f"cold-left-ms: {str(value)[:40]!r}, used: {cold_left_s} s",)
+
+
 def parse_address(value: str) -> SocketAddress:
     """Return the address that an entry names.
 
--- a/src/hawthornstage/platform/settings.py
+++ b/src/hawthornstage/platform/settings.py
@@ -12,6 +12,7 @@
     SocketAddress,
     StoreBounds,
 )
+from hawthornstage.messages.slow_start import SlowStartBounds
 from hawthornstage.settings_errors import SettingsError, format_validation_errors
 
 # Environment variable with the path of the settings file.
@@ -35,6 +36,8 @@
     stable_window_ms: float = Field(alias="stable-window-ms", default=3_000.0)
     drain_ms: float = Field(alias="drain-ms", default=2_000.0)
     config_ms: float = Field(alias="config-ms", default=2_000.0)
+    cold_overage: float = Field(alias="cold-overage", default=1.5, ge=0.0)
+    cold_slack: float = Field(alias="cold-slack", default=5.0, ge=0.0)
 
     def to_store_bounds(self) -> StoreBounds:
         """Convert the bounds that concern changes in the store."""
@@ -85,6 +88,9 @@
             retry_ratio=self.bounds.retry_ratio,
             retry_slack=self.bounds.retry_slack,
             retry_window_s=self.bounds.budget_window_s,
+            slow_start_bounds=SlowStartBounds(
+                self.bounds.cold_overage, self.bounds.cold_slack
+            ),
         )
 
 
