--- a/src/hawthornstage/actors/servers/notices.py
+++ b/src/hawthornstage/actors/servers/notices.py
@@ -26,6 +26,7 @@
     FragileAnnounced,
     RequestCallLease,
 )
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.fleet import DesiredStateInUse, KnownRouters
 from hawthornstage.messages.server_limits import (
     AcquirePermit,
@@ -144,6 +145,9 @@
             case DesiredStateInUse(state, _):
                 self.slow_starts.update_terms(state.slow_starts)
                 self.refresh_slow_starts([], now)
+            case Evacuations(failure_domains):
+                self.slow_starts.book.replace_evacuated(failure_domains, now)
+                self.refresh_slow_starts([], now)
             case EndSlowStarts():
                 self.refresh_slow_starts([], now)
             case IssuerUnresponsive(node):
--- a/src/hawthornstage/actors/servers/slow_starts.py
+++ b/src/hawthornstage/actors/servers/slow_starts.py
@@ -57,11 +57,6 @@
                 "slow_start_suspected", server=doubt.incarnation, crashed=doubt.crashed
             )
 
-    def doubt_failure_domains(self, domains: frozenset[str], now: float) -> None:
-        """Record that all servers of failure domains may have started again."""
-        for server in self.book.servers_in(domains):
-            self.doubt(ServerInDoubt(server.incarnation), now)
-
     def refresh(self, now: float) -> bool:
         """Find the limits in force; return whether they have changed."""
         before, self.in_force = self.in_force, self.book.in_force(now)
--- a/src/hawthornstage/decisions/slow_start.py
+++ b/src/hawthornstage/decisions/slow_start.py
@@ -85,11 +85,14 @@
         terms: What each service says of its cold servers.
         servers: The servers as their entries were last read.
         starts: The latest statement on each server.
+        evacuated: Failure domains whose servers get nothing at present, and so may have
+            become cold unnoticed.
     """
 
     terms: Mapping[str, SlowStartTerms] = field(default_factory=dict)
     servers: dict[str, BackendServer] = field(default_factory=dict)
     starts: dict[str, SlowStart] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
 
     def record_entry(self, server: BackendServer, now: float) -> bool:
         """Record what an entry says; return whether other routers should know."""
@@ -157,12 +160,21 @@
         keep_newest(self.starts, server_id, start)
         return cold_until <= now
 
+    def replace_evacuated(self, failure_domains: frozenset[str], now: float) -> None:
+        """Replace the evacuated failure domains; servers are in doubt from then on."""
+        changed = self.evacuated ^ failure_domains
+        self.evacuated = failure_domains
+        for server in list(self.servers.values()):
+            if server.failure_domain in changed:
+                self.record_doubt(ServerInDoubt(server.incarnation), now)
+
     def limit_of(self, server_id: str, now: float) -> float | None:
         """Return the calls per second that a cold server tolerates, or None."""
         start = self.starts.get(server_id)
-        if start is None or start.until <= now:
-            return None
         server = self.servers.get(server_id)
+        evacuated = server is not None and server.failure_domain in self.evacuated
+        if start is None or (start.until <= now and not evacuated):
+            return None
         terms = self.terms.get(server.service) if server else None
         return terms.calls_per_s if terms else start.calls_per_s
 
@@ -178,15 +190,8 @@
             return None
         start = self.starts[server_id]
         age_s = max(0.0, now - start.as_of)
-        return SlowStartNews(limit, start.until - now, age_s, start.in_doubt)
-
-    def servers_in(self, failure_domains: frozenset[str]) -> list[BackendServer]:
-        """Return the servers of some failure domains."""
-        return [
-            server
-            for server in self.servers.values()
-            if server.failure_domain in failure_domains
-        ]
+        left_s = max(0.0, start.until - now)
+        return SlowStartNews(limit, left_s, age_s, start.in_doubt)
 
 
 def keep_newest(values: dict, key: str, value: object) -> None:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -154,7 +154,14 @@
         self.processes[name] = start_stand_in(name, module, *options)
 
     def add_server(
-        self, service: str, name: str, state: str = "ready", *, version: str = "v1"
+        self,
+        service: str,
+        name: str,
+        state: str = "ready",
+        *,
+        version: str = "v1",
+        born: int = 1,
+        cold_left_ms: int = 0,
     ) -> None:
         """Register a backend server in the store, and start it if necessary."""
         if name not in self.processes:
@@ -166,7 +173,8 @@
             "slots": 8,
             "state": state,
             "version": version,
-            "born": 1,
+            "born": born,
+            "cold-left-ms": cold_left_ms,
         }
         self.control("store", "put", {f"servers/{name}": entry})
 
