--- a/src/hawthornstage/actors/servers/registry.py
+++ b/src/hawthornstage/actors/servers/registry.py
@@ -32,7 +32,7 @@
 # from a copy that is older.
 DEPARTURE_MEMORY_S = 120.0
 # Longest wait until the limits of cold servers are in force, in seconds.
-SLOW_START_TIMEOUT_S = 0.2
+SLOW_START_TIMEOUT_S = 0.5
 
 
 class ServerRegistry(StoreWatch):
