--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -248,7 +248,7 @@
         lambda: BOUNDS,
         clock,
         events,
-        Direct(),  # type: ignore[arg-type]
+        slow_starts=Direct(),  # type: ignore[arg-type]
     )
     registry.step()
     assert seen == [{}]
