Admit calls by what waiting costs while a router or its servers lack room

A router that got several times its share of callers answered all of them late, and a service with few slots was asked by chance. The router now measures how late its tasks run and refuses the least urgent calls first; calls for a service that refused some wait their turn on the router, or are refused at once if they cannot make their deadline. While nothing is short, a call reads one published value.

--- a/src/hawthornstage/actors/probe_server.py
+++ b/src/hawthornstage/actors/probe_server.py
@@ -30,10 +30,12 @@
     Args:
         stopping: Signals that the router stops.
         desired: The desired state, or None before one is known.
+        accepting: Whether the router's load allows new connections.
     """
 
     stopping: StopSignal
     desired: LatestValue[DesiredState | None]
+    accepting: LatestValue[bool]
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -44,6 +46,8 @@
         if self.desired.value is None:
             reason = b"no desired state yet\n"
             return send_response(start_response, 503, "text/plain", reason)
+        if not self.accepting.value:
+            return send_response(start_response, 503, "text/plain", b"overloaded\n")
         return send_response(start_response, 200, "text/plain", b"ready\n")
 
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from hawthornstage.actors.admission import AdmissionTask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
 from hawthornstage.actors.desired_states import (
@@ -48,6 +49,7 @@
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
@@ -58,6 +60,7 @@
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.admission import AdmissionPolicy
 from hawthornstage.messages.call_leases import (
     CallLeaseEnded,
     FragileAnnounced,
@@ -147,13 +150,16 @@
         self.server_notices_in_force = LatestValue(ServerNotices())
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
+        self.admission_policy = LatestValue(AdmissionPolicy())
+        self.accepting = LatestValue(True)
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
         self.readiness = ProbeServer(
-            settings.readiness, ReadinessPage(self.stopping, self.desired)
+            settings.readiness,
+            ReadinessPage(self.stopping, self.desired, self.accepting),
         )
         metrics = SocketAddress(settings.callers.host, metrics_port)
         self.metrics_http = ProbeServer(
@@ -214,6 +220,15 @@
         self.start_links()
         self.start_lost_servers()
         self.response_memory = ResponseMemoryTask.start(self.events)
+        self.admission = AdmissionTask.start(
+            self.admission_policy,
+            self.accepting,
+            desired=self.desired,
+            routers=self.routers,
+            timers=self.timers,
+            metrics=self.metrics,
+            **self.shared,
+        )
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
         self.start_members(secret)
         self.store_epoch.subscribe(
@@ -431,6 +446,9 @@
 
     def make_pipe(self) -> ForwardPipe:
         """Create the pipe of filters for forwarded calls."""
+        admit = AdmitCall(
+            self.admission, self.admission_policy, self.clock, self.metrics
+        )
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         permits = Permits(
@@ -460,13 +478,14 @@
         )
         return ForwardPipe(
             identify=Identify(self.desired),
-            filters=(block, stream_version, reserve),
+            filters=(admit, block, stream_version, reserve),
             reserve=reserve,
             forwarder=Forwarder(
                 serving=self.server_selection,
                 crashing_parts=self.crashing_parts,
                 stream_versions=self.stream_versions,
                 choice=choice,
+                admit=admit,
                 block=block,
                 permits=permits,
                 dialer=dialer,
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -128,7 +128,8 @@
         ]
         if not eligible:
             return NoServerAvailable(
-                f"each server has the limit of {limit} calls of this router"
+                f"each server has the limit of {limit} calls of this router",
+                at_limit=True,
             )
         with_room = [s for s in eligible if self.has_room(s, want, now)]
         if not with_room:
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -28,6 +28,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     OVERLOADED = "overloaded"
+    LOAD_SHED = "load_shed"
     DRAINING = "draining"
     NO_SERVER = "no_server"
     SERVER_UNREACHABLE = "server_unreachable"
@@ -130,6 +131,12 @@
         1,
         "The router has reached its limit of concurrent requests.",
     ),
+    ErrorKind.LOAD_SHED: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        0.1,
+        "The router is overloaded and serves more urgent requests first.",
+    ),
     ErrorKind.DRAINING: ErrorResponse(
         503, ExecutionState.NO, 1, "The router is shutting down."
     ),
--- a/src/hawthornstage/filters/forward.py
+++ b/src/hawthornstage/filters/forward.py
@@ -1,6 +1,7 @@
 """Filters for forwarded calls, whose bodies are not parsed.
 
-The order is identify, block crashing calls, reserve tokens; the forwarder follows.
+The order is identify, admit, block crashing calls, reserve tokens; the forwarder
+follows.
 """
 
 from __future__ import annotations
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -11,6 +11,7 @@
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_choice import ServerChoice
@@ -60,6 +61,7 @@
         crashing_parts: Task that finds prompt parts which crash servers.
         stream_versions: Task that owns the versions that began streams.
         choice: Chooses servers that have room for a call.
+        admit: Lets calls wait while a service is short of room.
         block: Rejects calls that crash servers, also between two attempts.
         permits: Permits for servers that have named a limit.
         dialer: Opens connections to servers.
@@ -74,6 +76,7 @@
     crashing_parts: pykka.ActorRef
     stream_versions: pykka.ActorRef
     choice: ServerChoice
+    admit: AdmitCall
     block: BlockCrashingCalls
     permits: Permits
     dialer: ServerDialer
@@ -98,12 +101,21 @@
             response, complete or partial, or has disconnected.
         """
         while True:
+            if exchange.waited_s and caller.is_closed_by_caller():
+                delivery.outcome = "caller_left"
+                return None
             blocked = self.block.check(exchange)
             if blocked is not None:
                 return self.blocked_failure(delivery, blocked)
             choice = self.choice.choose(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
-                return self.no_server_failure(delivery, choice)
+                if not choice.at_limit or delivery.attempts:
+                    return self.no_server_failure(delivery, choice)
+                waited = self.wait_for_room(exchange)
+                if isinstance(waited, Failure):
+                    return waited
+                exchange = waited
+                continue
             try:
                 outcome = self.attempt(exchange, caller, choice, delivery)
             except Exception:
@@ -120,7 +132,11 @@
                     return None
                 case DeadlineExceeded():
                     return self.deadline_failure(delivery)
-                case Refused(reason, _) | Misdirected(reason) | NotSent(reason):
+                case Refused(reason, full):
+                    delivery.outcome = reason
+                    if full:
+                        self.admit.note_refused(exchange)
+                case Misdirected(reason) | NotSent(reason):
                     delivery.outcome = reason
                 case ServerFailed(reason):
                     delivery.outcome = reason
@@ -128,6 +144,30 @@
                         return self.final_failure(delivery, reason)
             if not self.can_retry(exchange, delivery):
                 return self.final_failure(delivery, delivery.outcome)
+            if self.may_wait(exchange, delivery, outcome):
+                waited = self.admit.wait_for_room(exchange)
+                if isinstance(waited, Failure):
+                    return self.final_failure(
+                        delivery, waited.detail, waited.retry_after_s
+                    )
+                exchange = waited
+
+    def wait_for_room(self, exchange: ForwardExchange) -> ForwardExchange | Failure:
+        """Let a call wait that this router's own limits keep from all servers."""
+        self.admit.note_refused(exchange)
+        return self.admit.wait_for_room(exchange)
+
+    def may_wait(
+        self, exchange: ForwardExchange, delivery: Delivery, outcome: AttemptOutcome
+    ) -> bool:
+        """Whether a call waits before its next attempt.
+
+        A stream that has begun goes on at once, and a call that may not run twice waits
+        before its first send only.
+        """
+        full = isinstance(outcome, Refused) and outcome.full
+        idempotent = exchange.route.idempotency is Idempotency.IDEMPOTENT
+        return full and idempotent and not delivery.head_sent
 
     def can_retry(self, exchange: ForwardExchange, delivery: Delivery) -> bool:
         """Return whether another server may go on, and attempts and time are left."""
@@ -267,6 +307,8 @@
                 error_s = delivery.first_byte_s - choice.basis.wait_s
                 self.metrics.estimate_error.observe(error_s)
                 self.reports.note_notice(call.id, choice.server, head, connection)
+                if not head.not_executed:
+                    self.admit.note_accepted(exchange)
             case ResponseData() | ResponseEnd():
                 return ServerFailed("the response has no head")
             case end:
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -111,6 +111,7 @@
         reserved: Tokens reserved for the call.
         stream_version: Version of the servers at which the stream may go on, or None
             if it has not begun.
+        waited_s: Time for which the call waited for room, in seconds.
     """
 
     call: ForwardCall
@@ -121,6 +122,7 @@
     fingerprint: str
     reserved: int = 0
     stream_version: str | None = None
+    waited_s: float = 0.0
 
     @property
     def shared_ids(self) -> tuple[str, ...]:
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -91,11 +91,13 @@
         reason: Why not, for the log.
         retry_after_s: Time until a server may accept it, in seconds, if it is known.
         version_gone: Whether no server of the version that it needs is left.
+        at_limit: Whether there are servers, but each has this router's limit of calls.
     """
 
     reason: str
     retry_after_s: float | None = None
     version_gone: bool = False
+    at_limit: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -88,6 +88,30 @@
             "Wall time of the store's last answer",
             registry=self.registry,
         )
+        self.admission = Counter(
+            "hawthornstage_admission_total",
+            "Calls that were shed, denied room or delayed",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.admission_wait = Histogram(
+            "hawthornstage_admission_wait_seconds",
+            "Time for which delayed calls waited for room",
+            registry=self.registry,
+            buckets=(0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
+        )
+        self.admission_level = Gauge(
+            "hawthornstage_admission_level",
+            "Share of the calls that the router's processor can serve",
+            registry=self.registry,
+        )
+        self.admission_level.set(1.0)
+        self.calls_waiting = Gauge(
+            "hawthornstage_calls_waiting",
+            "Calls that wait for room, by service",
+            ["service"],
+            registry=self.registry,
+        )
         self.desired_version = Gauge(
             "hawthornstage_desired_state_version",
             "Version of the desired state in use, 0 if none is known",
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -12,6 +12,7 @@
 from hawthornstage.decisions.forwarding import resolve_call
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.errors import Failure
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_attempt import Forwarder
@@ -20,6 +21,7 @@
 from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.admission import AdmissionPolicy
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
     ForwardExchange,
@@ -129,12 +131,14 @@
     metrics = Metrics()
     events = EventLog("a", clock)
     choice = ServerChoice(tasks, permits, clock, metrics)
+    admit = AdmitCall(tasks, LatestValue(AdmissionPolicy()), clock, metrics)
     dialer = ServerDialer(tasks.links, tasks, tasks.peers, clock, events, metrics)
     return Forwarder(
         serving=tasks,
         crashing_parts=tasks,
         stream_versions=tasks,
         choice=choice,
+        admit=admit,
         block=block,
         permits=permits,
         dialer=dialer,
