--- a/src/hawthornstage/decisions/admission.py
+++ b/src/hawthornstage/decisions/admission.py
@@ -22,8 +22,8 @@
 MIN_INTERVAL_S = 0.02
 MAX_INTERVAL_S = 0.5
 # Factors of the interval after a refusal and after a call that a server took.
-REFUSED_FACTOR = 2.0
-ACCEPTED_FACTOR = 0.75
+REFUSED_FACTOR = 1.5
+ACCEPTED_FACTOR = 0.85
 # Time without a refusal after which a service is not short any more, in seconds.
 SHORTAGE_TTL_S = 1.5
 # Calls that wait for one service.
@@ -33,8 +33,8 @@
 # Delay of the virtual deadline for each waiting call of the same workspace, in seconds.
 WORKSPACE_STEP_S = 0.25
 # Delay of the virtual deadline as a multiple of the call's work: more calls are served
-# in time if those that need little go first.
-WORK_WEIGHT = 2.0
+# in time if those that need little go first, but large ones must not starve.
+WORK_WEIGHT = 1.0
 # Time over which refused callers are spread that return, in seconds.
 RETURN_SPREAD_S = 0.2
 # Expected time of a call without a prompt, in seconds.
