--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -21,7 +21,12 @@
 from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
-from hawthornstage.messages.admission import AdmissionPolicy
+from hawthornstage.messages.admission import (
+    AdmissionPolicy,
+    RequestRoom,
+    RoomDenied,
+    RoomGranted,
+)
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
     ForwardExchange,
@@ -109,6 +114,7 @@
         self.notices = LatestValue(ServerNotices())
         self.links = LatestValue(ServerLinks())
         self.peers: Any = self
+        self.room: RoomGranted | RoomDenied = RoomGranted()
         self.told: list[Any] = []
 
     def tell(self, message: Any) -> None:
@@ -117,6 +123,9 @@
         reply_to = getattr(message, "reply_to", None)
         if reply_to is None:
             return
+        if isinstance(message.message, RequestRoom):
+            reply_to.put(self.room)
+            return
         if not self.addresses:
             reply_to.put(NoServerAvailable("none is left"))
             return
