--- a/src/hawthornstage/actors/admission.py
+++ b/src/hawthornstage/actors/admission.py
@@ -16,7 +16,7 @@
     lateness_limit_s,
     workspace_shares,
 )
-from hawthornstage.decisions.readiness import ConnectionPause
+from hawthornstage.decisions.readiness import MIN_OTHERS, ConnectionPause
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyTo
 from hawthornstage.messages.admission import (
@@ -143,11 +143,15 @@
                 reply_to.put(answer.reply)
 
     def check_overload(self, now: float) -> None:
-        """Measure how late this task runs, and adapt what is admitted."""
+        """Measure how late this task runs, and adapt what is admitted.
+
+        A small fleet refuses nothing: its callers have no other router with room.
+        """
         late_s = max(0.0, now - self.check_due_at)
         limit_s = lateness_limit_s(self.desired.value)
         before = self.load.level
-        self.load.update(late_s, limit_s)
+        if self.routers.value > MIN_OTHERS:
+            self.load.update(late_s, limit_s)
         if self.load.overloaded:
             self.load.decay_counts()
         else:
