Show that a crowd of clients takes more than a host's memory and descriptors

Cause: bodies that are being read have a limit each and none together, and neither the host's memory nor its descriptors are known to the router.

--- /dev/null
+++ b/tests/test_client_memory.py
@@ -0,0 +1,59 @@
+"""Clients that ignore the limits neither end a router nor keep others from it.
+
+Run apart from other load: the crowd is to arrive while the first of it is still there.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.client_crowd import Crowd, count_sockets, make_shapes
+from tests.conftest import StartFleet
+from tests.fleet_load import peak_memory
+from tools.cluster import wait_until
+from tools.fleet import API_KEY, HOST, IDEMPOTENT_PATH, STREAM_PATH
+
+# Clients at a time, and chunks of a body that is sent in tiny ones.
+CROWD, TINY_CHUNKS = 96, 8_192
+# The host: memory in megabytes, and descriptors, of which files have 200.
+HOST_LIMITS = {"memory-mb": 72, "max-fds": 300}
+FILE_DESCRIPTORS = 200
+# What a caller may send. The timeout keeps the first of the crowd until the last came.
+BODY_BYTES = 512 * 1024
+CALLER_LIMITS = {"max-body-bytes": BODY_BYTES, "header-timeout-ms": 30_000}
+# The smallest host of the users' platform, and the largest body that it must take.
+SMALLEST_HOST = {"memory-mb": 136, "max-fds": 1_638}
+LARGEST_BODY_BYTES = 4 * 1024 * 1024
+SHAPES = make_shapes(BODY_BYTES, TINY_CHUNKS)
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+def test_crowd_leaves_the_router_within_its_host_and_others_served(
+    shape: str, start_fleet: StartFleet
+) -> None:
+    fleet = start_fleet(routers=1, host_limits=HOST_LIMITS, caller_limits=CALLER_LIMITS)
+    router = fleet.processes["edge-1"]
+    head = (
+        f"POST {IDEMPOTENT_PATH} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"Authorization: Bearer {API_KEY}"
+    )
+    with Crowd(router, head.encode(), SHAPES[shape], CROWD) as crowd:
+        crowd.wait_finished()
+        # Its connection comes after those of the crowd.
+        answer = fleet.call("edge-1", IDEMPOTENT_PATH, "ordinary", body=b"b")
+        sockets = count_sockets(router)
+    peak = peak_memory(fleet, "edge-1")
+    print(f"{shape}: {peak / 1e6:.1f} MB at the peak, {sockets} sockets")
+    assert router.popen.poll() is None
+    assert (answer.status, answer.body) == (200, b"done:b")
+    assert peak < HOST_LIMITS["memory-mb"] * 1_000_000
+    assert sockets <= HOST_LIMITS["max-fds"] - FILE_DESCRIPTORS
+
+
+def test_largest_body_is_served_on_the_smallest_host(start_fleet: StartFleet) -> None:
+    fleet = start_fleet(routers=1, host_limits=SMALLEST_HOST)
+    body = b"z" * LARGEST_BODY_BYTES
+    answer = fleet.call("edge-1", STREAM_PATH, "large", body=body, tokens=(10, 5))
+    assert (answer.status, answer.complete) == (200, True)
+    assert peak_memory(fleet, "edge-1") < SMALLEST_HOST["memory-mb"] * 1_000_000
+    wait_until(lambda: fleet.is_ready("edge-1"))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -103,6 +103,8 @@
         budget: Tokens prepaid by the workspace.
         versions: Versions of the servers' software, which those of a service have in
             turn.
+        host_limits: Limits of each router's host, as in its settings file.
+        caller_limits: Limits of callers' requests, as in the desired state.
     """
 
     def __init__(
@@ -112,11 +114,15 @@
         servers: int = 1,
         budget: int = 1_000_000,
         versions: tuple[str, ...] = ("v1",),
+        host_limits: dict[str, float] | None = None,
+        caller_limits: dict[str, float] | None = None,
     ) -> None:
         self.names = [f"edge-{number}" for number in range(1, routers + 1)]
         self.server_count = servers
         self.versions = versions
         self.budget = budget
+        self.host_limits = host_limits or {}
+        self.caller_limits = caller_limits or {}
         self.version = 1
         self.host = unique_loopback_host()
         self.processes: dict[str, Process] = {}
@@ -131,7 +137,9 @@
             for number in range(1, self.server_count + 1):
                 version = self.versions[number % len(self.versions)]
                 self.add_server(service, f"{service}-{number}", version=version)
-        self.publish_desired_state(desired_state(self.version, self.budget))
+        self.publish_desired_state(
+            desired_state(self.version, self.budget, limits=self.caller_limits)
+        )
         ports = free_ports(self.host, 4 * len(self.names))
         for name in self.names:
             self.write_settings(name, [ports.pop() for _ in range(4)])
@@ -202,6 +210,7 @@
                 "ready": f"{self.host}:{ready_port}",
             },
             "port-range": [peer_port, tunnel_port],
+            "limits": self.host_limits,
             "bounds": {"grace-s": 8},
             "platform": {"address": f"127.0.0.1:{self.processes['store'].port}"},
         }
