--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -35,6 +35,12 @@
     SHARED_SECRET_STORE_KEY,
     load_shared_secret,
 )
+from hawthornstage.actors.shared_watches import SharedWatches, WatchShare
+from hawthornstage.actors.store_call_log import (
+    LogStoreCalls,
+    StoreCallEnded,
+    StoreCallLog,
+)
 from hawthornstage.actors.task import MessageDispatcher
 from hawthornstage.actors.timers import Timers
 from hawthornstage.actors.token_accounts import (
@@ -49,6 +55,7 @@
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
+from hawthornstage.decisions.watch_sharing import SHARING_PATH, WatchReaders
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
@@ -95,6 +102,8 @@
     ServerNotices,
 )
 from hawthornstage.messages.server_selection import RegisteredServers
+from hawthornstage.messages.shared_watches import RequestChanges
+from hawthornstage.messages.slow_start import EndSlowStarts
 from hawthornstage.messages.store import Put
 from hawthornstage.messages.stream_versions import (
     RequestStreamVersion,
@@ -115,6 +124,8 @@
 CRASH_LOG_CHECK_INTERVAL_S = 0.1
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
+STORE_CALLS_LOG_INTERVAL_S = 10.0
+SLOW_START_CHECK_INTERVAL_S = 0.25
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -148,6 +159,7 @@
         self.server_notices_in_force = LatestValue(ServerNotices())
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
+        self.watch_readers = LatestValue(WatchReaders(settings.node))
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
@@ -158,7 +170,10 @@
         )
         metrics = SocketAddress(settings.callers.host, metrics_port)
         self.metrics_http = ProbeServer(
-            metrics, MetricsPage(self.metrics, self.desired, self.routers)
+            metrics,
+            MetricsPage(
+                self.metrics, self.desired, self.routers, self.server_notices_in_force
+            ),
         )
 
     def start(self) -> None:
@@ -166,7 +181,8 @@
         self.readiness.start()
         self.metrics_http.start()
         self.timers.start()
-        secret = load_shared_secret(self.store(), self.clock)
+        self.store_call_log = StoreCallLog.start(metrics=self.metrics, **self.shared)
+        secret = load_shared_secret(self.store("secret"), self.clock)
         self.start_tasks(secret)
         self.peers.start()
         self.tunnels.start()
@@ -191,13 +207,6 @@
         )
         self.start_token_accounts()
         self.start_failure_tasks()
-        self.desired_states = DesiredStateTask.start(
-            node,
-            self.desired,
-            peers=self.peers,
-            subscribers=(self.token_accounts,),
-            **self.shared,
-        )
         self.server_selection = ServerSelectionTask.start(
             ServerSelector(self.settings.failure_domain),
             RetryShare(self.retry_terms),
@@ -210,6 +219,14 @@
             self.server_notices_in_force,
             (self.server_selection,),
             self.peers,
+            slow_start_bounds=lambda: self.live_settings.value.slow_start_bounds,
+            **self.shared,
+        )
+        self.desired_states = DesiredStateTask.start(
+            node,
+            self.desired,
+            peers=self.peers,
+            subscribers=(self.token_accounts, self.server_notices),
             **self.shared,
         )
         self.start_links()
@@ -218,6 +235,9 @@
             derive_limits(self.settings.limits).pool_bytes, **self.shared
         )
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
+        self.shared_watches = SharedWatches.start(
+            node, self.watch_readers, **self.shared
+        )
         self.start_members(secret)
         self.store_epoch.subscribe(
             self.members, self.ledger, self.crash_log_writer, self.crashing_parts
@@ -237,7 +257,9 @@
     def start_token_accounts(self) -> None:
         """Start the tasks that hold and draw tokens."""
         node = self.settings.node
-        self.ledger = LedgerTask.start(node, self.store(), self.peers, **self.shared)
+        self.ledger = LedgerTask.start(
+            node, self.store("ledger"), self.peers, **self.shared
+        )
         self.token_accounts = TokenAccountsTask.start(
             node=node,
             ledger=self.ledger,
@@ -253,7 +275,9 @@
         self.server_failures = ServerFailuresTask.start(
             node, self.blocked_calls, self.peers, **self.shared
         )
-        self.crash_log_writer = CrashLogWriter.start(node, self.store(), **self.shared)
+        self.crash_log_writer = CrashLogWriter.start(
+            node, self.store("crash_log"), **self.shared
+        )
         self.crashing_parts = CrashingPartsTask.start(
             node,
             self.blocked_parts,
@@ -268,6 +292,7 @@
             self.settings.node,
             self.server_links_known,
             LinkProber.start(),
+            (self.server_notices,),
             **self.shared,
         )
         self.reach_checks = ReachChecks(
@@ -309,8 +334,8 @@
         peers = self.settings.peers
         self.members = FleetMembers.start(
             self.settings.node,
-            f"ws://{peers.host}:{peers.port}",
-            store=self.store(),
+            f"ws://{peers.host}:{peers.port}{SHARING_PATH}",
+            store=self.store("members"),
             peers=self.peers,
             routers=self.routers,
             subscribers=(
@@ -321,6 +346,7 @@
                 self.server_notices,
                 self.stream_versions,
                 self.server_links,
+                self.shared_watches,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
             **self.shared,
@@ -351,6 +377,7 @@
             ),
         )
         register(self.tunnels, (RequestTunnel,))
+        register(self.shared_watches, (RequestChanges,))
         register(self.stream_versions, (StreamVersionNoted, RequestStreamVersion))
 
     def schedule_periodic_work(self) -> None:
@@ -365,7 +392,9 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
+        every(STORE_CALLS_LOG_INTERVAL_S, self.store_call_log, LogStoreCalls())
 
     def retry_terms(self) -> RetryLimits:
         """Return the current settings of the fleet's retries."""
@@ -376,15 +405,12 @@
 
     def watch_store(self) -> None:
         """Start the watches of the store, each with its own connection."""
+        shared = (self.store_bounds, self.clock, self.events, self.share_watch)
         DesiredStateWatch(
-            self.store(),
-            self.desired_states,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            self.store("desired_state"), self.desired_states, *shared
         ).start()
         ServerRegistry(
-            self.store(),
+            self.store("servers"),
             (
                 self.server_selection,
                 self.stream_versions,
@@ -393,30 +419,32 @@
             ),
             self.registered_servers,
             self.routers,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            *shared,
+            slow_starts=self.server_notices,
         ).start()
         CrashLogsWatch(
-            self.store(),
-            self.crashing_parts,
-            self.routers,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            self.store("crash_logs"), self.crashing_parts, self.routers, *shared
         ).start()
 
+    def share_watch(self, prefix: str) -> WatchShare:
+        """Return a watch's part in sharing what it reads with other routers."""
+        return WatchShare(
+            prefix, self.shared_watches, self.watch_readers, self.peers, self.clock
+        )
+
     def store_bounds(self) -> StoreBounds:
         """Return the current times within which changes in the store take effect."""
         return self.live_settings.value.store_bounds
 
-    def store(self) -> StoreClient:
-        """Return a new client of the store that counts its calls in the metrics."""
+    def store(self, client: str) -> StoreClient:
+        """Return a new client of the store whose calls are counted.
+
+        Args:
+            client: Name of the part that uses it, for the counts.
+        """
 
         def count(kind: str, outcome: str) -> None:
-            self.metrics.store_calls.labels(kind, outcome).inc()
-            if outcome.isdigit():
-                self.metrics.store_answered.set(self.clock.wall())
+            self.store_call_log.tell(StoreCallEnded(client, kind, outcome))
 
         return StoreClient(
             lambda: self.live_settings.value.store,
--- a/src/hawthornstage/messages/host_settings.py
+++ b/src/hawthornstage/messages/host_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from hawthornstage.messages.slow_start import SlowStartBounds
+
 
 @dataclass(frozen=True)
 class SocketAddress:
@@ -66,6 +68,7 @@
         retry_slack: Fleet-wide retries allowed in addition.
         retry_window_s: Length of the window in which retries are counted, in seconds.
         limits: What the router may take of its host.
+        slow_start_bounds: What a cold server may get in any one second.
     """
 
     node: str
@@ -81,6 +84,7 @@
     retry_slack: float
     retry_window_s: float
     limits: HostLimits = HostLimits()
+    slow_start_bounds: SlowStartBounds = SlowStartBounds()
 
     @property
     def listen_addresses(self) -> tuple[SocketAddress, ...]:
