--- a/src/hawthornstage/actors/servers/registry.py
+++ b/src/hawthornstage/actors/servers/registry.py
@@ -7,6 +7,7 @@
 
 import pykka
 
+from hawthornstage.actors.ask import ask
 from hawthornstage.actors.shared_watches import MakeWatchShare
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.clock import Clock
@@ -19,6 +20,7 @@
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.host_settings import StoreBounds
 from hawthornstage.messages.server_selection import RegisteredServers
+from hawthornstage.messages.slow_start import EntriesRead
 from hawthornstage.messages.store import Item, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.server_entries import ENTRIES_PREFIX, decode_entry
@@ -30,6 +32,8 @@
 # Time for which a server's leaving is remembered, in seconds: a store may be restored
 # from a copy that is older.
 DEPARTURE_MEMORY_S = 120.0
+# Longest wait until the limits of cold servers are in force, in seconds.
+SLOW_START_TIMEOUT_S = 0.5
 
 
 class ServerRegistry(StoreWatch):
@@ -48,6 +52,7 @@
         clock: The runtime's clock.
         events: The event log.
         share: Makes this watch's part in sharing, or None if it is not shared.
+        slow_starts: Task that keeps which servers are cold, or None.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         clock: Clock,
         events: EventLog,
         share: MakeWatchShare | None = None,
+        slow_starts: pykka.ActorRef | None = None,
     ) -> None:
         super().__init__(ENTRIES_PREFIX, store, bounds, clock, events, share)
         self.subscribers = subscribers
@@ -73,6 +79,8 @@
         self.departed: dict[str, float] = {}
         self.brought_back: dict[str, int] = {}
         self.restored = False
+        self.slow_starts = slow_starts
+        self.entries_read: list[BackendServer] = []
 
     def step(self) -> bool:
         """Make one call to the store, then drop entries whose grace time is over."""
@@ -119,6 +127,7 @@
             changed |= self.remove(name)
         for item in items:
             changed |= self.update_entry(item)
+        self.tell_entries()
         if changed:
             self.publish()
 
@@ -131,9 +140,17 @@
                     changed |= self.update_entry(change)
                 case Removal(key, _):
                     changed |= self.remove(key.removeprefix(ENTRIES_PREFIX))
+        self.tell_entries()
         if changed:
             self.publish()
 
+    def tell_entries(self) -> None:
+        """Have the limits of cold servers in force before the servers get calls."""
+        entries, self.entries_read = self.entries_read, []
+        if entries and self.slow_starts is not None:
+            read = EntriesRead(tuple(entries))
+            ask(self.slow_starts, read, self.clock, timeout=SLOW_START_TIMEOUT_S)
+
     def update_entry(self, item: Item) -> bool:
         """Apply one entry, or remove its server if it is invalid.
 
@@ -146,6 +163,9 @@
         if isinstance(entry, str):
             self.events.emit("entry_refused", server=name, reason=entry[:160])
             return self.servers.pop(name, None) is not None
+        for note in entry.invalid:
+            self.events.emit("entry_value_refused", server=name, reason=note)
+        self.entries_read.append(entry)
         if self.brought_back.get(name) == item.revision:
             entry = replace(entry, leaving=True)
         else:
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -6,8 +6,10 @@
 from pathlib import Path
 from typing import Any
 
+from hawthornstage.actors.admission import AdmissionTask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
+from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
     DesiredStateWatch,
@@ -18,7 +20,6 @@
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
-from hawthornstage.actors.response_memory import ResponseMemoryTask
 from hawthornstage.actors.servers.crash_logs import CrashLogsWatch, CrashLogWriter
 from hawthornstage.actors.servers.crashing_parts import CheckCrashLog, CrashingPartsTask
 from hawthornstage.actors.servers.failures import ServerFailuresTask
@@ -50,21 +51,24 @@
 from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
+from hawthornstage.decisions.connection_limits import derive_limits
 from hawthornstage.decisions.crashing_parts import BlockedParts
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.watch_sharing import SHARING_PATH, WatchReaders
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
+from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
-from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.admission import AdmissionPolicy
 from hawthornstage.messages.call_leases import (
     CallLeaseEnded,
     FragileAnnounced,
@@ -102,6 +106,7 @@
 )
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.shared_watches import RequestChanges
+from hawthornstage.messages.slow_start import EndSlowStarts
 from hawthornstage.messages.store import Put
 from hawthornstage.messages.stream_versions import (
     RequestStreamVersion,
@@ -123,6 +128,7 @@
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
 STORE_CALLS_LOG_INTERVAL_S = 10.0
+SLOW_START_CHECK_INTERVAL_S = 0.25
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -157,17 +163,23 @@
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.watch_readers = LatestValue(WatchReaders(settings.node))
+        self.admission_policy = LatestValue(AdmissionPolicy())
+        self.accepting = LatestValue(True)
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
         self.readiness = ProbeServer(
-            settings.readiness, ReadinessPage(self.stopping, self.desired)
+            settings.readiness,
+            ReadinessPage(self.stopping, self.desired, self.accepting),
         )
         metrics = SocketAddress(settings.callers.host, metrics_port)
         self.metrics_http = ProbeServer(
-            metrics, MetricsPage(self.metrics, self.desired, self.routers)
+            metrics,
+            MetricsPage(
+                self.metrics, self.desired, self.routers, self.server_notices_in_force
+            ),
         )
 
     def start(self) -> None:
@@ -201,13 +213,6 @@
         )
         self.start_token_accounts()
         self.start_failure_tasks()
-        self.desired_states = DesiredStateTask.start(
-            node,
-            self.desired,
-            peers=self.peers,
-            subscribers=(self.token_accounts,),
-            **self.shared,
-        )
         self.server_selection = ServerSelectionTask.start(
             ServerSelector(self.settings.failure_domain),
             RetryShare(self.retry_terms),
@@ -220,11 +225,30 @@
             self.server_notices_in_force,
             (self.server_selection,),
             self.peers,
+            slow_start_bounds=lambda: self.live_settings.value.slow_start_bounds,
+            **self.shared,
+        )
+        self.desired_states = DesiredStateTask.start(
+            node,
+            self.desired,
+            peers=self.peers,
+            subscribers=(self.token_accounts, self.server_notices),
             **self.shared,
         )
         self.start_links()
         self.start_lost_servers()
-        self.response_memory = ResponseMemoryTask.start(self.events)
+        self.admission = AdmissionTask.start(
+            self.admission_policy,
+            self.accepting,
+            desired=self.desired,
+            routers=self.routers,
+            timers=self.timers,
+            metrics=self.metrics,
+            **self.shared,
+        )
+        self.connection_memory = ConnectionMemoryTask.start(
+            derive_limits(self.settings.limits).pool_bytes, **self.shared
+        )
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
         self.shared_watches = SharedWatches.start(
             node, self.watch_readers, **self.shared
@@ -283,6 +307,7 @@
             self.settings.node,
             self.server_links_known,
             LinkProber.start(),
+            (self.server_notices,),
             **self.shared,
         )
         self.reach_checks = ReachChecks(
@@ -382,6 +407,7 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
         every(STORE_CALLS_LOG_INTERVAL_S, self.store_call_log, LogStoreCalls())
 
@@ -409,6 +435,7 @@
             self.registered_servers,
             self.routers,
             *shared,
+            slow_starts=self.server_notices,
         ).start()
         CrashLogsWatch(
             self.store("crash_logs"), self.crashing_parts, self.routers, *shared
@@ -454,6 +481,9 @@
 
     def make_pipe(self) -> ForwardPipe:
         """Create the pipe of filters for forwarded calls."""
+        admit = AdmitCall(
+            self.admission, self.admission_policy, self.clock, self.metrics
+        )
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         permits = Permits(
@@ -481,24 +511,28 @@
             self.events,
             self.metrics,
         )
+        memory = ConnectionMemory(self.connection_memory, self.clock)
         return ForwardPipe(
             identify=Identify(self.desired),
-            filters=(block, stream_version, reserve),
+            filters=(admit, block, stream_version, reserve),
             reserve=reserve,
             forwarder=Forwarder(
                 serving=self.server_selection,
                 crashing_parts=self.crashing_parts,
                 stream_versions=self.stream_versions,
                 choice=choice,
+                admit=admit,
                 block=block,
                 permits=permits,
                 dialer=dialer,
                 reports=reports,
-                memory=ResponseMemory(self.response_memory, self.clock),
+                memory=memory,
                 registered=self.registered_servers,
                 clock=self.clock,
                 metrics=self.metrics,
             ),
+            memory=memory,
+            host=self.settings.limits,
             desired=self.desired,
             clock=self.clock,
             events=self.events,
--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -67,7 +67,8 @@
         if not eligible:
             return NoServerAvailable(
                 f"each server has as many calls of this router as it may have,"
-                f" {limit} at first"
+                f" {limit} at first",
+                at_limit=True,
             )
         with_room = [each for each in eligible if self.has_room(each, want, now)]
         return with_room or self.no_room(eligible, want, now)
@@ -110,7 +111,7 @@
         """
         if not self.notices.accepts_calls(server.incarnation, now):
             return False
-        is_limited = server.incarnation in self.notices.calls_per_s
+        is_limited = self.notices.is_limited(server.incarnation)
         if not (is_limited or server.incarnation in self.notices.fragile):
             return True
         if want.permits_denied >= MAX_PERMITS_DENIED:
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -111,6 +111,7 @@
         reserved: Tokens reserved for the call.
         stream_version: Version of the servers at which the stream may go on, or None
             if it has not begun.
+        waited_s: Time for which the call waited for room, in seconds.
     """
 
     call: ForwardCall
@@ -121,6 +122,7 @@
     fingerprint: str
     reserved: int = 0
     stream_version: str | None = None
+    waited_s: float = 0.0
 
     @property
     def shared_ids(self) -> tuple[str, ...]:
@@ -307,6 +309,8 @@
         through_router: The router that carried the latest attempt, or None.
         failed_to_connect: Whether a server could not be connected to.
         lease: The lease of the server that the call is sent to, if it is fragile.
+        permit_asked_at: Time at which the permit for that server was asked for, or None
+            if it needed none.
     """
 
     attempts: int = 0
@@ -327,3 +331,4 @@
     through_router: str | None = None
     failed_to_connect: bool = False
     lease: CallLease | None = None
+    permit_asked_at: float | None = None
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -12,14 +12,21 @@
 from hawthornstage.decisions.forwarding import resolve_call
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.errors import Failure
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
+from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
-from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.admission import (
+    AdmissionPolicy,
+    RequestRoom,
+    RoomDenied,
+    RoomGranted,
+)
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
     ForwardExchange,
@@ -107,6 +114,7 @@
         self.notices = LatestValue(ServerNotices())
         self.links = LatestValue(ServerLinks())
         self.peers: Any = self
+        self.room: RoomGranted | RoomDenied = RoomGranted()
         self.told: list[Any] = []
 
     def tell(self, message: Any) -> None:
@@ -115,6 +123,9 @@
         reply_to = getattr(message, "reply_to", None)
         if reply_to is None:
             return
+        if isinstance(message.message, RequestRoom):
+            reply_to.put(self.room)
+            return
         if not self.addresses:
             reply_to.put(NoServerAvailable("none is left"))
             return
@@ -129,19 +140,21 @@
     metrics = Metrics()
     events = EventLog("a", clock)
     choice = ServerChoice(tasks, permits, clock, metrics)
+    admit = AdmitCall(tasks, LatestValue(AdmissionPolicy()), clock, metrics)
     dialer = ServerDialer(tasks.links, tasks, tasks.peers, clock, events, metrics)
     return Forwarder(
         serving=tasks,
         crashing_parts=tasks,
         stream_versions=tasks,
         choice=choice,
+        admit=admit,
         block=block,
         permits=permits,
         dialer=dialer,
         reports=AttemptReports(
             tasks, tasks, tasks, choice, permits, dialer, events, metrics
         ),
-        memory=ResponseMemory(tasks, clock),
+        memory=ConnectionMemory(tasks, clock),
         registered=tasks.registered,
         clock=clock,
         metrics=metrics,
