Count failed answers against their server, and not as its speed

A failing server that answers soon looked fast: any head of a response ended the wait that the estimate of a server's time to a first byte learns from. Only heads of calls that were run and did not fail do now. A server's own 500 that is passed on, as for calls that may not be repeated, counts as its failure, so that the server is avoided; a 504 at the call's own deadline does not.

Tests of the two decisions are new (tests/test_serving.py); on the code before neither was a decision of its own.

--- a/src/hawthornstage/filters/attempt_reports.py
+++ b/src/hawthornstage/filters/attempt_reports.py
@@ -32,6 +32,24 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
+# Status code with which a server ends a call at the call's own deadline.
+DEADLINE_STATUS = 504
+
+
+def is_server_failure(outcome: AttemptOutcome) -> bool:
+    """Whether an attempt failed through the server, also if its answer was passed on.
+
+    Args:
+        outcome: How the attempt ended.
+    """
+    match outcome:
+        case ServerFailed() | NotSent():
+            return True
+        case Delivered(status):
+            return status >= 500 and status != DEADLINE_STATUS
+        case _:
+            return False
+
 
 @dataclass(frozen=True)
 class AttemptReports:
@@ -94,7 +112,7 @@
         call = exchange.call
         kind = OUTCOME_NAMES[type(outcome)]
         self.metrics.count_attempt(exchange.service, choice.server.id, kind)
-        failed = isinstance(outcome, ServerFailed | NotSent)
+        failed = is_server_failure(outcome)
         full = isinstance(outcome, Refused) and outcome.full
         address_reused = isinstance(outcome, Misdirected)
         self.choice.end_lease(delivery, rejected=full)
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -303,7 +303,8 @@
         head = connection.next_event(exchange.deadline + DEADLINE_GRACE_S)
         match head:
             case ResponseHead():
-                self.serving.tell(FirstByteReceived(call.id))
+                if head.shows_speed:
+                    self.serving.tell(FirstByteReceived(call.id))
                 delivery.first_byte_s = self.clock.monotonic() - sent_at
                 error_s = delivery.first_byte_s - choice.basis.wait_s
                 self.metrics.estimate_error.observe(error_s)
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -197,6 +197,16 @@
         """Whether the status code is 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def shows_speed(self) -> bool:
+        """Whether the time to it shows the server's speed.
+
+        A failing server may answer sooner than one that does its work.
+        """
+        if self.not_executed or self.misdirected:
+            return False
+        return 200 <= self.status < 500
+
 
 @dataclass(frozen=True)
 class ResponseData:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -13,8 +13,16 @@
     ServerSelector,
     digest,
 )
+from hawthornstage.filters.attempt_reports import is_server_failure
+from hawthornstage.filters.forward_relay import Delivered, Refused
 from hawthornstage.messages.backends import BackendServer
-from hawthornstage.messages.forward import Prompt, PromptPart
+from hawthornstage.messages.forward import (
+    NotSent,
+    Prompt,
+    PromptPart,
+    ResponseHead,
+    ServerFailed,
+)
 from hawthornstage.messages.server_selection import (
     CallEnded,
     NoServerAvailable,
@@ -86,6 +94,43 @@
         serving.record_first_byte(f"n{number}", now + 0.02)
 
 
+@pytest.mark.parametrize(
+    ("status", "not_executed", "misdirected", "shows_speed"),
+    [
+        (200, False, False, True),
+        (404, False, False, True),
+        (500, False, False, False),
+        (999, False, False, False),
+        (503, True, False, False),
+        (429, True, False, False),
+        (421, False, True, False),
+    ],
+)
+def test_failures_and_refusals_do_not_show_a_servers_speed(
+    status: int, not_executed: bool, misdirected: bool, shows_speed: bool
+) -> None:
+    head = ResponseHead(status, (), "r1", True, not_executed, misdirected, False)
+    assert head.shows_speed == shows_speed
+
+
+@pytest.mark.parametrize(
+    ("outcome", "failed"),
+    [
+        (Delivered(200), False),
+        (Delivered(404), False),
+        (Delivered(500), True),
+        (Delivered(504), False),
+        (ServerFailed("broken"), True),
+        (NotSent("no connection"), True),
+        (Refused("status 503, not run", full=True), False),
+    ],
+)
+def test_failure_counts_against_its_server_also_if_it_is_passed_on(
+    outcome: Any, failed: bool
+) -> None:
+    assert is_server_failure(outcome) == failed
+
+
 def test_calls_on_a_server_stay_within_the_routers_share() -> None:
     serving = ServerSelector("z")
     serving.replace_servers(RegisteredServers({n: make_server(n) for n in ("a", "b")}))
