Draw ahead and share watches once all routers are known, and tell counts to holders

While a fleet starts, each router knew few others for 5 s: each took itself for a holder of most workspaces, drew ahead, and gave back as more became known, and asked readers that were none. The routers' entries are read every second until two reads agree; only then does a router draw ahead or share watches. A reader that failed is passed over for the next one, and only the last change of a key is told.

--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -94,6 +94,7 @@
         # Time at which the entry was written, or None while it is not known to be.
         self.registered_at: float | None = None
         self.urls: dict[str, str] | None = None
+        self.settled = False
         self.ticks = 0
 
     def handle(self, message: Any) -> None:
@@ -109,14 +110,13 @@
     def tick(self) -> None:
         """Register or renew, and read the entries if due.
 
-        In the first 12 ticks the entries are read every time until another router is
-        found.
+        In the first 12 ticks the entries are read every time until they do not change.
         """
         if self.registered_at is None:
             self.register()
         elif self.ticks % RENEWAL_TICKS == 0:
             self.renew()
-        if self.ticks % DISCOVERY_TICKS == 0 or (self.ticks < 12 and not self.urls):
+        if self.ticks % DISCOVERY_TICKS == 0 or (self.ticks < 12 and not self.settled):
             self.discover_routers()
         self.ticks += 1
 
@@ -201,11 +201,14 @@
         if self.clock.monotonic() - self.restored_at < REREGISTRATION_S:
             # The others have yet to register again.
             found = {**(self.urls or {}), **found}
-        if found == self.urls:
+        if found != self.urls:
+            self.urls = found
+            self.routers.publish(len(found) + 1)
+            self.events.emit("routers_known", count=len(found) + 1)
+            self.peers.tell(PeersChanged(found))
+        elif self.settled:
             return
-        self.urls = found
-        self.routers.publish(len(found) + 1)
-        self.events.emit("routers_known", count=len(found) + 1)
-        self.peers.tell(PeersChanged(found))
+        else:
+            self.settled = True
         for subscriber in self.subscribers:
-            subscriber.tell(KnownRouters(found))
+            subscriber.tell(KnownRouters(found, self.settled))
--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -29,7 +30,7 @@
     largest,
     reclaimable_tokens,
 )
-from hawthornstage.decisions.membership import rendezvous_order
+from hawthornstage.decisions.token_holders import HolderDirectory
 from hawthornstage.messages.budget_messages import Acknowledged
 from hawthornstage.messages.draws import (
     ClockReading,
@@ -72,8 +73,6 @@
 # Most counts in one write: each count, like the record, is a condition and a put; the
 # epoch's agreement is a condition, and the marker a put or a removal.
 MAX_COUNTS_PER_WRITE = (MAX_WRITE_ENTRIES - 4) // 2
-# Other routers that are told of each changed count.
-ROUTERS_TOLD = 8
 # Ages at which the counts are read again, in seconds: normally, and while calls wait
 # for tokens.
 REFRESH_S = 2.5
@@ -115,8 +114,9 @@
     effect. The expected revisions let it succeed only once, and the mark in the stored
     record shows whether it did.
 
-    Counts are told to some other routers before their tokens are used, so that a store
-    restored from a copy can be brought up to date even if this process is gone.
+    Counts are told to the workspace's other holders before their tokens are used, so
+    that a store restored from a copy can be brought up to date even if this process is
+    gone, and so that those know the count from which they draw.
 
     Args:
         node: This router's name.
@@ -139,7 +139,7 @@
         self.node = node
         self.peers = peers
         self.epoch = LedgerEpoch(node, store, clock, events)
-        self.told_routers: tuple[str, ...] = ()
+        self.holders = HolderDirectory(node)
         self.record_key = RECORDS_PREFIX + node
         self.marker_key = MARKERS_PREFIX + node
         self.store = store
@@ -173,8 +173,7 @@
                 self.merge_counts()
             case KnownRouters(urls):
                 self.epoch.routers = frozenset((self.node, *urls))
-                ranked = rendezvous_order(self.node, urls)
-                self.told_routers = tuple(ranked[:ROUTERS_TOLD])
+                self.holders = HolderDirectory(self.node, self.epoch.routers)
 
     def store_record(self, request: WriteRecord) -> RecordOutcome:
         """Store a record together with a draw.
@@ -280,11 +279,18 @@
                 self.drawn[workspace] = tokens
 
     def tell_counts(self, revision: int, counts: dict[str, int]) -> None:
-        """Tell other routers of counts that this one has changed."""
-        if not counts or self.epoch.number is None:
+        """Tell the other holders of each workspace of the count that this one changed.
+
+        They draw from it as well, and a write with an old count is refused.
+        """
+        if self.epoch.number is None:
             return
-        stored = CountsStored(self.epoch.number, revision, counts)
-        for node in self.told_routers:
+        told: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        for workspace, tokens in counts.items():
+            for node in self.holders.other_holders(workspace):
+                told[node][workspace] = tokens
+        for node, node_counts in told.items():
+            stored = CountsStored(self.epoch.number, revision, node_counts)
             self.peers.tell(Send(node, stored))
 
     def refresh(self, max_age: float, *, stale: bool) -> str | None:
--- a/src/hawthornstage/actors/shared_watches.py
+++ b/src/hawthornstage/actors/shared_watches.py
@@ -119,7 +119,7 @@
                 self.failed_at[prefix] = self.clock.monotonic()
                 for each in self.held.pop(prefix, []):
                     each.reply_to.put(ChangesUnavailable(store_failed=True))
-            case KnownRouters(urls):
+            case KnownRouters(urls, settled=True):
                 self.update_readers(sharing_routers(urls) | {self.node})
 
     def update_readers(self, routers: frozenset[str]) -> None:
@@ -157,7 +157,12 @@
             self.histories[read.prefix] = history
         history.add(read.changes, read.revision, read.at)
         for each in self.held.pop(read.prefix, []):
-            self.reply(each, history)
+            request = each.request
+            if request.epoch == history.epoch and request.after > history.revision:
+                # This response is older than what the other router has read.
+                self.held[read.prefix].append(each)
+            else:
+                self.reply(each, history)
 
     def reply(self, held: HeldRequest, history: ChangeHistory) -> None:
         """Reply to one request with what is known."""
@@ -204,6 +209,11 @@
     events: EventLog
     avoided: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def fleet_known(self) -> bool:
+        """Whether all routers are known."""
+        return bool(self.readers.value.routers)
+
     @property
     def is_reader(self) -> bool:
         """Whether this router reads the prefix for others."""
@@ -227,16 +237,17 @@
         """
         ends_at = known_at + reply_timeout(bound_s)
         request = RequestChanges(self.prefix, epoch, after)
+        store_failed = False
         while True:
             reader = self.reader()
             if reader is None or self.clock.monotonic() >= ends_at:
-                return ChangesUnavailable(store_failed=False)
+                return ChangesUnavailable(store_failed)
             outcome = self.ask_one(reader, request, ends_at)
             if isinstance(outcome, SharedNews):
                 return outcome
             self.avoid(reader, outcome)
-            if isinstance(outcome, ChangesUnavailable) and outcome.store_failed:
-                return outcome
+            if isinstance(outcome, ChangesUnavailable):
+                store_failed |= outcome.store_failed
 
     def ask_one(self, reader: str, request: RequestChanges, ends_at: float) -> Any:
         """Ask one reader.
--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -35,6 +35,8 @@
 RECOVERY_WAIT_S = 0.05
 # Delay after a failed call to the store, in seconds.
 RETRY_PAUSE_S = 0.25
+# Pause between two watches of a router that does not know the others yet, in seconds.
+STARTING_PAUSE_S = 0.5
 
 
 class StoreWatch(threading.Thread):
@@ -192,6 +194,9 @@
         """
         if self.share is None or self.revision is None:
             return self.pause()
+        if not self.share.fleet_known:
+            # The fleet may be starting, and its servers with it.
+            return max(STARTING_PAUSE_S, self.pause())
         if self.share.is_reader:
             return min(READER_PAUSE_S, self.pause())
         if self.may_ask_reader() and self.share.reader() is not None:
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -150,6 +150,8 @@
         self.holders = HolderDirectory(node)
         self.other_routers: tuple[str, ...] = ()
         self.router_index = 0
+        # Whether all routers are known, so that this one knows what it holds.
+        self.fleet_known = False
         self.waiting: list[PendingRequest] = []
         self.write_in_progress = False
         self.write_started_at = float("-inf")
@@ -201,7 +203,8 @@
                 self.update_budgets(state.workspaces)
                 self.retry_waiting(now)
                 self.write_record(now)
-            case KnownRouters(urls):
+            case KnownRouters(urls, settled):
+                self.fleet_known = settled
                 self.other_routers = tuple(sorted(urls))
                 node = self.holders.node
                 self.holders = HolderDirectory(node, frozenset((node, *urls)))
@@ -428,9 +431,7 @@
         wanted = wanted_tokens(self.waiting)
         amounts: dict[str, int] = {}
         if self.token_accounts.sent is None:
-            # Nothing is drawn ahead until the first stored record has returned how much
-            # of the budgets is left.
-            ahead = self.token_accounts.stored is not None and not self.stopping
+            ahead = self.draws_ahead()
             amounts = plan_draws(
                 self.token_accounts,
                 self.budgets,
@@ -469,6 +470,15 @@
         )
         self.ledger.tell(Ask(request, ReplyCallback(self.actor_ref.tell)))
 
+    def draws_ahead(self) -> bool:
+        """Return whether tokens are drawn ahead of the calls that need them.
+
+        Not until all routers are known, nor until the first stored record has returned
+        how much of the budgets is left.
+        """
+        stored = self.token_accounts.stored is not None
+        return stored and self.fleet_known and not self.stopping
+
     def held_workspaces(self) -> frozenset[str]:
         """Return the workspaces of which this router holds spare tokens."""
         return frozenset(name for name in self.budgets if self.holders.is_holder(name))
--- a/src/hawthornstage/decisions/watch_sharing.py
+++ b/src/hawthornstage/decisions/watch_sharing.py
@@ -156,10 +156,18 @@
             self.base = self.changes.popleft().revision
 
     def since(self, epoch: int, after: int) -> tuple[SharedChange, ...] | None:
-        """Return the changes after a revision, or None if they are not all known."""
+        """Return the changes after a revision, or None if they are not all known.
+
+        Of several changes of a key only the last is returned.
+        """
         if epoch != self.epoch or not self.base <= after <= self.revision:
             return None
-        return tuple(each for each in self.changes if each.revision > after)
+        latest: dict[str, SharedChange] = {}
+        for each in self.changes:
+            if each.revision > after:
+                latest.pop(each.key, None)
+                latest[each.key] = each
+        return tuple(latest.values())
 
 
 def fits_reply(changes: Iterable[SharedChange]) -> bool:
--- a/src/hawthornstage/messages/fleet.py
+++ b/src/hawthornstage/messages/fleet.py
@@ -83,6 +83,13 @@
 
 @dataclass(frozen=True)
 class KnownRouters:
-    """URLs of the other known routers, by name."""
+    """The other known routers.
+
+    Args:
+        urls: Their addresses, by name.
+        settled: Whether two reads in a row found the same routers. While a fleet
+            starts, few of them are known.
+    """
 
     urls: Mapping[str, str]
+    settled: bool = True
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -46,13 +46,14 @@
         self.store = FakeStore(clock)
         self.client: Any = MoodyClient(self.store, "a")
         peers: Any = Inbox()
+        self.subscriber: Any = Inbox()
         self.members: Any = FleetMembers(
             "a",
             "ws://a",
             store=self.client,
             peers=peers,
             routers=LatestValue(0),
-            subscribers=(),
+            subscribers=(self.subscriber,),
             secret=Put("secret", b"s"),
             clock=clock,
             events=events,
@@ -75,6 +76,16 @@
     return World(clock, events)
 
 
+def test_routers_are_settled_when_two_reads_found_the_same(world: World) -> None:
+    for name in ("b", "c"):
+        entry = Put(MEMBERS_PREFIX + name, f"ws://{name}".encode())
+        world.store.write({}, (entry,))
+        world.run(TICK_S)
+    world.run(2 * TICK_S)
+    told = [(set(each.urls), each.settled) for each in world.subscriber.messages]
+    assert told == [({"b"}, False), ({"b", "c"}, False), ({"b", "c"}, True)]
+
+
 @pytest.mark.parametrize(
     "moods",
     [("late",), ("mute",), ("late", "late", "well"), ("late", "mute"), ("refuses",)],
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -258,7 +258,7 @@
     assert reply.value == ChangesUnavailable(store_failed=False)
 
 
-@pytest.mark.parametrize("request_", [(2, 2), (1, 1), (1, 9)])
+@pytest.mark.parametrize("request_", [(2, 2), (2, 9), (1, 1)])
 def test_reader_tells_nothing_of_another_epoch_or_of_unknown_revisions(
     world: World, request_: tuple[int, int]
 ) -> None:
@@ -270,6 +270,20 @@
     assert reply.value == ChangesUnavailable(store_failed=False)
 
 
+def test_reader_whose_response_is_older_than_what_is_known_waits_for_the_next(
+    world: World,
+) -> None:
+    name = world.readers[0]
+    reply = Reply()
+    world.tasks[name].handle(Ask(RequestChanges(ENTRIES_PREFIX, 1, 4), reply))
+    for revision in (3, 5):
+        assert reply.value is None
+        world.store.log.append(Item("servers/c", b"{}", revision))
+        world.watches[name].step()
+        world.deliver()
+    assert reply.value.changes == (SharedChange("servers/c", 5, b"{}"),)
+
+
 def test_changes_too_large_for_a_reply_are_read_from_the_store(world: World) -> None:
     name = world.readers[0]
     reply = Reply()
@@ -330,11 +344,19 @@
 def test_history_keeps_the_latest_changes() -> None:
     history = ChangeHistory(1, 0, 0, 0.0)
     for revision in range(1, MAX_CHANGES + 3):
-        history.add((SharedChange("servers/a", revision),), revision, 1.0)
+        change = SharedChange(f"servers/{revision}", revision)
+        history.add((change,), revision, 1.0)
     assert history.since(1, 1) is None
     assert len(history.since(1, 2) or ()) == MAX_CHANGES
 
 
+def test_only_the_last_change_of_each_key_is_told() -> None:
+    history = ChangeHistory(1, 0, 0, 0.0)
+    changes = tuple(SharedChange("servers/a", n, b"%d" % n) for n in range(1, 4))
+    history.add((*changes, SharedChange("servers/b", 4)), 4, 1.0)
+    assert history.since(1, 0) == (changes[-1], SharedChange("servers/b", 4))
+
+
 def test_routers_of_an_earlier_build_are_not_asked() -> None:
     urls = {"old": "ws://10.0.0.1:7340", "new": "ws://10.0.0.2:7340" + SHARING_PATH}
     assert sharing_routers(urls) == {"new"}
--- a/tests/test_token_holders.py
+++ b/tests/test_token_holders.py
@@ -17,6 +17,7 @@
     TokensReserved,
     TokensUsed,
 )
+from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.members import PeerUnreachable
 from tests.draws_world import WORKSPACE, DrawsWorld, Host, Reply
 
@@ -101,6 +102,32 @@
     assert len(free) == HOLDERS_PER_WORKSPACE
 
 
+def test_nothing_is_drawn_ahead_while_few_routers_are_known(world: DrawsWorld) -> None:
+    name = next(n for n in NAMES if directory(n).is_holder(WORKSPACE))
+    host = world.hosts[name]
+    host.start()
+    known = KnownRouters({"edge-0": "", "edge-1": ""}, settled=False)
+    host.token_accounts.handle(known)
+    before = world.store.counts().get(WORKSPACE, 0)
+    for _ in range(10):
+        world.clock.advance(0.5)
+        host.check()
+    assert world.store.counts().get(WORKSPACE, 0) <= before
+    host.token_accounts.handle(KnownRouters(dict.fromkeys(NAMES, "")))
+    world.clock.advance(0.5)
+    host.check()
+    assert world.free(name) > 0
+
+
+def test_count_is_told_to_the_other_holders(world: DrawsWorld) -> None:
+    name = next(n for n in NAMES if directory(n).is_holder(WORKSPACE))
+    host = world.hosts[name]
+    host.ledger_peers.messages.clear()
+    host.ledger.tell_counts(9, {WORKSPACE: 5})
+    told = {send.node for send in host.ledger_peers.messages}
+    assert told == set(directory(name).other_holders(WORKSPACE))
+
+
 def test_call_gets_its_tokens_from_a_holder(world: DrawsWorld) -> None:
     host = asker(world)
     reply = Reply()
