Send nothing new to servers of an evacuated failure domain

Nothing in the code knew the operators' key that evacuates a failure domain, so its servers got calls as before.

The watch of what operators write passes evacuations on to a task of their own, which orders all news by the store's epoch and revision and tells neighbours. Choice, the check right before a send and the router that carries a call for another leave evacuated domains out. A service with none left is refused with 503 evacuated. The longest wait of the watch respects the bound.

--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -22,6 +22,11 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
+from hawthornstage.messages.evacuations import (
+    EvacuationChange,
+    EvacuationsRead,
+    StorePosition,
+)
 from hawthornstage.messages.fleet import (
     CompressedStateOffered,
     DesiredStateHeartbeat,
@@ -40,6 +45,11 @@
     DesiredStateError,
     decode_desired_state,
 )
+from hawthornstage.platform.evacuations import (
+    decode_failure_domain,
+    is_evacuation,
+    is_expected_value,
+)
 from hawthornstage.platform.store import StoreClient
 
 # Time for the store to deliver a version before it is fetched from a router, and time
@@ -232,11 +242,12 @@
 
 
 class DesiredStateWatch(StoreWatch):
-    """Owns the watch for the desired state.
+    """Owns the watch for what operators write: desired state and evacuations.
 
     Args:
         store: A client used by this thread only.
         task: Gets `DesiredStateReceived`.
+        evacuations: Gets `EvacuationsRead` after each answer of the store.
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
@@ -246,23 +257,63 @@
         self,
         store: StoreClient,
         task: pykka.ActorRef,
+        evacuations: pykka.ActorRef,
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
     ) -> None:
         super().__init__(DESIRED_STATE_PREFIX, store, bounds, clock, events)
         self.task = task
+        self.evacuations = evacuations
 
     def effect_bound(self) -> float:
-        """Return the time from a version until it is in force, in seconds."""
-        return self.bounds().desired_state_s
+        """Return the time from a write until it is in force, in seconds."""
+        bounds = self.bounds()
+        return min(bounds.desired_state_s, bounds.evacuation_s)
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
-        """Pass the listed desired state to the task."""
-        self.apply_changes(items)
+        """Pass on all that operators have written."""
+        self.pass_on(items, complete=True)
 
     def apply_changes(self, changes: tuple[Item | Removal, ...]) -> None:
-        """Pass each changed version of the desired state to the task."""
+        """Pass on what operators have changed."""
+        self.pass_on(changes, complete=False)
+
+    def pass_on(self, changes: tuple[Item | Removal, ...], *, complete: bool) -> None:
+        """Pass versions of the desired state and evacuations to their tasks.
+
+        Evacuations go first, as they are the narrower of the two.
+
+        Args:
+            changes: What was read.
+            complete: Whether it is all that the store holds.
+        """
+        assert self.revision is not None
+        evacuations = tuple(
+            evacuation
+            for change in changes
+            if is_evacuation(change.key)
+            and (evacuation := self.read_evacuation(change)) is not None
+        )
+        position = StorePosition(self.epoch, self.revision)
+        self.evacuations.tell(EvacuationsRead(evacuations, position, complete))
         for change in changes:
             if isinstance(change, Item) and change.key == DESIRED_STATE_KEY:
                 self.task.tell(DesiredStateReceived(change.value, "store"))
+
+    def read_evacuation(self, change: Item | Removal) -> EvacuationChange | None:
+        """Return the beginning or end of an evacuation; None without a domain.
+
+        The key alone counts, whatever its value is.
+        """
+        domain = decode_failure_domain(change.key)
+        if domain is None:
+            self.events.emit("evacuation_refused", key=change.key, reason="no domain")
+            return None
+        if isinstance(change, Item) and not is_expected_value(change.value):
+            self.events.emit("evacuation_value_ignored", key=change.key)
+        return EvacuationChange(
+            domain,
+            isinstance(change, Item),
+            StorePosition(self.epoch, change.revision),
+        )
--- /dev/null
+++ b/src/hawthornstage/actors/evacuations.py
@@ -0,0 +1,135 @@
+"""The task that owns which failure domains are evacuated."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+
+from hawthornstage.actors.peers.messages import Send
+from hawthornstage.actors.task import Ask, Recipient, Task
+from hawthornstage.clock import Clock
+from hawthornstage.decisions.evacuations import EvacuationBook
+from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.latest_value import LatestValue
+from hawthornstage.mailbox import ReplyCallback
+from hawthornstage.messages.evacuations import (
+    Evacuations,
+    EvacuationsAnnounced,
+    EvacuationsRead,
+)
+from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.observe.events import EventLog
+from hawthornstage.observe.metrics import Metrics
+
+
+@dataclass(frozen=True)
+class CheckEvacuations:
+    """Triggers the repetition of news, and the end of what has lapsed."""
+
+
+class EvacuationsTask(Task):
+    """Owns the evacuations, and tells neighbours of them, which tell theirs.
+
+    While there is nothing to tell, nothing is sent: older builds do not know these
+    messages.
+
+    Args:
+        node: This router's name.
+        in_force: Where the evacuations are published for the request pipe.
+        subscribers: Get `Evacuations` after each change.
+        peers: Sends messages to other routers.
+        known_domains: Returns the failure domains of the deployment, for the log.
+        metrics: Shows which failure domains are evacuated.
+        clock: The runtime's clock.
+        events: The event log.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        in_force: LatestValue[Evacuations],
+        subscribers: tuple[pykka.ActorRef, ...],
+        peers: Recipient,
+        known_domains: Callable[[], frozenset[str]],
+        *,
+        metrics: Metrics,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        super().__init__()
+        self.node = node
+        self.in_force = in_force
+        self.subscribers = subscribers
+        self.peers = peers
+        self.known_domains = known_domains
+        self.metrics = metrics
+        self.clock = clock
+        self.events = events
+        self.book = EvacuationBook()
+        self.neighbours: tuple[str, ...] = ()
+        self.turns = 0
+
+    def handle(self, message: Any) -> None:
+        now = self.clock.monotonic()
+        match message:
+            case EvacuationsRead():
+                self.apply(self.book.read(message, now), "store", now)
+            case Ask(message=EvacuationsAnnounced(records), reply_to=reply_to):
+                self.apply(self.book.hear(records, now), "router", now)
+                reply_to.put(EvacuationsAnnounced(self.book.answer(records, now)))
+            case EvacuationsAnnounced(records):
+                self.apply(self.book.hear(records, now), "router", now)
+            case CheckEvacuations():
+                self.apply(self.book.end_lapsed(now), "lapsed", now)
+                self.tell_next(now)
+            case KnownRouters(urls):
+                self.neighbours = neighbours(self.node, urls)
+
+    def apply(self, changed: list[str], source: str, now: float) -> None:
+        """Publish, log and pass on what has changed.
+
+        Args:
+            changed: Failure domains that are evacuated now and were not, or the
+                reverse.
+            source: Where this is known from, for the log.
+            now: Monotonic time in seconds.
+        """
+        evacuations = self.book.in_force()
+        if evacuations != self.in_force.value:
+            self.in_force.publish(evacuations)
+            for subscriber in self.subscribers:
+                subscriber.tell(evacuations)
+        for domain in changed:
+            self.log_change(domain, source, now)
+        if changed:
+            for node in self.neighbours:
+                self.tell(node, now)
+
+    def log_change(self, domain: str, source: str, now: float) -> None:
+        """Log and show that an evacuation has begun or ended."""
+        known = self.book.known[domain]
+        self.metrics.evacuated.labels(domain).set(int(known.active))
+        self.events.emit(
+            "evacuation_began" if known.active else "evacuation_ended",
+            failure_domain=domain,
+            source=source,
+            epoch=known.position.epoch,
+            revision=known.position.revision,
+            age_ms=int((now - known.learned_at) * 1000),
+            known=domain in self.known_domains(),
+        )
+
+    def tell_next(self, now: float) -> None:
+        """Tell one neighbour in turn, if there is something to tell."""
+        if self.neighbours and self.book.news(now):
+            self.turns += 1
+            self.tell(self.neighbours[self.turns % len(self.neighbours)], now)
+
+    def tell(self, node: str, now: float) -> None:
+        """Tell a router what is known; its reply is what it knows."""
+        announced = EvacuationsAnnounced(self.book.news(now))
+        reply_to = ReplyCallback(self.actor_ref.tell)
+        self.peers.tell(Send(node, announced, reply_to))
--- a/src/hawthornstage/actors/servers/selection.py
+++ b/src/hawthornstage/actors/servers/selection.py
@@ -11,6 +11,7 @@
 from hawthornstage.decisions.retry_share import RetryShare
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
     CallEnded,
@@ -74,6 +75,8 @@
                 self.pool_connection(server, message, now)
             case ServerNotices():
                 self.serving.replace_notices(message)
+            case Evacuations():
+                self.serving.replace_evacuations(message)
             case ServerAtLimit():
                 self.serving.record_no_room(message, now)
             case RegisteredServers(servers):
--- a/src/hawthornstage/actors/servers/tunnels.py
+++ b/src/hawthornstage/actors/servers/tunnels.py
@@ -21,6 +21,7 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback, ReplyTo
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.lost_servers import CheckReach, Reach
 from hawthornstage.messages.server_links import LinkFailed, LinkFault, ServerLinks
@@ -58,6 +59,7 @@
         links_task: Is told of servers that this router does not reach.
         registered: The servers that may get calls.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         links: This router's links to servers.
         clock: The runtime's clock.
         events: The event log.
@@ -72,6 +74,7 @@
         *,
         registered: LatestValue[RegisteredServers],
         notices: LatestValue[ServerNotices],
+        evacuations: LatestValue[Evacuations],
         links: LatestValue[ServerLinks],
         clock: Clock,
         events: EventLog,
@@ -82,6 +85,7 @@
         self.links_task = links_task
         self.registered = registered
         self.notices = notices
+        self.evacuations = evacuations
         self.links = links
         self.events = events
         self.metrics = metrics
@@ -156,6 +160,7 @@
             request,
             self.registered.value,
             self.notices.value,
+            self.evacuations.value,
             self.links.value,
             open_tunnels=len(self.tunnels),
             stopping=self.stopping,
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -15,6 +15,7 @@
     call_leases,
     crashes,
     draws,
+    evacuations,
     events,
     fleet,
     members,
@@ -80,6 +81,7 @@
     "StreamVersionNoted": stream_versions.StreamVersionNoted,
     "RequestStreamVersion": stream_versions.RequestStreamVersion,
     "StreamVersionReply": stream_versions.StreamVersionReply,
+    "EvacuationsAnnounced": evacuations.EvacuationsAnnounced,
 }
 FRAME_NAMES = {message_type: name for name, message_type in FRAME_MESSAGES.items()}
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -14,6 +14,7 @@
     FetchNewerVersion,
     SendVersion,
 )
+from hawthornstage.actors.evacuations import CheckEvacuations, EvacuationsTask
 from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
 from hawthornstage.actors.peers.task import Peers
@@ -70,6 +71,7 @@
     RequestCallTokens,
     RequestTransfer,
 )
+from hawthornstage.messages.evacuations import Evacuations, EvacuationsAnnounced
 from hawthornstage.messages.fleet import (
     CallBlocked,
     DesiredStateHeartbeat,
@@ -114,6 +116,7 @@
 CRASH_LOG_CHECK_INTERVAL_S = 0.1
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
+EVACUATIONS_CHECK_INTERVAL_S = 2.0
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -145,6 +148,7 @@
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
         self.server_notices_in_force = LatestValue(ServerNotices())
+        self.evacuations_in_force = LatestValue(Evacuations())
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.store_circuit = CircuitBreaker()
@@ -211,6 +215,15 @@
             self.peers,
             **self.shared,
         )
+        self.evacuations = EvacuationsTask.start(
+            node,
+            self.evacuations_in_force,
+            (self.server_selection,),
+            self.peers,
+            lambda: frozenset(self.live_settings.value.regions),
+            metrics=self.metrics,
+            **self.shared,
+        )
         self.start_links()
         self.start_lost_servers()
         self.response_memory = ResponseMemoryTask.start(self.events)
@@ -279,6 +292,7 @@
             self.server_links,
             registered=self.registered_servers,
             notices=self.server_notices_in_force,
+            evacuations=self.evacuations_in_force,
             links=self.server_links_known,
             metrics=self.metrics,
             **self.shared,
@@ -318,6 +332,7 @@
                 self.server_notices,
                 self.stream_versions,
                 self.server_links,
+                self.evacuations,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
             **self.shared,
@@ -348,6 +363,7 @@
             ),
         )
         register(self.tunnels, (RequestTunnel,))
+        register(self.evacuations, (EvacuationsAnnounced,))
         register(self.stream_versions, (StreamVersionNoted, RequestStreamVersion))
 
     def schedule_periodic_work(self) -> None:
@@ -362,6 +378,7 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(EVACUATIONS_CHECK_INTERVAL_S, self.evacuations, CheckEvacuations())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
 
     def retry_terms(self) -> RetryLimits:
@@ -376,6 +393,7 @@
         DesiredStateWatch(
             self.store(),
             self.desired_states,
+            self.evacuations,
             self.store_bounds,
             self.clock,
             self.events,
@@ -434,7 +452,11 @@
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         permits = Permits(
-            self.server_notices, self.peers, self.server_notices_in_force, self.clock
+            self.server_notices,
+            self.peers,
+            self.server_notices_in_force,
+            self.evacuations_in_force,
+            self.clock,
         )
         stream_version = ResolveStreamVersion(
             self.stream_versions, self.peers, self.clock, self.events
--- a/src/hawthornstage/decisions/server_acceptance.py
+++ b/src/hawthornstage/decisions/server_acceptance.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import RegisteredServers
 
@@ -19,7 +20,7 @@
 
     Args:
         reason: Why, for the log.
-        source: Where this is known from: `store` or `server`.
+        source: Where this is known from: `store`, `server` or `operator`.
         age_s: Time since it became known, or None if that was not recorded.
     """
 
@@ -36,6 +37,7 @@
     server: BackendServer,
     registered: RegisteredServers,
     notices: ServerNotices,
+    evacuations: Evacuations,
     now: float,
 ) -> NotAccepting | None:
     """Return why a server must get no call, or None if it may.
@@ -44,6 +46,7 @@
         server: The server as it was chosen.
         registered: The servers that may get calls.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         now: Monotonic time.
     """
     current = registered.servers.get(server.id)
@@ -55,6 +58,9 @@
         since = registered.leaving_since.get(server.id)
         age_s = None if since is None else now - since
         return NotAccepting("it is leaving", "store", age_s)
+    if current.failure_domain in evacuations.failure_domains:
+        domain = current.failure_domain
+        return NotAccepting(f"domain {domain!r} is evacuated", "operator", None)
     incarnation = server.incarnation
     if incarnation in notices.leaving:
         age_s = now - notices.leaving[incarnation]
--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -11,11 +11,13 @@
 
 from hawthornstage.decisions.server_loads import ServerLoad
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
     NoServerAvailable,
     RegisteredServers,
     RequestServer,
+    Shortage,
 )
 
 # Servers with a limit that may deny one attempt a permit.
@@ -32,11 +34,13 @@
     Args:
         registered: Registered servers.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         loads: Load of each server, by id.
     """
 
     registered: RegisteredServers
     notices: ServerNotices
+    evacuations: Evacuations
     loads: Mapping[str, ServerLoad]
 
     def eligible(
@@ -50,6 +54,13 @@
             now: Monotonic time in seconds.
         """
         accepting = self.accepting(want.service, now)
+        if accepting and all(map(self.is_evacuated, accepting)):
+            return NoServerAvailable(
+                f"all failure domains with servers of service {want.service!r} are "
+                f"evacuated",
+                shortage=Shortage.EVACUATED,
+            )
+        accepting = [each for each in accepting if not self.is_evacuated(each)]
         compatible = [each for each in accepting if self.fits_version(each, want)]
         if want.version is not None and not compatible:
             return NoServerAvailable(
@@ -82,6 +93,10 @@
             and not self.loads[server.id].address_reused
         ]
 
+    def is_evacuated(self, server: BackendServer) -> bool:
+        """Whether a server's failure domain gets nothing new."""
+        return server.failure_domain in self.evacuations.failure_domains
+
     def fits_version(self, server: BackendServer, want: RequestServer) -> bool:
         """Whether a server has the version that a call needs, if it needs one.
 
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -22,6 +22,7 @@
 )
 from hawthornstage.decisions.server_loads import SentCall, ServerLoad
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.forward import PlacementBasis, Prompt
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
@@ -63,6 +64,7 @@
         sent: Calls in progress, by id.
         preferred: Cache of the preferred servers, by service and prompt part.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         permit_demand: Recent calls and permits of the services with a limited server.
     """
 
@@ -72,6 +74,7 @@
     sent: dict[str, SentCall] = field(default_factory=dict)
     preferred: dict[tuple[str, str], str] = field(default_factory=dict)
     notices: ServerNotices = ServerNotices()
+    evacuations: Evacuations = Evacuations()
     permit_demand: dict[str, PermitDemand] = field(default_factory=dict)
 
     @property
@@ -82,7 +85,9 @@
     @property
     def eligibility(self) -> ServerEligibility:
         """Decides which servers may get a call, by what is known now."""
-        return ServerEligibility(self.registered, self.notices, self.loads)
+        return ServerEligibility(
+            self.registered, self.notices, self.evacuations, self.loads
+        )
 
     def replace_servers(self, registered: RegisteredServers) -> None:
         """Replace the registered servers; a restarted one starts with an empty load."""
@@ -133,6 +138,11 @@
         self.notices = notices
         self.preferred.clear()
 
+    def replace_evacuations(self, evacuations: Evacuations) -> None:
+        """Replace the failure domains that get nothing new."""
+        self.evacuations = evacuations
+        self.preferred.clear()
+
     def record_no_room(self, at_limit: ServerAtLimit, now: float) -> None:
         """Record that a server has no room for some time."""
         load = self.loads.get(at_limit.server)
@@ -244,6 +254,7 @@
             if server.service == service
             and not server.leaving
             and server.incarnation not in self.notices.leaving
+            and not self.eligibility.is_evacuated(server)
             and not self.loads[server.id].address_reused
         ]
         unlimited = [each for each in staying if not self.is_limited(each)]
--- a/src/hawthornstage/decisions/tunnels.py
+++ b/src/hawthornstage/decisions/tunnels.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from hawthornstage.decisions.server_acceptance import why_not_accepting
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.lost_servers import Reach
 from hawthornstage.messages.server_links import ServerLinks
@@ -25,6 +26,7 @@
     request: RequestTunnel,
     registered: RegisteredServers,
     notices: ServerNotices,
+    evacuations: Evacuations,
     links: ServerLinks,
     *,
     open_tunnels: int,
@@ -39,6 +41,7 @@
         request: The request.
         registered: The servers that may get calls.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         links: This router's links.
         open_tunnels: Tunnels that are open.
         stopping: Whether this router stops.
@@ -47,7 +50,7 @@
     server = registered.servers.get(request.server)
     if server is None or server.incarnation != request.incarnation:
         return TunnelRefusal.NOT_ACCEPTING
-    if why_not_accepting(server, registered, notices, now) is not None:
+    if why_not_accepting(server, registered, notices, evacuations, now) is not None:
         return TunnelRefusal.NOT_ACCEPTING
     if server.incarnation in links.failed:
         isolated = links.isolated
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -42,6 +42,7 @@
     CALL_BLOCKED = "call_blocked"
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
+    EVACUATED = "evacuated"
     OUT_OF_TIME = "out_of_time"
     SLOW_REQUEST = "slow_request"
     INTERNAL = "internal"
@@ -193,6 +194,12 @@
         None,
         "The stream cannot go on: there is no server of the version that began it.",
     ),
+    ErrorKind.EVACUATED: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        1,
+        "All failure domains with servers for the request are evacuated.",
+    ),
     ErrorKind.OUT_OF_TIME: ErrorResponse(
         504,
         ExecutionState.UNKNOWN,
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -45,6 +45,7 @@
     NoServerAvailable,
     RegisteredServers,
     ServerChosen,
+    Shortage,
 )
 from hawthornstage.messages.stream_versions import StreamVersionNoted
 from hawthornstage.observe.metrics import Metrics
@@ -164,6 +165,9 @@
         """Return the failure of a call for which there is no server (any more)."""
         if choice.version_gone and not (delivery.head_sent or delivery.may_have_run):
             return Failure(ErrorKind.STREAM_NOT_RESUMABLE, choice.reason)
+        untouched = not (delivery.head_sent or delivery.may_have_run)
+        if choice.shortage is Shortage.EVACUATED and untouched:
+            return Failure(ErrorKind.EVACUATED, choice.reason)
         return self.final_failure(delivery, choice.reason, choice.retry_after_s)
 
     def blocked_failure(self, delivery: Delivery, blocked: Failure) -> Failure | None:
--- a/src/hawthornstage/filters/permits.py
+++ b/src/hawthornstage/filters/permits.py
@@ -23,6 +23,7 @@
     CallLeaseEnded,
     CallLeaseGranted,
 )
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.server_limits import (
     AcquirePermit,
     AskIssuer,
@@ -56,12 +57,14 @@
         task: Task that owns the limits and issues this router's permits.
         peers: Sends messages to other routers.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         clock: Source of timeouts.
     """
 
     task: pykka.ActorRef
     peers: Recipient
     notices: LatestValue[ServerNotices]
+    evacuations: LatestValue[Evacuations]
     clock: Clock
 
     def needed_for(self, incarnation: str) -> bool:
@@ -85,8 +88,13 @@
             server: The server as it was chosen.
             registered: The servers that may get calls.
         """
-        now = self.clock.monotonic()
-        return why_not_accepting(server, registered, self.notices.value, now)
+        return why_not_accepting(
+            server,
+            registered,
+            self.notices.value,
+            self.evacuations.value,
+            self.clock.monotonic(),
+        )
 
     def acquire(self, incarnation: str, priority: int) -> PermitDenied | None:
         """Acquire a permit; return the denial if there is none.
--- a/src/hawthornstage/messages/host_settings.py
+++ b/src/hawthornstage/messages/host_settings.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -23,11 +24,14 @@
         drain_s: Time from a server's leaving until it gets nothing new, in seconds.
         desired_state_s: Time from a version of the desired state until it is in force,
             in seconds.
+        evacuation_s: Time from the evacuation of a failure domain until its servers get
+            nothing new, in seconds.
     """
 
     settled_s: float = 3.0
     drain_s: float = 2.0
     desired_state_s: float = 2.0
+    evacuation_s: float = 5.0
 
 
 @dataclass(frozen=True)
@@ -47,6 +51,7 @@
         retry_ratio: Fleet-wide retries allowed for each request to a service.
         retry_slack: Fleet-wide retries allowed in addition.
         retry_window_s: Length of the window in which retries are counted, in seconds.
+        regions: Region of each failure domain; one that is missing has none.
     """
 
     node: str
@@ -61,6 +66,12 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    regions: Mapping[str, str] = field(default_factory=dict)
+
+    @property
+    def region(self) -> str:
+        """The router's own region, empty if it has none."""
+        return self.regions.get(self.failure_domain, "")
 
     @property
     def listen_addresses(self) -> tuple[SocketAddress, ...]:
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
@@ -83,6 +84,13 @@
     pooled: PooledConnection | None = None
 
 
+class Shortage(Enum):
+    """Why no server can accept a call."""
+
+    BUSY = "busy"
+    EVACUATED = "evacuated"
+
+
 @dataclass(frozen=True)
 class NoServerAvailable:
     """No server can accept the call at present.
@@ -91,11 +99,13 @@
         reason: Why not, for the log.
         retry_after_s: Time until a server may accept it, in seconds, if it is known.
         version_gone: Whether no server of the version that it needs is left.
+        shortage: What keeps the servers from accepting it.
     """
 
     reason: str
     retry_after_s: float | None = None
     version_gone: bool = False
+    shortage: Shortage = Shortage.BUSY
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -121,6 +121,12 @@
             ["side", "outcome"],
             registry=self.registry,
         )
+        self.evacuated = Gauge(
+            "hawthornstage_evacuated",
+            "Whether a failure domain is evacuated, as far as this router knows",
+            ["failure_domain"],
+            registry=self.registry,
+        )
         self.revision = Gauge(
             "hawthornstage_tables_revision",
             "Revision of the tables in use",
--- a/src/hawthornstage/platform/settings.py
+++ b/src/hawthornstage/platform/settings.py
@@ -35,6 +35,7 @@
     stable_window_ms: float = Field(alias="stable-window-ms", default=3_000.0)
     drain_ms: float = Field(alias="drain-ms", default=2_000.0)
     config_ms: float = Field(alias="config-ms", default=2_000.0)
+    evacuate_ms: float = Field(alias="evacuate-ms", default=5_000.0)
 
     def to_store_bounds(self) -> StoreBounds:
         """Convert the bounds that concern changes in the store."""
@@ -42,6 +43,7 @@
             settled_s=self.stable_window_ms / 1000,
             drain_s=self.drain_ms / 1000,
             desired_state_s=self.config_ms / 1000,
+            evacuation_s=self.evacuate_ms / 1000,
         )
 
 
@@ -57,6 +59,9 @@
     node_name: str = Field(alias="node-name")
     ip: str
     zone: str
+    # Region of each zone, this router's own among them.
+    zones: dict[str, str] = {}
+    region: str = ""
     listen: ListenModel
     port_range: tuple[int, int] = Field(alias="port-range")
     bounds: BoundsModel = BoundsModel()
@@ -70,11 +75,17 @@
             raise ValueError("two ports are needed, the first below the second")
         return ports
 
+    def regions(self) -> dict[str, str]:
+        """Return the region of each failure domain that has one."""
+        named = {self.zone: self.region, **self.zones}
+        return {domain: region for domain, region in named.items() if region}
+
     def to_settings(self) -> HostSettings:
         """Convert to the settings that the rest of the code uses."""
         return HostSettings(
             node=self.node_name,
             failure_domain=self.zone,
+            regions=self.regions(),
             callers=to_address(self.listen.front),
             readiness=to_address(self.listen.ready),
             peers=SocketAddress(self.ip, self.port_range[0]),
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -21,6 +21,7 @@
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.forward import (
     ForwardExchange,
     PlacementBasis,
@@ -105,6 +106,7 @@
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
         self.notices = LatestValue(ServerNotices())
+        self.evacuations = LatestValue(Evacuations())
         self.links = LatestValue(ServerLinks())
         self.peers: Any = self
         self.told: list[Any] = []
@@ -125,7 +127,7 @@
 def make_forwarder(tasks: Any, clock: Clock) -> Forwarder:
     """Return a forwarder whose tasks are all stood for by one object."""
     block = BlockCrashingCalls(tasks.blocked_calls, tasks.blocked_parts, clock)
-    permits = Permits(tasks, tasks.peers, tasks.notices, clock)
+    permits = Permits(tasks, tasks.peers, tasks.notices, tasks.evacuations, clock)
     metrics = Metrics()
     events = EventLog("a", clock)
     choice = ServerChoice(tasks, permits, clock, metrics)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -10,6 +10,7 @@
 from hawthornstage.actors.peers.messages import Send
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.server_acceptance import NotAccepting, why_not_accepting
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.server_notices import (
     LeavingAnnounced,
@@ -96,6 +97,12 @@
             2.0,
         ),
         ({"leaving": {"i-1@1": 4.5}}, "it said that it leaves", "server", 0.5),
+        (
+            {"evacuations": Evacuations(frozenset({"z"}))},
+            "domain 'z' is evacuated",
+            "operator",
+            None,
+        ),
         (
             {"closed_until": {"i-1@1": 6.0}},
             "it wants no calls of this router for 1.000 s",
@@ -110,9 +117,10 @@
     server = make_server("i-1")
     told = ("leaving", "closed_until")
     notices = ServerNotices(**{k: v for k, v in change.items() if k in told})
-    entries = {k: v for k, v in change.items() if k not in told}
+    entries = {k: v for k, v in change.items() if k not in (*told, "evacuations")}
     registered = RegisteredServers(**{"servers": {"i-1": server}, **entries})
-    refusal = why_not_accepting(server, registered, notices, 5.0)
+    evacuations = change.get("evacuations", Evacuations())
+    refusal = why_not_accepting(server, registered, notices, evacuations, 5.0)
     if reason is None:
         assert refusal is None
     else:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -22,6 +22,7 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import Mailbox
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.forward import Delivery
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.lost_servers import ServerLost, StopChecks
@@ -77,6 +78,7 @@
             links,
             registered=tasks.registered,
             notices=tasks.notices,
+            evacuations=tasks.evacuations,
             links=known,
             clock=Clock(),
             events=EventLog("b", Clock()),
@@ -301,6 +303,7 @@
         ({"server": server("i-2")}, TunnelRefusal.NOT_ACCEPTING),
         ({"server": server("i-1", leaving=True)}, TunnelRefusal.NOT_ACCEPTING),
         ({"notices": ServerNotices(leaving={"i-1@1": 0.0})}, "not_accepting"),
+        ({"evacuations": Evacuations(frozenset({"z"}))}, "not_accepting"),
         ({"notices": ServerNotices(closed_until={"i-1@1": 9.0})}, "not_accepting"),
         ({"links": ServerLinks({"i-1@1": LinkFault.SILENT})}, "unreachable"),
         ({"links": ServerLinks({"i-1@1": LinkFault.SILENT}, True)}, "isolated"),
@@ -314,6 +317,7 @@
     known = change.pop("server", server("i-1"))
     options: dict[str, Any] = {
         "notices": ServerNotices(),
+        "evacuations": Evacuations(),
         "links": ServerLinks(),
         "open_tunnels": 0,
         "stopping": False,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -154,7 +154,13 @@
         self.processes[name] = start_stand_in(name, module, *options)
 
     def add_server(
-        self, service: str, name: str, state: str = "ready", *, version: str = "v1"
+        self,
+        service: str,
+        name: str,
+        state: str = "ready",
+        *,
+        version: str = "v1",
+        zone: str = "a",
     ) -> None:
         """Register a backend server in the store, and start it if necessary."""
         if name not in self.processes:
@@ -162,7 +168,7 @@
         entry = {
             "service": service,
             "address": f"127.0.0.1:{self.processes[name].port}",
-            "zone": "a",
+            "zone": zone,
             "slots": 8,
             "state": state,
             "version": version,
