--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -54,13 +54,6 @@
             now: Monotonic time in seconds.
         """
         accepting = self.accepting(want.service, now)
-        if accepting and all(map(self.is_evacuated, accepting)):
-            return NoServerAvailable(
-                f"all failure domains with servers of service {want.service!r} are "
-                f"evacuated",
-                shortage=Shortage.EVACUATED,
-            )
-        accepting = [each for each in accepting if not self.is_evacuated(each)]
         compatible = [each for each in accepting if self.fits_version(each, want)]
         if want.version is not None and not compatible:
             return NoServerAvailable(
@@ -68,7 +61,14 @@
                 f"{want.version!r}",
                 version_gone=True,
             )
-        eligible = [each for each in compatible if each.id not in want.excluded]
+        remaining = [each for each in compatible if not self.is_evacuated(each)]
+        if compatible and not remaining:
+            return NoServerAvailable(
+                f"all failure domains with servers of service {want.service!r} are "
+                f"evacuated",
+                shortage=Shortage.EVACUATED,
+            )
+        eligible = [each for each in remaining if each.id not in want.excluded]
         if not eligible:
             return NoServerAvailable(
                 f"service {want.service!r} has no registered server that is neither "
