Keep calls of routes and workspaces with home regions there

The exchange carries the regions that route and workspace both allow. A request for a server names the failure domains that they hold, so that attempts, retries and resumed streams are bound; a request for a tunnel names the regions, the router that carries refuses outside of them, and its reply names its region. Older builds name none and carry nothing that is bound. Frames without regions are encoded as before. No server at home: 503 outside_homes without Retry-After.

--- a/src/hawthornstage/actors/servers/links.py
+++ b/src/hawthornstage/actors/servers/links.py
@@ -18,6 +18,7 @@
 from hawthornstage.messages.server_links import (
     ConnectionLost,
     HelperFailed,
+    HelperRegion,
     LinkFailed,
     LinkWorked,
     ProbeLinks,
@@ -75,6 +76,8 @@
                 self.book.record_crash(incarnation)
             case HelperFailed(node, incarnation):
                 self.book.avoid_helper(node, incarnation or "", now)
+            case HelperRegion(node, region):
+                self.book.helper_regions[node] = region
             case RegisteredServers(servers):
                 self.book.update_servers(each.incarnation for each in servers.values())
             case KnownRouters(urls):
--- a/src/hawthornstage/actors/servers/tunnel_ends.py
+++ b/src/hawthornstage/actors/servers/tunnel_ends.py
@@ -60,6 +60,7 @@
         connect_by: Time until which the server must be connected.
         use_by: Time until which the other router must use it.
         end_by: Time at which the tunnel is closed at the latest.
+        region: This router's region, if it was asked for.
         connected: Whether the server is connected.
         router_socket: The other router's connection, once there is one.
         to_server: Bytes that wait for the server.
@@ -77,6 +78,7 @@
     connect_by: float
     use_by: float
     end_by: float
+    region: str = ""
     connected: bool = False
     router_socket: socket.socket | None = None
     to_server: bytearray = field(default_factory=bytearray)
--- a/src/hawthornstage/actors/servers/tunnels.py
+++ b/src/hawthornstage/actors/servers/tunnels.py
@@ -7,6 +7,7 @@
 import selectors
 import socket
 import threading
+from collections.abc import Callable
 from typing import Any
 
 import pykka
@@ -61,6 +62,7 @@
         notices: What servers have said of themselves.
         evacuations: The failure domains that get nothing new.
         links: This router's links to servers.
+        region: Returns this router's region, empty if it has none.
         clock: The runtime's clock.
         events: The event log.
         metrics: Counts tunnels.
@@ -76,6 +78,7 @@
         notices: LatestValue[ServerNotices],
         evacuations: LatestValue[Evacuations],
         links: LatestValue[ServerLinks],
+        region: Callable[[], str],
         clock: Clock,
         events: EventLog,
         metrics: Metrics,
@@ -87,6 +90,7 @@
         self.notices = notices
         self.evacuations = evacuations
         self.links = links
+        self.region = region
         self.events = events
         self.metrics = metrics
         self.host = address.host
@@ -162,24 +166,29 @@
             self.notices.value,
             self.evacuations.value,
             self.links.value,
+            region=self.region(),
             open_tunnels=len(self.tunnels),
             stopping=self.stopping,
             now=now,
         )
         if refusal is not None:
-            self.refuse(refusal, reply_to)
+            self.refuse(refusal, reply_to, request)
             return
         server = self.registered.value.servers[request.server]
-        self.connect(server, request.time_left_s, reply_to, now)
+        self.connect(server, request, reply_to, now)
 
     def connect(
-        self, server: BackendServer, time_left_s: float, reply_to: ReplyTo, now: float
+        self,
+        server: BackendServer,
+        request: RequestTunnel,
+        reply_to: ReplyTo,
+        now: float,
     ) -> None:
         """Begin to connect to a server for another router.
 
         Args:
             server: The server.
-            time_left_s: Time until the tunnel is not needed any more, in seconds.
+            request: The request for the tunnel.
             reply_to: Gets the reply to the request for the tunnel.
             now: Monotonic time, in seconds.
         """
@@ -195,7 +204,8 @@
             reply_to,
             connect_by=now + CONNECT_TIMEOUT_S,
             use_by=now + CONNECT_TIMEOUT_S + TOKEN_TIMEOUT_S,
-            end_by=now + max(0.0, time_left_s) + LINGER_S,
+            end_by=now + max(0.0, request.time_left_s) + LINGER_S,
+            region=self.region() if request.regions else "",
         )
         error = connection.connect_ex((server.host, server.port))
         if error not in (0, errno.EINPROGRESS):
@@ -204,10 +214,22 @@
         self.tunnels[token] = tunnel
         self.selector.register(connection, selectors.EVENT_WRITE, tunnel)
 
-    def refuse(self, refusal: TunnelRefusal, reply_to: ReplyTo) -> None:
-        """Reply that no tunnel is opened."""
+    def refuse(
+        self,
+        refusal: TunnelRefusal,
+        reply_to: ReplyTo,
+        request: RequestTunnel | None = None,
+    ) -> None:
+        """Reply that no tunnel is opened.
+
+        Args:
+            refusal: Why not.
+            reply_to: Gets the reply.
+            request: The request, if it named what is refused.
+        """
         self.metrics.tunnels.labels("served", refusal.value).inc()
-        reply_to.put(TunnelRefused(refusal))
+        is_bound = request is not None and bool(request.regions)
+        reply_to.put(TunnelRefused(refusal, self.region() if is_bound else ""))
 
     def fail(self, tunnel: Tunnel, error: int) -> None:
         """Give up a tunnel whose server cannot be connected to."""
@@ -240,7 +262,9 @@
         tunnel.connected = True
         self.selector.unregister(tunnel.server_socket)
         self.metrics.tunnels.labels("served", "opened").inc()
-        tunnel.reply_to.put(TunnelOpened(self.host, self.port, tunnel.token))
+        tunnel.reply_to.put(
+            TunnelOpened(self.host, self.port, tunnel.token, tunnel.region)
+        )
 
     def accept(self) -> None:
         """Accept the other end of a tunnel."""
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -83,6 +83,13 @@
     "StreamVersionReply": stream_versions.StreamVersionReply,
     "EvacuationsAnnounced": evacuations.EvacuationsAnnounced,
 }
+# Fields that older builds do not have, by class; one that holds its default is left
+# out, so that the message is encoded as by those builds.
+ADDED_FIELDS: dict[type, dict[str, Any]] = {
+    tunnels.RequestTunnel: {"regions": ()},
+    tunnels.TunnelOpened: {"region": ""},
+    tunnels.TunnelRefused: {"region": ""},
+}
 FRAME_NAMES = {message_type: name for name, message_type in FRAME_MESSAGES.items()}
 
 
@@ -116,6 +123,15 @@
     return TypeAdapter(message_type)
 
 
+def _dump(message: Any) -> Any:
+    """Return the fields of a message, without added ones that hold their default."""
+    body = _adapter(type(message)).dump_python(message, mode="python")
+    for name, default in ADDED_FIELDS.get(type(message), {}).items():
+        if body[name] == default:
+            del body[name]
+    return body
+
+
 def _pack_gossip(body: dict[str, Any]) -> dict[str, Any]:
     """Write gossip entries as rows without keys: they are most of the idle traffic."""
     if not isinstance(body, dict) or "rumours" not in body:
@@ -140,9 +156,7 @@
         "r": frame.reply,
         "t": [frame.stamp.millis, frame.stamp.counter, frame.stamp.node],
         "k": FRAME_NAMES[message_type],
-        "m": _pack_gossip(
-            _adapter(message_type).dump_python(frame.message, mode="python")
-        ),
+        "m": _pack_gossip(_dump(frame.message)),
     }
     return dumps(body)
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -294,6 +294,7 @@
             notices=self.server_notices_in_force,
             evacuations=self.evacuations_in_force,
             links=self.server_links_known,
+            region=lambda: self.live_settings.value.region,
             metrics=self.metrics,
             **self.shared,
         )
@@ -461,7 +462,13 @@
         stream_version = ResolveStreamVersion(
             self.stream_versions, self.peers, self.clock, self.events
         )
-        choice = ServerChoice(self.server_selection, permits, self.clock, self.metrics)
+        choice = ServerChoice(
+            self.server_selection,
+            permits,
+            self.clock,
+            self.metrics,
+            lambda: self.live_settings.value.regions,
+        )
         dialer = ServerDialer(
             self.server_links_known,
             self.server_links,
--- a/src/hawthornstage/decisions/forwarding.py
+++ b/src/hawthornstage/decisions/forwarding.py
@@ -4,6 +4,7 @@
 
 import hashlib
 
+from hawthornstage.decisions.home_regions import regions_of_call
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.messages.desired import (
     DesiredState,
@@ -43,6 +44,7 @@
         workspace=workspace,
         service=choose_service(route.shares, call.id),
         fingerprint=fingerprint(call, workspace),
+        regions=regions_of_call(route, workspace),
     )
 
 
--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -53,7 +53,13 @@
             limit: Largest number of this router's calls on one server.
             now: Monotonic time in seconds.
         """
-        accepting = self.accepting(want.service, now)
+        if not self.has_server_at_home(want):
+            return NoServerAvailable(
+                f"service {want.service!r} has no server in the home regions of the "
+                f"call's route and workspace",
+                shortage=Shortage.OUTSIDE_HOMES,
+            )
+        accepting = self.accepting(want, now)
         compatible = [each for each in accepting if self.fits_version(each, want)]
         if want.version is not None and not compatible:
             return NoServerAvailable(
@@ -82,12 +88,21 @@
         with_room = [each for each in eligible if self.has_room(each, want, now)]
         return with_room or self.no_room(eligible, want, now)
 
-    def accepting(self, service: str, now: float) -> list[BackendServer]:
-        """Return the servers of a service that accept calls."""
+    def has_server_at_home(self, want: RequestServer) -> bool:
+        """Whether a call without home regions, or a server in one of them, is there."""
+        return want.failure_domains is None or any(
+            server.service == want.service
+            and server.failure_domain in want.failure_domains
+            for server in self.registered.servers.values()
+        )
+
+    def accepting(self, want: RequestServer, now: float) -> list[BackendServer]:
+        """Return the servers of a service, in the call's homes, that accept calls."""
         return [
             server
             for server in self.registered.servers.values()
-            if server.service == service
+            if server.service == want.service
+            and is_at_home(server, want.failure_domains)
             and self.registered.accepts_calls(server.id, now)
             and server.incarnation not in self.notices.leaving
             and not self.loads[server.id].address_reused
@@ -148,6 +163,11 @@
         )
 
 
+def is_at_home(server: BackendServer, failure_domains: frozenset[str] | None) -> bool:
+    """Whether a server is in one of some failure domains; None stands for all."""
+    return failure_domains is None or server.failure_domain in failure_domains
+
+
 def jitter(name: str, server: str) -> float:
     """Return a number in [0, 1) that spreads calls over equal servers."""
     return digest(name, server) / 2**64
--- a/src/hawthornstage/decisions/server_links.py
+++ b/src/hawthornstage/decisions/server_links.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from hawthornstage.decisions.home_regions import is_within
 from hawthornstage.decisions.membership import rendezvous_order
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.server_links import LinkFault, ServerLinks
@@ -24,6 +25,9 @@
 # Routers that one router asks for tunnels: few, so that few connections between routers
 # are opened, and others for each router, so that their load is spread.
 HELPERS = 8
+# Further routers that are asked for calls that are bound to regions, until enough are
+# known to be there.
+FURTHER_HELPERS = 24
 # Time for which a helper that does not reach a server is not asked for it, and for
 # which one that did not reply or has no room is not asked at all, in seconds.
 HELPER_PAUSE_S = 1.0
@@ -42,6 +46,8 @@
         unreachable: Servers that crashed or that a helper doesn't reach, either, by
             incarnation.
         helpers: Routers to ask for tunnels.
+        further_helpers: Routers to ask as well for calls that are bound to regions.
+        helper_regions: Regions of such routers, as far as they are known.
         avoided_until: Time until which a helper is not asked, by its name and server.
     """
 
@@ -50,6 +56,8 @@
     lost_at: dict[str, float] = field(default_factory=dict)
     unreachable: set[str] = field(default_factory=set)
     helpers: tuple[str, ...] = ()
+    further_helpers: tuple[str, ...] = ()
+    helper_regions: dict[str, str] = field(default_factory=dict)
     avoided_until: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def record_failure(
@@ -101,7 +109,14 @@
         """Choose the helpers among the other routers."""
         pairs = {f"{self.node}\0{other}": other for other in others}
         ranked = rendezvous_order("helpers", pairs)
-        self.helpers = tuple(pairs[each] for each in ranked[:HELPERS])
+        chosen = [pairs[each] for each in ranked[: HELPERS + FURTHER_HELPERS]]
+        self.helpers = tuple(chosen[:HELPERS])
+        self.further_helpers = tuple(chosen[HELPERS:])
+        self.helper_regions = {
+            node: region
+            for node, region in self.helper_regions.items()
+            if node in chosen
+        }
 
     def avoid_helper(self, node: str, incarnation: str, now: float) -> None:
         """Stop asking a helper for a server, or for all if `incarnation` is empty."""
@@ -128,20 +143,37 @@
             isolated=self.is_isolated(now),
             helpers=self.helpers,
             avoided_until=dict(self.avoided_until),
+            further_helpers=self.further_helpers,
+            helper_regions=dict(self.helper_regions),
         )
 
 
 def helpers_to_ask(
-    links: ServerLinks, call_id: str, incarnation: str, count: int, now: float
+    links: ServerLinks,
+    call_id: str,
+    incarnation: str,
+    count: int,
+    now: float,
+    regions: frozenset[str] | None = None,
 ) -> tuple[str, ...]:
     """Return the routers to ask for a tunnel, others for each call.
 
+    For a call that is bound to regions, routers that are known to be there come first.
+
     Args:
         links: The links of this router.
         call_id: Id of the call.
         incarnation: The server's incarnation.
         count: Most routers to ask.
         now: Monotonic time in seconds.
+        regions: Regions in which the call may be handled, or None for all.
     """
     able = [node for node in links.helpers if links.may_help(node, incarnation, now)]
-    return tuple(rendezvous_order(call_id, able)[:count])
+    if regions is None:
+        return tuple(rendezvous_order(call_id, able)[:count])
+    able += [n for n in links.further_helpers if links.may_help(n, incarnation, now)]
+    known = links.helper_regions
+    inside = [n for n in able if n in known and is_within(known[n], regions)]
+    unknown = [n for n in able if n not in known]
+    ranked = (*rendezvous_order(call_id, inside), *rendezvous_order(call_id, unknown))
+    return ranked[:count]
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -18,6 +18,7 @@
 from hawthornstage.decisions.server_eligibility import (
     ServerEligibility,
     digest,
+    is_at_home,
     jitter,
 )
 from hawthornstage.decisions.server_loads import SentCall, ServerLoad
@@ -52,6 +53,9 @@
 # Time that a server in another failure domain adds to the estimate, in seconds.
 CROSS_DOMAIN_COST_S = 0.004
 
+# Service, prompt part, and the failure domains in the call's homes.
+PromptKey = tuple[str, str, frozenset[str] | None]
+
 
 @dataclass
 class ServerSelector:
@@ -62,7 +66,7 @@
         registered: Registered servers.
         loads: Load of each server, by id.
         sent: Calls in progress, by id.
-        preferred: Cache of the preferred servers, by service and prompt part.
+        preferred: Cache of the preferred servers.
         notices: What servers have said of themselves.
         evacuations: The failure domains that get nothing new.
         permit_demand: Recent calls and permits of the services with a limited server.
@@ -72,7 +76,7 @@
     registered: RegisteredServers = RegisteredServers({})
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     sent: dict[str, SentCall] = field(default_factory=dict)
-    preferred: dict[tuple[str, str], str] = field(default_factory=dict)
+    preferred: dict[PromptKey, str] = field(default_factory=dict)
     notices: ServerNotices = ServerNotices()
     evacuations: Evacuations = Evacuations()
     permit_demand: dict[str, PermitDemand] = field(default_factory=dict)
@@ -116,7 +120,7 @@
             return outcome
         eligible = self.leave_to_larger(outcome, want, now)
         not_avoided = [s for s in eligible if self.loads[s.id].avoid_until <= now]
-        preferred = self.preferred_server(want.service, want.prompt)
+        preferred = self.preferred_server(want)
         estimates = {
             s.id: self.estimate(s, want, preferred, now)
             for s in not_avoided or eligible
@@ -228,30 +232,41 @@
             tokens -= part.tokens
         return max(0, tokens)
 
-    def preferred_server(self, service: str, prompt: Prompt | None) -> str:
+    def preferred_server(self, want: RequestServer) -> str:
         """Return the id of the server that all routers prefer for a prompt's parts.
 
         It is '' for a prompt without shared parts.
         """
+        prompt = want.prompt
         if prompt is None or not prompt.shared_parts:
             return ""
-        key = (service, prompt.shared_parts[-1].id)
+        part = prompt.shared_parts[-1].id
+        key = (want.service, part, want.failure_domains)
         known = self.preferred.get(key)
         if known is None:
             if len(self.preferred) >= MAX_PROMPT_PARTS:
                 self.preferred.clear()
-            known = self.preferred[key] = rendezvous(key[1], self.staying(service))
+            known = self.preferred[key] = rendezvous(
+                part, self.staying(want.service, want.failure_domains)
+            )
         return known
 
-    def staying(self, service: str) -> list[str]:
+    def staying(
+        self, service: str, failure_domains: frozenset[str] | None = None
+    ) -> list[str]:
         """Return the ids of a service's servers that are expected to stay.
 
         Those that name a limit are left out while there are others.
+
+        Args:
+            service: The service.
+            failure_domains: Failure domains to consider, or None for all.
         """
         staying = [
             server
             for server in self.servers.values()
             if server.service == service
+            and is_at_home(server, failure_domains)
             and not server.leaving
             and server.incarnation not in self.notices.leaving
             and not self.eligibility.is_evacuated(server)
--- a/src/hawthornstage/decisions/tunnels.py
+++ b/src/hawthornstage/decisions/tunnels.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from hawthornstage.decisions.home_regions import is_within
 from hawthornstage.decisions.server_acceptance import why_not_accepting
 from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.host_settings import SocketAddress
@@ -29,6 +30,7 @@
     evacuations: Evacuations,
     links: ServerLinks,
     *,
+    region: str,
     open_tunnels: int,
     stopping: bool,
     now: float,
@@ -43,10 +45,13 @@
         notices: What servers have said of themselves.
         evacuations: The failure domains that get nothing new.
         links: This router's links.
+        region: This router's region, empty if it has none.
         open_tunnels: Tunnels that are open.
         stopping: Whether this router stops.
         now: Monotonic time in seconds.
     """
+    if not is_within(region, frozenset(request.regions) or None):
+        return TunnelRefusal.OUTSIDE_REGIONS
     server = registered.servers.get(request.server)
     if server is None or server.incarnation != request.incarnation:
         return TunnelRefusal.NOT_ACCEPTING
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -43,6 +43,7 @@
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
     EVACUATED = "evacuated"
+    OUTSIDE_HOMES = "outside_homes"
     OUT_OF_TIME = "out_of_time"
     SLOW_REQUEST = "slow_request"
     INTERNAL = "internal"
@@ -200,6 +201,12 @@
         1,
         "All failure domains with servers for the request are evacuated.",
     ),
+    ErrorKind.OUTSIDE_HOMES: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        None,
+        "No server is in the home regions of the request's route and workspace.",
+    ),
     ErrorKind.OUT_OF_TIME: ErrorResponse(
         504,
         ExecutionState.UNKNOWN,
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -51,6 +51,12 @@
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
+# Errors for shortages of servers other than too many calls.
+SHORTAGE_KINDS = {
+    Shortage.EVACUATED: ErrorKind.EVACUATED,
+    Shortage.OUTSIDE_HOMES: ErrorKind.OUTSIDE_HOMES,
+}
+
 
 @dataclass(frozen=True)
 class Forwarder:
@@ -166,8 +172,9 @@
         if choice.version_gone and not (delivery.head_sent or delivery.may_have_run):
             return Failure(ErrorKind.STREAM_NOT_RESUMABLE, choice.reason)
         untouched = not (delivery.head_sent or delivery.may_have_run)
-        if choice.shortage is Shortage.EVACUATED and untouched:
-            return Failure(ErrorKind.EVACUATED, choice.reason)
+        kind = SHORTAGE_KINDS.get(choice.shortage)
+        if kind is not None and untouched:
+            return Failure(kind, choice.reason)
         return self.final_failure(delivery, choice.reason, choice.retry_after_s)
 
     def blocked_failure(self, delivery: Delivery, blocked: Failure) -> Failure | None:
@@ -205,6 +212,7 @@
                 choice,
                 exchange.deadline,
                 failed_before=delivery.failed_to_connect,
+                regions=exchange.regions,
             )
         except OSError as error:
             delivery.failed_to_connect = True
--- a/src/hawthornstage/filters/forward_choice.py
+++ b/src/hawthornstage/filters/forward_choice.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import pykka
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.home_regions import failure_domains_in
 from hawthornstage.filters.forward import TASK_TIMEOUT_S
 from hawthornstage.filters.permits import Permits
 from hawthornstage.messages.desired import Idempotency
@@ -36,12 +38,14 @@
         permits: Permits for servers that have named a limit.
         clock: Source of timeouts.
         metrics: Counts permits.
+        region_of: Returns the region of each failure domain.
     """
 
     serving: pykka.ActorRef
     permits: Permits
     clock: Clock
     metrics: Metrics
+    region_of: Callable[[], Mapping[str, str]] = dict
 
     def choose(
         self, exchange: ForwardExchange, delivery: Delivery
@@ -135,6 +139,7 @@
             repeatable=exchange.route.idempotency is Idempotency.IDEMPOTENT,
             permits_denied=permits_denied,
             version=needed_version(exchange, delivery),
+            failure_domains=failure_domains_in(exchange.regions, self.region_of()),
         )
         reply = ask(self.serving, want, self.clock, timeout=TASK_TIMEOUT_S)
         if reply is None:
--- a/src/hawthornstage/filters/server_dialer.py
+++ b/src/hawthornstage/filters/server_dialer.py
@@ -10,12 +10,14 @@
 from hawthornstage.actors.task import Recipient
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.home_regions import is_within
 from hawthornstage.decisions.server_links import helpers_to_ask
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.server_links import (
     ConnectionLost,
     HelperFailed,
+    HelperRegion,
     LinkFailed,
     LinkFault,
     ServerLinks,
@@ -38,6 +40,9 @@
 # server has failed as that this router's links have.
 MAX_HELPERS_ASKED = 3
 MAX_HELPERS_ASKED_IN_DOUBT = 1
+# The same for a call that is bound to regions, as a multiple: routers whose region is
+# not yet known turn out to be elsewhere.
+ASKED_FOR_REGIONS = 4
 
 
 @dataclass(frozen=True)
@@ -77,6 +82,7 @@
         deadline: float,
         *,
         failed_before: bool,
+        regions: frozenset[str] | None = None,
     ) -> ServerConnection:
         """Return the pooled connection to the server, or open a new one.
 
@@ -86,6 +92,7 @@
             deadline: Monotonic time at which the call ends, in seconds.
             failed_before: Whether another server could not be connected to for this
                 call.
+            regions: Regions in which the call may be handled, or None for all.
 
         Raises:
             OSError: Neither this router nor one that it asked reaches the server.
@@ -109,7 +116,7 @@
                     raise
         in_doubt = not (failed_before or self.is_isolated)
         most = MAX_HELPERS_ASKED_IN_DOUBT if in_doubt else MAX_HELPERS_ASKED
-        return self.connect_through_another(call_id, choice, deadline, most)
+        return self.connect_through_another(call_id, choice, deadline, most, regions)
 
     def note_loss(self, incarnation: str) -> None:
         """Report that a connection broke during a call."""
@@ -128,7 +135,12 @@
         )
 
     def connect_through_another(
-        self, call_id: str, choice: ServerChosen, deadline: float, most: int
+        self,
+        call_id: str,
+        choice: ServerChosen,
+        deadline: float,
+        most: int,
+        regions: frozenset[str] | None,
     ) -> ServerConnection:
         """Open a connection through a router that reaches the server.
 
@@ -137,16 +149,19 @@
             choice: The server.
             deadline: Monotonic time at which the call ends, in seconds.
             most: Most routers to ask.
+            regions: Regions in which the call may be handled, or None for all.
 
         Raises:
             OSError: No router that was asked reaches the server.
         """
         now = self.clock.monotonic()
         server = choice.server
+        if regions is not None:
+            most *= ASKED_FOR_REGIONS
         for node in helpers_to_ask(
-            self.links.value, call_id, server.incarnation, most, now
+            self.links.value, call_id, server.incarnation, most, now, regions
         ):
-            opened = self.request_tunnel(node, choice, deadline)
+            opened = self.request_tunnel(node, choice, deadline, regions)
             if opened is None:
                 continue
             try:
@@ -172,16 +187,35 @@
         raise ConnectionError("neither this router nor one that it asked reaches it")
 
     def request_tunnel(
-        self, node: str, choice: ServerChosen, deadline: float
+        self,
+        node: str,
+        choice: ServerChosen,
+        deadline: float,
+        regions: frozenset[str] | None,
     ) -> TunnelOpened | None:
-        """Ask a router for a tunnel; None if it opens none in time."""
+        """Ask a router for a tunnel; None if it opens none in time or may not carry.
+
+        Args:
+            node: The router.
+            choice: The server.
+            deadline: Monotonic time at which the call ends, in seconds.
+            regions: Regions in which the call may be handled, or None for all.
+        """
         server = choice.server
         time_left_s = deadline - self.clock.monotonic()
-        request = RequestTunnel(server.id, server.incarnation, time_left_s)
+        request = RequestTunnel(
+            server.id, server.incarnation, time_left_s, tuple(sorted(regions or ()))
+        )
         timeout = min(HELPER_TIMEOUT_S, time_left_s)
         match ask_router(self.peers, node, request, self.clock, timeout=timeout):
-            case TunnelOpened() as opened:
+            case TunnelOpened(region=region) as opened if is_within(region, regions):
+                if regions is not None:
+                    self.task.tell(HelperRegion(node, region))
                 return opened
+            case TunnelOpened(region=str(region)) | TunnelRefused(
+                TunnelRefusal.OUTSIDE_REGIONS, region
+            ):
+                self.note_outside(node, region)
             case TunnelRefused(TunnelRefusal.BUSY | TunnelRefusal.ISOLATED as refusal):
                 self.avoid(node, None, refusal.value)
             case TunnelRefused(refusal):
@@ -190,6 +224,18 @@
                 self.avoid(node, None, f"no reply ({type(reply).__name__})")
         return None
 
+    def note_outside(self, node: str, region: str) -> None:
+        """Note that a router may not carry a call, by its region.
+
+        Older builds name none; they may be replaced soon.
+        """
+        if not region:
+            self.avoid(node, None, "it names no region")
+            return
+        refusal = TunnelRefusal.OUTSIDE_REGIONS.value
+        self.metrics.tunnels.labels("used", refusal).inc()
+        self.task.tell(HelperRegion(node, region))
+
     def avoid(self, node: str, incarnation: str | None, reason: str) -> None:
         """Stop asking a router for a while, for one server or for all."""
         self.metrics.tunnels.labels("used", "refused").inc()
--- a/src/hawthornstage/messages/desired.py
+++ b/src/hawthornstage/messages/desired.py
@@ -41,6 +41,7 @@
         latency_objective_s: Latency objective in seconds; for a stream, the time to
             its first event.
         priority: Priority of the route's calls; 0 is the most urgent.
+        regions: The route's home regions, or None for all regions.
     """
 
     name: str
@@ -55,6 +56,7 @@
     timeout_s: float
     latency_objective_s: float
     priority: int
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -90,12 +92,14 @@
         keys: Valid API keys.
         priority: Priority that overrides the routes' priorities, or None.
         budget: Tokens that the workspace may use in total, or None for no limit.
+        regions: The workspace's home regions, or None for all regions.
     """
 
     name: str
     keys: frozenset[str]
     priority: int | None
     budget: int | None
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -111,6 +111,8 @@
         reserved: Tokens reserved for the call.
         stream_version: Version of the servers at which the stream may go on, or None
             if it has not begun.
+        regions: Set by identify: the regions in which the call may be handled, or None
+            for all.
     """
 
     call: ForwardCall
@@ -121,6 +123,7 @@
     fingerprint: str
     reserved: int = 0
     stream_version: str | None = None
+    regions: frozenset[str] | None = None
 
     @property
     def shared_ids(self) -> tuple[str, ...]:
--- a/src/hawthornstage/messages/server_links.py
+++ b/src/hawthornstage/messages/server_links.py
@@ -52,6 +52,19 @@
     incarnation: str | None
 
 
+@dataclass(frozen=True)
+class HelperRegion:
+    """Another router named its region.
+
+    Args:
+        node: The router.
+        region: Its region, empty if it has none.
+    """
+
+    node: str
+    region: str
+
+
 @dataclass(frozen=True)
 class ProbeLinks:
     """Triggers one attempt to connect to a server whose link failed."""
@@ -67,6 +80,8 @@
         isolated: Whether several servers were lost at about the same time, so that it
             is this router's links that fail and not the servers.
         helpers: Routers to ask for a tunnel.
+        further_helpers: Routers to ask as well for calls that are bound to regions.
+        helper_regions: Regions of such routers, as far as they are known.
         avoided_until: Monotonic time until which a helper is not asked, in seconds, by
             its name and the server's incarnation; an empty one stands for all servers.
     """
@@ -75,6 +90,8 @@
     isolated: bool = False
     helpers: tuple[str, ...] = ()
     avoided_until: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    further_helpers: tuple[str, ...] = ()
+    helper_regions: Mapping[str, str] = field(default_factory=dict)
 
     def may_help(self, node: str, incarnation: str, now: float) -> bool:
         """Whether a router may be asked for a tunnel to a server."""
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -56,6 +56,7 @@
         permits_denied: Servers chosen for this attempt before that had no room within
             the limits that they named.
         version: Version that the server must have, or None for any.
+        failure_domains: Failure domains in the call's home regions, or None for all.
     """
 
     call_id: str
@@ -67,6 +68,7 @@
     repeatable: bool = False
     permits_denied: int = 0
     version: str | None = None
+    failure_domains: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -89,6 +91,7 @@
 
     BUSY = "busy"
     EVACUATED = "evacuated"
+    OUTSIDE_HOMES = "outside_homes"
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/messages/tunnels.py
+++ b/src/hawthornstage/messages/tunnels.py
@@ -22,11 +22,14 @@
         server: The server's id.
         incarnation: The server's incarnation.
         time_left_s: Time until the tunnel is not needed any more, in seconds.
+        regions: Regions in which the call may be handled; empty for all. A router that
+            does not know this field names no region in its reply.
     """
 
     server: str
     incarnation: str
     time_left_s: float
+    regions: tuple[str, ...] = ()
 
     @property
     def is_check(self) -> bool:
@@ -43,11 +46,13 @@
         port: Port to connect to.
         token: Secret to send first; it is valid once and for a short time. Empty after
             a check, as there is no tunnel.
+        region: The router's region, if the request named regions.
     """
 
     host: str
     port: int
     token: str
+    region: str = ""
 
 
 class TunnelRefusal(Enum):
@@ -60,13 +65,20 @@
     ISOLATED = "isolated"
     NOT_ACCEPTING = "not_accepting"
     BUSY = "busy"
+    OUTSIDE_REGIONS = "outside_regions"
 
 
 @dataclass(frozen=True)
 class TunnelRefused:
-    """The router opens no tunnel to the server."""
+    """The router opens no tunnel to the server.
+
+    Args:
+        refusal: Why not.
+        region: The router's region, if it is outside of the call's regions.
+    """
 
     refusal: TunnelRefusal
+    region: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/platform/desired_state.py
+++ b/src/hawthornstage/platform/desired_state.py
@@ -32,6 +32,11 @@
     weight: float
 
 
+def to_regions(homes: list[str] | None) -> frozenset[str] | None:
+    """Return home regions; None if there are none, as with an empty list."""
+    return frozenset(homes) if homes else None
+
+
 class RouteModel(BaseModel):
     """A route in the operators' format."""
 
@@ -47,6 +52,7 @@
     max_attempts: int = Field(alias="max-attempts", default=1)
     public: bool = False
     resumable: bool = False
+    homes: list[str] | None = Field(alias="allowed-regions", default=None)
 
     def to_route(self) -> ForwardRoute:
         """Convert to the route that the rest of the code uses."""
@@ -70,6 +76,7 @@
             timeout_s=self.timeout_ms / 1000,
             latency_objective_s=self.objective_ms / 1000,
             priority=self.priority,
+            regions=to_regions(self.homes),
         )
 
 
@@ -128,11 +135,16 @@
     priority: int | None = None
     # Total tokens that the workspace may use over the day.
     prepaid: int | None = None
+    homes: list[str] | None = Field(alias="allowed-regions", default=None)
 
     def to_workspace(self) -> WorkspaceSpec:
         """Convert to the workspace that the rest of the code uses."""
         return WorkspaceSpec(
-            self.name, frozenset(self.api_keys), self.priority, self.prepaid
+            self.name,
+            frozenset(self.api_keys),
+            self.priority,
+            self.prepaid,
+            to_regions(self.homes),
         )
 
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -584,9 +584,7 @@
 def test_domain_is_evacuated_during_calls_and_comes_back(
     start_fleet: StartFleet,
 ) -> None:
-    fleet = start_fleet(routers=2, servers=2)
-    fleet.add_server("desk", "desk-2", zone="b")
-    wait_logged(fleet, "server_seen", 4)
+    fleet = start_fleet(routers=2, servers=2, zones=("b", "a"))
     fleet.control("store", "put", {KEY_A: {}})
     wait_logged(fleet, "evacuation_began")
     before = arrivals(fleet, "desk-1")
@@ -598,7 +596,7 @@
     wait_logged(fleet, "evacuation_began", 2)
     refused = fleet.call("edge-1", NON_IDEMPOTENT_PATH, "n1")
     assert refused.status == 503 and b"evacuated" in refused.body
-    # Routers keep to it while the store is away; one that starts then is not ready.
+    # Routers keep to it while the store is away.
     fleet.control("store", "faults", {"down": True})
     assert fleet.call("edge-2", IDEMPOTENT_PATH, "n2").status == 503
     fleet.control("store", "faults", {"down": False})
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -69,6 +69,7 @@
 
     def __init__(self, tasks: Any) -> None:
         self.links_inbox = Inbox()
+        self.region = "north"
         links: Any = self.links_inbox
         known = LatestValue(ServerLinks())
         self.checks = ReachChecks("b", tasks.registered, known, Clock())
@@ -80,6 +81,7 @@
             notices=tasks.notices,
             evacuations=tasks.evacuations,
             links=known,
+            region=lambda: self.region,
             clock=Clock(),
             events=EventLog("b", Clock()),
             metrics=Metrics(),
@@ -319,6 +321,7 @@
         "notices": ServerNotices(),
         "evacuations": Evacuations(),
         "links": ServerLinks(),
+        "region": "north",
         "open_tunnels": 0,
         "stopping": False,
         **change,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -103,6 +103,8 @@
         budget: Tokens prepaid by the workspace.
         versions: Versions of the servers' software, which those of a service have in
             turn.
+        zones: Failure domains, which the servers of a service have in turn.
+        regions: Region of each failure domain.
     """
 
     def __init__(
@@ -112,10 +114,14 @@
         servers: int = 1,
         budget: int = 1_000_000,
         versions: tuple[str, ...] = ("v1",),
+        zones: tuple[str, ...] = ("a",),
+        regions: dict[str, str] | None = None,
     ) -> None:
         self.names = [f"edge-{number}" for number in range(1, routers + 1)]
         self.server_count = servers
         self.versions = versions
+        self.zones = zones
+        self.regions = regions or {}
         self.budget = budget
         self.version = 1
         self.host = unique_loopback_host()
@@ -130,7 +136,10 @@
         for service in ("models", "desk"):
             for number in range(1, self.server_count + 1):
                 version = self.versions[number % len(self.versions)]
-                self.add_server(service, f"{service}-{number}", version=version)
+                zone = self.zones[number % len(self.zones)]
+                self.add_server(
+                    service, f"{service}-{number}", version=version, zone=zone
+                )
         self.publish_desired_state(desired_state(self.version, self.budget))
         ports = free_ports(self.host, 4 * len(self.names))
         for name in self.names:
@@ -203,6 +212,7 @@
             "node-name": name,
             "ip": self.host,
             "zone": "a",
+            "zones": self.regions,
             "listen": {
                 "front": f"{self.host}:{caller_port}",
                 "ready": f"{self.host}:{ready_port}",
