--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -9,6 +9,7 @@
 import pykka
 
 from hawthornstage.actors.peers.messages import Send
+from hawthornstage.actors.shared_watches import MakeWatchShare
 from hawthornstage.actors.store_watch import StoreWatch
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.border.compression import (
@@ -22,11 +23,6 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
-from hawthornstage.messages.evacuations import (
-    EvacuationChange,
-    EvacuationsRead,
-    StorePosition,
-)
 from hawthornstage.messages.fleet import (
     CompressedStateOffered,
     DesiredStateHeartbeat,
@@ -37,7 +33,7 @@
     RequestDesiredState,
 )
 from hawthornstage.messages.host_settings import StoreBounds
-from hawthornstage.messages.store import Item, Removal
+from hawthornstage.messages.store import Item, ItemsChanged, ItemsListed, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.desired_state import (
     DESIRED_STATE_KEY,
@@ -45,11 +41,6 @@
     DesiredStateError,
     decode_desired_state,
 )
-from hawthornstage.platform.evacuations import (
-    decode_failure_domain,
-    is_evacuation,
-    is_expected_value,
-)
 from hawthornstage.platform.store import StoreClient
 
 # Time for the store to deliver a version before it is fetched from a router, and time
@@ -242,29 +233,32 @@
 
 
 class DesiredStateWatch(StoreWatch):
-    """Owns the watch for what operators write: desired state and evacuations.
+    """Owns the watch for the desired state and the operators' other keys.
 
     Args:
         store: A client used by this thread only.
         task: Gets `DesiredStateReceived`.
-        evacuations: Gets `EvacuationsRead` after each answer of the store.
         bounds: Returns the times within which changes in the store must take effect.
         clock: The runtime's clock.
         events: The event log.
+        share: Makes this watch's part in sharing, or None if it is not shared.
+        followers: Get `ItemsListed` and `ItemsChanged` of all keys below the prefix.
     """
 
     def __init__(
         self,
         store: StoreClient,
         task: pykka.ActorRef,
-        evacuations: pykka.ActorRef,
         bounds: Callable[[], StoreBounds],
         clock: Clock,
         events: EventLog,
+        share: MakeWatchShare | None = None,
+        *,
+        followers: tuple[pykka.ActorRef, ...] = (),
     ) -> None:
-        super().__init__(DESIRED_STATE_PREFIX, store, bounds, clock, events)
+        super().__init__(DESIRED_STATE_PREFIX, store, bounds, clock, events, share)
         self.task = task
-        self.evacuations = evacuations
+        self.followers = followers
 
     def effect_bound(self) -> float:
         """Return the time from a write until it is in force, in seconds."""
@@ -272,48 +266,19 @@
         return min(bounds.desired_state_s, bounds.evacuation_s)
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
-        """Pass on all that operators have written."""
-        self.pass_on(items, complete=True)
+        """Pass the listed desired state to the task, and all items to the followers."""
+        self.pass_desired_state(items)
+        for follower in self.followers:
+            follower.tell(ItemsListed(items, self.epoch, self.revision))
 
     def apply_changes(self, changes: tuple[Item | Removal, ...]) -> None:
-        """Pass on what operators have changed."""
-        self.pass_on(changes, complete=False)
-
-    def pass_on(self, changes: tuple[Item | Removal, ...], *, complete: bool) -> None:
-        """Pass versions of the desired state and evacuations to their tasks.
-
-        Evacuations go first, as they are the narrower of the two.
-
-        Args:
-            changes: What was read.
-            complete: Whether it is all that the store holds.
-        """
-        assert self.revision is not None
-        evacuations = tuple(
-            evacuation
-            for change in changes
-            if is_evacuation(change.key)
-            and (evacuation := self.read_evacuation(change)) is not None
-        )
-        position = StorePosition(self.epoch, self.revision)
-        self.evacuations.tell(EvacuationsRead(evacuations, position, complete))
+        """Pass changes of the desired state to the task, and all to the followers."""
+        self.pass_desired_state(changes)
+        for follower in self.followers:
+            follower.tell(ItemsChanged(changes, self.epoch, self.revision))
+
+    def pass_desired_state(self, changes: tuple[Item | Removal, ...]) -> None:
+        """Pass each version of the desired state to the task."""
         for change in changes:
             if isinstance(change, Item) and change.key == DESIRED_STATE_KEY:
                 self.task.tell(DesiredStateReceived(change.value, "store"))
-
-    def read_evacuation(self, change: Item | Removal) -> EvacuationChange | None:
-        """Return the beginning or end of an evacuation; None without a domain.
-
-        The key alone counts, whatever its value is.
-        """
-        domain = decode_failure_domain(change.key)
-        if domain is None:
-            self.events.emit("evacuation_refused", key=change.key, reason="no domain")
-            return None
-        if isinstance(change, Item) and not is_expected_value(change.value):
-            self.events.emit("evacuation_value_ignored", key=change.key)
-        return EvacuationChange(
-            domain,
-            isinstance(change, Item),
-            StorePosition(self.epoch, change.revision),
-        )
--- a/src/hawthornstage/actors/evacuations.py
+++ b/src/hawthornstage/actors/evacuations.py
@@ -16,13 +16,21 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.evacuations import (
+    EvacuationChange,
     Evacuations,
     EvacuationsAnnounced,
     EvacuationsRead,
+    StorePosition,
 )
 from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.messages.store import Item, ItemsChanged, ItemsListed, Removal
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
+from hawthornstage.platform.evacuations import (
+    decode_failure_domain,
+    is_evacuation,
+    is_expected_value,
+)
 
 
 @dataclass(frozen=True)
@@ -75,8 +83,12 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case EvacuationsRead():
-                self.apply(self.book.read(message, now), "store", now)
+            case ItemsListed(items, epoch, revision):
+                position = StorePosition(epoch, revision)
+                self.read(self.decode(items, epoch), position, now, complete=True)
+            case ItemsChanged(changes, epoch, revision):
+                position = StorePosition(epoch, revision)
+                self.read(self.decode(changes, epoch), position, now, complete=False)
             case Ask(message=EvacuationsAnnounced(records), reply_to=reply_to):
                 self.apply(self.book.hear(records, now), "router", now)
                 reply_to.put(EvacuationsAnnounced(self.book.answer(records, now)))
@@ -88,6 +100,50 @@
             case KnownRouters(urls):
                 self.neighbours = neighbours(self.node, urls)
 
+    def decode(
+        self, changes: tuple[Item | Removal, ...], epoch: int
+    ) -> tuple[EvacuationChange, ...]:
+        """Return the evacuations among the operators' keys.
+
+        The key alone counts, whatever its value is; one that names no failure domain
+        is logged.
+        """
+        evacuations = []
+        for change in changes:
+            if not is_evacuation(change.key):
+                continue
+            domain = decode_failure_domain(change.key)
+            if domain is None:
+                self.events.emit(
+                    "evacuation_refused", key=change.key, reason="no domain"
+                )
+                continue
+            active = isinstance(change, Item)
+            if isinstance(change, Item) and not is_expected_value(change.value):
+                self.events.emit("evacuation_value_ignored", key=change.key)
+            position = StorePosition(epoch, change.revision)
+            evacuations.append(EvacuationChange(domain, active, position))
+        return tuple(evacuations)
+
+    def read(
+        self,
+        changes: tuple[EvacuationChange, ...],
+        position: StorePosition,
+        now: float,
+        *,
+        complete: bool,
+    ) -> None:
+        """Record what the store told.
+
+        Args:
+            changes: Evacuations that began or ended.
+            position: The state of the store up to which all changes are known now.
+            now: Monotonic time in seconds.
+            complete: Whether no other evacuation is in the store.
+        """
+        news = EvacuationsRead(changes, position, complete)
+        self.apply(self.book.read(news, now), "store", now)
+
     def apply(self, changed: list[str], source: str, now: float) -> None:
         """Publish, log and pass on what has changed.
 
--- a/src/hawthornstage/actors/servers/tunnel_ends.py
+++ b/src/hawthornstage/actors/servers/tunnel_ends.py
@@ -78,7 +78,7 @@
     connect_by: float
     use_by: float
     end_by: float
-    region: str = ""
+    region: str | None = None
     connected: bool = False
     router_socket: socket.socket | None = None
     to_server: bytearray = field(default_factory=bytearray)
--- a/src/hawthornstage/actors/servers/tunnels.py
+++ b/src/hawthornstage/actors/servers/tunnels.py
@@ -205,7 +205,7 @@
             connect_by=now + CONNECT_TIMEOUT_S,
             use_by=now + CONNECT_TIMEOUT_S + TOKEN_TIMEOUT_S,
             end_by=now + max(0.0, request.time_left_s) + LINGER_S,
-            region=self.region() if request.regions else "",
+            region=None if request.regions is None else self.region(),
         )
         error = connection.connect_ex((server.host, server.port))
         if error not in (0, errno.EINPROGRESS):
@@ -228,8 +228,8 @@
             request: The request, if it named what is refused.
         """
         self.metrics.tunnels.labels("served", refusal.value).inc()
-        is_bound = request is not None and bool(request.regions)
-        reply_to.put(TunnelRefused(refusal, self.region() if is_bound else ""))
+        is_bound = request is not None and request.regions is not None
+        reply_to.put(TunnelRefused(refusal, self.region() if is_bound else None))
 
     def fail(self, tunnel: Tunnel, error: int) -> None:
         """Give up a tunnel whose server cannot be connected to."""
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -21,6 +21,7 @@
     members,
     server_limits,
     server_notices,
+    shared_watches,
     stream_versions,
     tunnels,
 )
@@ -82,19 +83,17 @@
     "RequestStreamVersion": stream_versions.RequestStreamVersion,
     "StreamVersionReply": stream_versions.StreamVersionReply,
     "EvacuationsAnnounced": evacuations.EvacuationsAnnounced,
-}
-# Fields that older builds do not have, by class; one that holds its default is left
-# out, so that the message is encoded as by those builds.
-ADDED_FIELDS: dict[type, dict[str, Any]] = {
-    tunnels.RequestTunnel: {"regions": ()},
-    tunnels.TunnelOpened: {"region": ""},
-    tunnels.TunnelRefused: {"region": ""},
+    "RequestChanges": shared_watches.RequestChanges,
+    "ChangesRead": shared_watches.ChangesRead,
+    "ChangesUnavailable": shared_watches.ChangesUnavailable,
 }
 FRAME_NAMES = {message_type: name for name, message_type in FRAME_MESSAGES.items()}
 
 
 # Order of the values in a row that encodes one gossip entry.
 GOSSIP_COLUMNS = tuple(each.name for each in fields(members.GossipEntry))
+# Fields that are left out where they are empty, as older builds do.
+OPTIONAL_FIELDS = frozenset({"region", "regions", "slow_start"})
 
 
 class FrameError(Exception):
@@ -123,15 +122,6 @@
     return TypeAdapter(message_type)
 
 
-def _dump(message: Any) -> Any:
-    """Return the fields of a message, without added ones that hold their default."""
-    body = _adapter(type(message)).dump_python(message, mode="python")
-    for name, default in ADDED_FIELDS.get(type(message), {}).items():
-        if body[name] == default:
-            del body[name]
-    return body
-
-
 def _pack_gossip(body: dict[str, Any]) -> dict[str, Any]:
     """Write gossip entries as rows without keys: they are most of the idle traffic."""
     if not isinstance(body, dict) or "rumours" not in body:
@@ -148,6 +138,17 @@
     return {**body, "rumours": entries}
 
 
+def _drop_empty(value: Any) -> Any:
+    """Drop the optional fields that are empty from a message and what it holds."""
+    if not isinstance(value, dict):
+        return value
+    return {
+        name: _drop_empty(each)
+        for name, each in value.items()
+        if not (name in OPTIONAL_FIELDS and each is None)
+    }
+
+
 def encode_frame(frame: Frame) -> bytes:
     """Return a frame as CBOR."""
     message_type = type(frame.message)
@@ -156,7 +157,11 @@
         "r": frame.reply,
         "t": [frame.stamp.millis, frame.stamp.counter, frame.stamp.node],
         "k": FRAME_NAMES[message_type],
-        "m": _pack_gossip(_dump(frame.message)),
+        "m": _drop_empty(
+            _pack_gossip(
+                _adapter(message_type).dump_python(frame.message, mode="python")
+            )
+        ),
     }
     return dumps(body)
 
--- a/src/hawthornstage/decisions/home_regions.py
+++ b/src/hawthornstage/decisions/home_regions.py
@@ -40,11 +40,11 @@
     )
 
 
-def is_within(region: str, regions: frozenset[str] | None) -> bool:
+def is_within(region: str | None, regions: frozenset[str] | None) -> bool:
     """Whether a router in a region may carry a call that is bound to some.
 
     Args:
-        region: The router's region, empty if it has none.
+        region: The router's region, empty or None if it has or names none.
         regions: The call's regions, or None for all.
     """
     return regions is None or (bool(region) and region in regions)
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from hawthornstage.decisions.connection_share import LimitRange, most_calls
 from hawthornstage.decisions.permit_demand import PermitDemand
 from hawthornstage.decisions.server_eligibility import (
     ServerEligibility,
@@ -112,7 +113,7 @@
 
         Args:
             want: The call.
-            limit: Largest number of this router's calls on one server.
+            limit: Number of this router's calls on a server that it knows nothing of.
             now: Monotonic time in seconds.
         """
         outcome = self.eligibility.eligible(want, limit, now)
@@ -134,7 +135,8 @@
             running=load.running,
             last_answer_age_s=now - load.lateness_at if load.lateness_at else None,
         )
-        self.record_sent(server, want, preferred, now)
+        limits = LimitRange(limit, most_calls(want.max_connections_per_server))
+        self.record_sent(server, want, preferred, limits, now)
         return ServerChosen(server, basis)
 
     def replace_notices(self, notices: ServerNotices) -> None:
@@ -160,8 +162,8 @@
         return self.permit_demand.setdefault(service, PermitDemand())
 
     def is_limited(self, server: BackendServer) -> bool:
-        """Whether a server has named a limit."""
-        return server.incarnation in self.notices.calls_per_s
+        """Whether a server has named a limit, or is cold."""
+        return self.notices.is_limited(server.incarnation)
 
     def leave_to_larger(
         self, servers: list[BackendServer], want: RequestServer, now: float
@@ -256,7 +258,8 @@
     ) -> list[str]:
         """Return the ids of a service's servers that are expected to stay.
 
-        Those that name a limit are left out while there are others.
+        Those that name a limit are left out while there are others. Cold ones are not:
+        they are warm soon, and calls would then have to move back.
 
         Args:
             service: The service.
@@ -272,11 +275,17 @@
             and not self.eligibility.is_evacuated(server)
             and not self.loads[server.id].address_reused
         ]
-        unlimited = [each for each in staying if not self.is_limited(each)]
+        named = self.notices.calls_per_s
+        unlimited = [each for each in staying if each.incarnation not in named]
         return [server.id for server in unlimited or staying]
 
     def record_sent(
-        self, server: BackendServer, want: RequestServer, preferred: str, now: float
+        self,
+        server: BackendServer,
+        want: RequestServer,
+        preferred: str,
+        limits: LimitRange,
+        now: float,
     ) -> None:
         """Record a call that is sent to a server."""
         load = self.loads[server.id]
@@ -292,7 +301,7 @@
         load.calls[want.call_id] = tokens
         load.running += 1
         expected = tokens / PREFILL_TOKENS_PER_S
-        self.sent[want.call_id] = SentCall(server.id, now, expected)
+        self.sent[want.call_id] = SentCall(server.id, now, expected, limits)
 
     def record_first_byte(self, call_id: str, now: float) -> None:
         """Record the first byte of an answer, and its lateness."""
@@ -319,7 +328,8 @@
         if sent is None or load is None:
             return None
         load.calls.pop(ended.call_id, None)
-        load.running = max(0, load.running - 1)
+        running = load.running
+        load.running = max(0, running - 1)
         if ended.address_reused:
             load.address_reused = True
             self.preferred.clear()
@@ -327,8 +337,10 @@
             load.failures += 1
             pause = INITIAL_AVOIDANCE_S * 2 ** min(load.failures - 1, 6)
             load.avoid_until = now + min(pause, MAX_AVOIDANCE_S)
+            load.call_limit.lower_after_refusal(sent.limits, running)
         elif sent.first_byte_received:
             load.failures = 0
+            load.call_limit.raise_after_success(sent.limits, running)
         return sent.server
 
 
--- a/src/hawthornstage/decisions/tunnels.py
+++ b/src/hawthornstage/decisions/tunnels.py
@@ -50,7 +50,8 @@
         stopping: Whether this router stops.
         now: Monotonic time in seconds.
     """
-    if not is_within(region, frozenset(request.regions) or None):
+    regions = None if request.regions is None else frozenset(request.regions)
+    if not is_within(region, regions):
         return TunnelRefusal.OUTSIDE_REGIONS
     server = registered.servers.get(request.server)
     if server is None or server.incarnation != request.incarnation:
--- a/src/hawthornstage/filters/server_dialer.py
+++ b/src/hawthornstage/filters/server_dialer.py
@@ -204,17 +204,20 @@
         server = choice.server
         time_left_s = deadline - self.clock.monotonic()
         request = RequestTunnel(
-            server.id, server.incarnation, time_left_s, tuple(sorted(regions or ()))
+            server.id,
+            server.incarnation,
+            time_left_s,
+            None if regions is None else tuple(sorted(regions)),
         )
         timeout = min(HELPER_TIMEOUT_S, time_left_s)
         match ask_router(self.peers, node, request, self.clock, timeout=timeout):
             case TunnelOpened(region=region) as opened if is_within(region, regions):
-                if regions is not None:
+                if region:
                     self.task.tell(HelperRegion(node, region))
                 return opened
-            case TunnelOpened(region=str(region)) | TunnelRefused(
-                TunnelRefusal.OUTSIDE_REGIONS, region
-            ):
+            case TunnelOpened(region=region):
+                self.note_outside(node, region)
+            case TunnelRefused(TunnelRefusal.OUTSIDE_REGIONS, region):
                 self.note_outside(node, region)
             case TunnelRefused(TunnelRefusal.BUSY | TunnelRefusal.ISOLATED as refusal):
                 self.avoid(node, None, refusal.value)
@@ -224,7 +227,7 @@
                 self.avoid(node, None, f"no reply ({type(reply).__name__})")
         return None
 
-    def note_outside(self, node: str, region: str) -> None:
+    def note_outside(self, node: str, region: str | None) -> None:
         """Note that a router may not carry a call, by its region.
 
         Older builds name none; they may be replaced soon.
--- a/src/hawthornstage/messages/host_settings.py
+++ b/src/hawthornstage/messages/host_settings.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from hawthornstage.messages.slow_start import SlowStartBounds
+
 
 @dataclass(frozen=True)
 class SocketAddress:
@@ -52,6 +54,7 @@
         retry_slack: Fleet-wide retries allowed in addition.
         retry_window_s: Length of the window in which retries are counted, in seconds.
         regions: Region of each failure domain; one that is missing has none.
+        slow_start_bounds: What a cold server may get in any one second.
     """
 
     node: str
@@ -67,6 +70,7 @@
     retry_slack: float
     retry_window_s: float
     regions: Mapping[str, str] = field(default_factory=dict)
+    slow_start_bounds: SlowStartBounds = SlowStartBounds()
 
     @property
     def region(self) -> str:
--- a/src/hawthornstage/messages/tunnels.py
+++ b/src/hawthornstage/messages/tunnels.py
@@ -22,14 +22,14 @@
         server: The server's id.
         incarnation: The server's incarnation.
         time_left_s: Time until the tunnel is not needed any more, in seconds.
-        regions: Regions in which the call may be handled; empty for all. A router that
-            does not know this field names no region in its reply.
+        regions: Regions in which the call may be handled, or None for all. A router
+            that does not know this field names no region in its reply.
     """
 
     server: str
     incarnation: str
     time_left_s: float
-    regions: tuple[str, ...] = ()
+    regions: tuple[str, ...] | None = None
 
     @property
     def is_check(self) -> bool:
@@ -52,7 +52,7 @@
     host: str
     port: int
     token: str
-    region: str = ""
+    region: str | None = None
 
 
 class TunnelRefusal(Enum):
@@ -78,7 +78,7 @@
     """
 
     refusal: TunnelRefusal
-    region: str = ""
+    region: str | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -44,6 +44,8 @@
     Changes,
     HistoryCompacted,
     Item,
+    ItemsChanged,
+    ItemsListed,
     Listing,
     Removal,
     StoreNoResponse,
@@ -247,13 +249,46 @@
     return Item(key, value, revision)
 
 
-def watch_of(clock: Any, events: EventLog, *outcomes: Any) -> tuple[Any, Any, Any]:
-    """Return a watch, its store and the inbox of the evacuations' task."""
+class Follower:
+    """Hands what the watch passes on to the task at once."""
+
+    def __init__(self, clock: ManualClock, events: EventLog) -> None:
+        peers: Any = Inbox()
+        self.task: Any = make_task("edge-1", peers, clock, events)
+
+    def tell(self, message: Any) -> None:
+        """Handle a message."""
+        self.task.handle(message)
+
+    @property
+    def book(self) -> EvacuationBook:
+        """What the task knows."""
+        return self.task.book
+
+
+def make_task(node: str, peers: Any, clock: ManualClock, events: EventLog) -> Any:
+    """Return the task that owns a router's evacuations."""
+    return EvacuationsTask(
+        node,
+        LatestValue(Evacuations()),
+        (),
+        peers,
+        lambda: frozenset("ab"),
+        metrics=Metrics(),
+        clock=clock,
+        events=events,
+    )
+
+
+def watch_of(clock: ManualClock, events: EventLog, *outcomes: Any) -> Any:
+    """Return a watch, its store and the follower with the evacuations' task."""
     store: Any = OperatorStore(*outcomes)
-    inbox: Any = Inbox()
+    follower: Any = Follower(clock, events)
     states: Any = Inbox()
-    watch = DesiredStateWatch(store, states, inbox, StoreBounds, clock, events)
-    return watch, store, (inbox, states)
+    watch = DesiredStateWatch(
+        store, states, StoreBounds, clock, events, followers=(follower,)
+    )
+    return watch, store, follower
 
 
 def test_watch_passes_evacuations_and_versions_on(
@@ -266,16 +301,13 @@
         HistoryCompacted(),
         Listing((item(KEY_B, 7),), 12),
     )
-    watch, _, (inbox, states) = watch_of(clock, events, *outcomes)
+    watch, _, follower = watch_of(clock, events, *outcomes)
+    seen = []
     for _ in range(len(outcomes)):
         assert watch.step()
-    assert inbox.messages == [
-        read(change("a", True, 4), at=6, complete=True),
-        read(change("b", True, 7), change("a", False, 8), at=8),
-        read(at=9),
-        read(change("b", True, 7), at=12, complete=True),
-    ]
-    assert states.messages == [DesiredStateReceived(b"{}", "store")]
+        seen.append((set(follower.book.active()), follower.book.position.revision))
+    assert seen == [({"a"}, 6), ({"b"}, 8), ({"b"}, 9), ({"b"}, 9), ({"b"}, 12)]
+    assert watch.task.messages == [DesiredStateReceived(b"{}", "store")]
 
 
 @pytest.mark.parametrize(
@@ -295,11 +327,11 @@
     key: str, value: bytes, domain: str | None, clock: ManualClock, events: EventLog
 ) -> None:
     listing = Listing((item(key, 4, value),), 6)
-    watch, _, (inbox, _) = watch_of(clock, events, listing, Changes((), 7))
+    watch, _, follower = watch_of(clock, events, listing, Changes((), 7))
     assert watch.step()
-    changes = () if domain is None else (change(domain, True, 4),)
-    assert inbox.messages == [read(*changes, at=6, complete=True)]
+    assert follower.book.active() == ({domain} if domain else frozenset())
     assert watch.step()
+    assert follower.book.position == StorePosition(1, 7)
 
 
 def test_watch_is_repeated_in_time_if_its_response_is_lost(
@@ -323,14 +355,16 @@
         Changes((), 7),
         Listing((), 3),
     )
-    watch, _, (inbox, _) = watch_of(clock, events, *outcomes)
-    book = EvacuationBook()
+    watch, _, follower = watch_of(clock, events, *outcomes)
     for expected in (True, False, True, True):
         assert watch.step() is expected
-    for message in inbox.messages:
-        book.read(message, clock.monotonic())
-    assert book.position == StorePosition(2, 3)
-    assert book.active() == {"a"}
+        assert follower.book.active() == {"a"}
+    assert follower.book.position == StorePosition(2, 3)
+    clock.advance(REWRITE_S)
+    follower.tell(CheckEvacuations())
+    assert follower.task.in_force.value == Evacuations(
+        ended_at={"a": clock.monotonic()}
+    )
 
 
 # Routers that tell each other.
@@ -347,18 +381,9 @@
         self.tasks: dict[str, Any] = {}
         for name in self.names:
             peers: Any = self.inboxes[name]
-            task = self.tasks[name] = EvacuationsTask(
-                name,
-                LatestValue(Evacuations()),
-                (),
-                peers,
-                lambda: frozenset("ab"),
-                metrics=Metrics(),
-                clock=clock,
-                events=events,
-            )
+            task = self.tasks[name] = make_task(name, peers, clock, events)
             task.handle(KnownRouters({n: "" for n in self.names if n != name}))
-            task.handle(read(at=1, complete=True))
+            task.handle(ItemsListed((), 1, 1))
 
     def deliver(self) -> int:
         """Deliver messages until none is left; return how many were sent."""
@@ -408,10 +433,10 @@
     routers = Routers(size, clock, events)
     everyone = set(routers.names)
     first = routers.tasks["edge-0"]
-    first.handle(read(change("a", True, 2), change("b", True, 3), at=3))
+    first.handle(ItemsChanged((item(KEY_A, 2), item(KEY_B, 3)), 1, 3))
     routers.deliver()
     assert routers.knowing("a", "b") == everyone
-    first.handle(read(change("a", False, 4), at=4))
+    first.handle(ItemsChanged((Removal(KEY_A, 4),), 1, 4))
     routers.deliver()
     assert routers.knowing("b") == everyone
 
@@ -421,14 +446,14 @@
 ) -> None:
     routers = Routers(24, clock, events)
     routers.cut_off = {"edge-5", "edge-7"}
-    routers.tasks["edge-0"].handle(read(change("a", True, 2), at=2))
+    routers.tasks["edge-0"].handle(ItemsChanged((item(KEY_A, 2),), 1, 2))
     routers.deliver()
     assert routers.knowing() == routers.cut_off
     routers.cut_off = set()
     routers.pass_time(10)
     assert routers.knowing("a") == set(routers.names)
     routers.cut_off = {"edge-5"}
-    routers.tasks["edge-0"].handle(read(change("a", False, 3), at=3))
+    routers.tasks["edge-0"].handle(ItemsChanged((Removal(KEY_A, 3),), 1, 3))
     routers.pass_time(400)
     assert routers.knowing("a") == {"edge-5"}
     routers.cut_off = set()
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -183,7 +183,7 @@
         """Deliver a request as an older build decodes it."""
         request = message.message
         if isinstance(request, RequestTunnel):
-            message = replace(message, message=replace(request, regions=()))
+            message = replace(message, message=replace(request, regions=None))
         self.helper.tell(message)
 
 
@@ -243,7 +243,7 @@
     address = ScriptedServer([None]).start()
     helper = start_helper(address)
     opened = helper.request(server_at(address), SOON)
-    assert isinstance(opened, TunnelOpened) and opened.region == ""
+    assert isinstance(opened, TunnelOpened) and opened.region is None
 
 
 def test_routers_at_home_are_asked_first_and_those_elsewhere_never() -> None:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -170,6 +170,8 @@
         *,
         version: str = "v1",
         zone: str = "a",
+        born: int = 1,
+        cold_left_ms: int = 0,
     ) -> None:
         """Register a backend server in the store, and start it if necessary."""
         if name not in self.processes:
@@ -181,7 +183,8 @@
             "slots": 8,
             "state": state,
             "version": version,
-            "born": 1,
+            "born": born,
+            "cold-left-ms": cold_left_ms,
         }
         self.control("store", "put", {f"servers/{name}": entry})
 
