--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -121,7 +121,9 @@
             return outcome
         eligible = self.leave_to_larger(outcome, want, now)
         not_avoided = [s for s in eligible if self.loads[s.id].avoid_until <= now]
-        preferred = self.preferred_server(want)
+        preferred = self.preferred_server(
+            want.service, want.prompt, want.failure_domains
+        )
         estimates = {
             s.id: self.estimate(s, want, preferred, now)
             for s in not_avoided or eligible
@@ -234,22 +236,31 @@
             tokens -= part.tokens
         return max(0, tokens)
 
-    def preferred_server(self, want: RequestServer) -> str:
+    def preferred_server(
+        self,
+        service: str,
+        prompt: Prompt | None,
+        failure_domains: frozenset[str] | None = None,
+    ) -> str:
         """Return the id of the server that all routers prefer for a prompt's parts.
 
         It is '' for a prompt without shared parts.
+
+        Args:
+            service: The service.
+            prompt: The prompt's declared size, or None.
+            failure_domains: Failure domains to consider, or None for all.
         """
-        prompt = want.prompt
         if prompt is None or not prompt.shared_parts:
             return ""
         part = prompt.shared_parts[-1].id
-        key = (want.service, part, want.failure_domains)
+        key = (service, part, failure_domains)
         known = self.preferred.get(key)
         if known is None:
             if len(self.preferred) >= MAX_PROMPT_PARTS:
                 self.preferred.clear()
             known = self.preferred[key] = rendezvous(
-                part, self.staying(want.service, want.failure_domains)
+                part, self.staying(service, failure_domains)
             )
         return known
 
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -113,6 +113,7 @@
             if it has not begun.
         regions: Set by identify: the regions in which the call may be handled, or None
             for all.
+        waited_s: Time for which the call waited for room, in seconds.
     """
 
     call: ForwardCall
@@ -124,6 +125,7 @@
     reserved: int = 0
     stream_version: str | None = None
     regions: frozenset[str] | None = None
+    waited_s: float = 0.0
 
     @property
     def shared_ids(self) -> tuple[str, ...]:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -248,7 +248,7 @@
         lambda: BOUNDS,
         clock,
         events,
-        Direct(),  # type: ignore[arg-type]
+        slow_starts=Direct(),  # type: ignore[arg-type]
     )
     registry.step()
     assert seen == [{}]
@@ -446,7 +446,9 @@
 
 def make_choice(notices: ServerNotices, task: Any, clock: ManualClock) -> ServerChoice:
     """Return the choice of servers over the task that issues permits."""
-    permits = Permits(task, Inbox(), LatestValue(notices), clock)
+    permits = Permits(
+        task, Inbox(), LatestValue(notices), LatestValue(Evacuations()), clock
+    )
     return ServerChoice(Inbox(), permits, clock, Metrics())  # type: ignore[arg-type]
 
 
