--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -33,6 +33,7 @@
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.forward import Delivery
 from hawthornstage.messages.host_settings import StoreBounds
+from hawthornstage.messages.server_links import LinkFault, ServerLinks
 from hawthornstage.messages.server_selection import (
     NoServerAvailable,
     RegisteredServers,
@@ -54,9 +55,16 @@
 from hawthornstage.observe.metrics import Metrics
 from tests.conftest import StartFleet
 from tests.connection_pair import CallerPair
-from tests.delivery_world import ScriptedServer, Tasks, exchange_for, make_forwarder
+from tests.delivery_world import (
+    ScriptedServer,
+    Tasks,
+    exchange_for,
+    make_forwarder,
+    server_at,
+)
 from tests.draws_world import Inbox, Reply
 from tests.test_serving import LIMIT, make_server, want
+from tests.test_tunnels import StartHelper, start_helper  # noqa: F401
 from tools.cluster import wait_until
 from tools.fleet import IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, Fleet
 
@@ -439,6 +447,10 @@
     first.handle(ItemsChanged((Removal(KEY_A, 4),), 1, 4))
     routers.deliver()
     assert routers.knowing("b") == everyone
+    for task in routers.tasks.values():
+        shown = task.metrics.registry.get_sample_value
+        assert shown("hawthornstage_evacuated", {"failure_domain": "a"}) == 0
+        assert shown("hawthornstage_evacuated", {"failure_domain": "b"}) == 1
 
 
 def test_router_that_returns_from_a_cut_learns_what_it_missed(
@@ -587,6 +599,34 @@
     assert failure is not None and failure.kind is ErrorKind.SERVER_FAILED
 
 
+@pytest.mark.parametrize("knows", ["caller's router", "carrying router"])
+def test_either_router_of_a_relay_keeps_to_the_evacuation(
+    knows: str,
+    pair: CallerPair,
+    start_helper: StartHelper,  # noqa: F811
+) -> None:
+    server = ScriptedServer([None])
+    address = server.start()
+    helper = start_helper(address)
+    tasks = helper.tasks
+    failed = {server_at(address).incarnation: LinkFault.SILENT}
+    tasks.links.publish(ServerLinks(failed, True, helpers=("b",)))
+    tasks.peers = helper
+    evacuated = LatestValue(Evacuations(frozenset({"z"})))
+    if knows == "carrying router":
+        helper.task.evacuations = evacuated
+    else:
+        helper.task.evacuations = LatestValue(Evacuations())
+        tasks.evacuations = evacuated
+    delivery = Delivery()
+    exchange = exchange_for("/open/x", arrived=Clock().monotonic())
+    forwarder = make_forwarder(tasks, Clock())
+    failure = forwarder.deliver(exchange, pair.connection, delivery)
+    assert failure is not None and response_for(failure).status == 503
+    assert (delivery.attempts, delivery.may_have_run) == (0, False)
+    assert not any(server.seen)
+
+
 # Over processes.
 
 
