--- a/src/hawthornstage/decisions/tunnels.py
+++ b/src/hawthornstage/decisions/tunnels.py
@@ -4,7 +4,9 @@
 
 from typing import Any
 
+from hawthornstage.decisions.home_regions import is_within
 from hawthornstage.decisions.server_acceptance import why_not_accepting
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.lost_servers import Reach
 from hawthornstage.messages.server_links import ServerLinks
@@ -25,8 +27,10 @@
     request: RequestTunnel,
     registered: RegisteredServers,
     notices: ServerNotices,
+    evacuations: Evacuations,
     links: ServerLinks,
     *,
+    region: str,
     open_tunnels: int,
     stopping: bool,
     now: float,
@@ -39,15 +43,20 @@
         request: The request.
         registered: The servers that may get calls.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         links: This router's links.
+        region: This router's region, empty if it has none.
         open_tunnels: Tunnels that are open.
         stopping: Whether this router stops.
         now: Monotonic time in seconds.
     """
+    regions = None if request.regions is None else frozenset(request.regions)
+    if not is_within(region, regions):
+        return TunnelRefusal.OUTSIDE_REGIONS
     server = registered.servers.get(request.server)
     if server is None or server.incarnation != request.incarnation:
         return TunnelRefusal.NOT_ACCEPTING
-    if why_not_accepting(server, registered, notices, now) is not None:
+    if why_not_accepting(server, registered, notices, evacuations, now) is not None:
         return TunnelRefusal.NOT_ACCEPTING
     if server.incarnation in links.failed:
         isolated = links.isolated
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -43,6 +43,8 @@
     CALL_BLOCKED = "call_blocked"
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
+    EVACUATED = "evacuated"
+    OUTSIDE_HOMES = "outside_homes"
     OUT_OF_TIME = "out_of_time"
     SLOW_REQUEST = "slow_request"
     INTERNAL = "internal"
@@ -200,6 +202,18 @@
         None,
         "The stream cannot go on: there is no server of the version that began it.",
     ),
+    ErrorKind.EVACUATED: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        1,
+        "All failure domains with servers for the request are evacuated.",
+    ),
+    ErrorKind.OUTSIDE_HOMES: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        None,
+        "No server is in the home regions of the request's route and workspace.",
+    ),
     ErrorKind.OUT_OF_TIME: ErrorResponse(
         504,
         ExecutionState.UNKNOWN,
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -111,6 +111,8 @@
         reserved: Tokens reserved for the call.
         stream_version: Version of the servers at which the stream may go on, or None
             if it has not begun.
+        regions: Set by identify: the regions in which the call may be handled, or None
+            for all.
         waited_s: Time for which the call waited for room, in seconds.
     """
 
@@ -122,6 +124,7 @@
     fingerprint: str
     reserved: int = 0
     stream_version: str | None = None
+    regions: frozenset[str] | None = None
     waited_s: float = 0.0
 
     @property
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -105,6 +105,8 @@
             turn.
         host_limits: Limits of each router's host, as in its settings file.
         caller_limits: Limits of callers' requests, as in the desired state.
+        zones: Failure domains, which the servers of a service have in turn.
+        regions: Region of each failure domain.
     """
 
     def __init__(
@@ -116,10 +118,14 @@
         versions: tuple[str, ...] = ("v1",),
         host_limits: dict[str, float] | None = None,
         caller_limits: dict[str, float] | None = None,
+        zones: tuple[str, ...] = ("a",),
+        regions: dict[str, str] | None = None,
     ) -> None:
         self.names = [f"edge-{number}" for number in range(1, routers + 1)]
         self.server_count = servers
         self.versions = versions
+        self.zones = zones
+        self.regions = regions or {}
         self.budget = budget
         self.host_limits = host_limits or {}
         self.caller_limits = caller_limits or {}
@@ -136,7 +142,10 @@
         for service in ("models", "desk"):
             for number in range(1, self.server_count + 1):
                 version = self.versions[number % len(self.versions)]
-                self.add_server(service, f"{service}-{number}", version=version)
+                zone = self.zones[number % len(self.zones)]
+                self.add_server(
+                    service, f"{service}-{number}", version=version, zone=zone
+                )
         self.publish_desired_state(
             desired_state(self.version, self.budget, limits=self.caller_limits)
         )
@@ -168,6 +177,7 @@
         state: str = "ready",
         *,
         version: str = "v1",
+        zone: str = "a",
         born: int = 1,
         cold_left_ms: int = 0,
     ) -> None:
@@ -177,7 +187,7 @@
         entry = {
             "service": service,
             "address": f"127.0.0.1:{self.processes[name].port}",
-            "zone": "a",
+            "zone": zone,
             "slots": 8,
             "state": state,
             "version": version,
@@ -213,6 +223,7 @@
             "node-name": name,
             "ip": self.host,
             "zone": "a",
+            "zones": self.regions,
             "listen": {
                 "front": f"{self.host}:{caller_port}",
                 "ready": f"{self.host}:{ready_port}",
