Close callers' connections while the router takes no new ones

An overloaded router said that it was not ready, but callers with kept connections stayed with it, so its load did not fall. During such a pause, and during a stop, a response now announces that its connection closes.

tests/test_caller_listener.py: the new test failed with the pause left out of the condition (the connection stayed open), and passes now.

--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -63,6 +63,7 @@
         forwarder: Sends the call to a server and relays the response.
         memory: Memory of request bodies.
         host: What the router may take of its host.
+        accepting: Whether the router takes new connections.
         desired: The desired state in use, for the limits of callers.
         clock: The runtime's clock.
         events: The event log.
@@ -75,6 +76,7 @@
     forwarder: Forwarder
     memory: ConnectionMemory
     host: HostLimits
+    accepting: LatestValue[bool]
     desired: LatestValue[DesiredState | None]
     clock: Clock
     events: EventLog
@@ -213,15 +215,22 @@
             self.report(call, None, Delivery(), failure, 0)
             self.send_error(call.id, failure, close=True)
             return False
+        if self.sends_callers_away:
+            self.caller.announce_close()
         with self.connections.active_call():
             delivery = Delivery()
             failure = self.forward(call, delivery)
             if failure is not None:
-                self.send_error(call.id, failure, close=self.stopping.closing)
+                self.send_error(call.id, failure, close=self.sends_callers_away)
             elif delivery.outcome != "answered":
                 return False
         return self.caller.prepare_next_request() and not self.stopping.closing
 
+    @property
+    def sends_callers_away(self) -> bool:
+        """Whether callers should send their next request to another router."""
+        return self.stopping.closing or not self.pipe.accepting.value
+
     def forward(self, call: ForwardCall, delivery: Delivery) -> Failure | None:
         """Pass a call through the pipe, settle its tokens and report its end."""
         pipe = self.pipe
--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -39,6 +39,7 @@
         self.parser = self.new_parser()
         # Whether the response is sent in chunks, and the decoder of a chunked request.
         self.chunked = False
+        self.closing = False
         self.request_chunks: ChunkedDecoder | None = None
         set_socket_options(connection)
         connection.settimeout(SEND_TIMEOUT_S)
@@ -93,6 +94,10 @@
         if data:
             self.socket.sendall(data)
 
+    def announce_close(self) -> None:
+        """Make the next response announce that the connection closes after it."""
+        self.closing = True
+
     def send_head(self, status: int, headers: Headers, *, close: bool) -> None:
         """Send the head of a response.
 
@@ -102,7 +107,7 @@
             close: Whether to announce that the connection closes afterwards.
         """
         encoded_headers = [(name, value.encode("latin-1")) for name, value in headers]
-        if close:
+        if close or self.closing:
             encoded_headers.append(("connection", b"close"))
         self.send(h11.Response(status_code=status, headers=encoded_headers))
         sized = any(name == "content-length" for name, _ in headers)
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -559,6 +559,7 @@
                 metrics=self.metrics,
             ),
             memory=memory,
+            accepting=self.accepting,
             host=self.settings.limits,
             desired=self.desired,
             clock=self.clock,
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -67,6 +67,7 @@
         reserve=unused,
         forwarder=unused,
         memory=ConnectionMemory(unused, Clock()),
+        accepting=LatestValue(True),
         host=HostLimits(max_connections=MAX_CONNECTIONS),
         desired=LatestValue(None),
         clock=Clock(),
@@ -235,3 +236,16 @@
     for each in callers:
         assert each.recv(4_096).startswith(b"HTTP/1.1 503")
     assert refusing.calls == MAX_CONNECTIONS + 1
+
+
+def test_response_closes_the_connection_while_the_router_takes_no_new_ones(
+    listener: CallerListener, connect: Connect
+) -> None:
+    listener.start()
+    caller = connect()
+    caller.sendall(REQUEST)
+    assert b"connection: close" not in caller.recv(4_096).lower()
+    listener.pipe.accepting.publish(False)
+    caller.sendall(REQUEST)
+    answer = read_all(caller).lower()
+    assert answer.startswith(b"http/1.1 503") and b"connection: close" in answer
