--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -15,6 +15,7 @@
     call_leases,
     crashes,
     draws,
+    evacuations,
     events,
     fleet,
     members,
@@ -81,6 +82,7 @@
     "StreamVersionNoted": stream_versions.StreamVersionNoted,
     "RequestStreamVersion": stream_versions.RequestStreamVersion,
     "StreamVersionReply": stream_versions.StreamVersionReply,
+    "EvacuationsAnnounced": evacuations.EvacuationsAnnounced,
     "RequestChanges": shared_watches.RequestChanges,
     "ChangesRead": shared_watches.ChangesRead,
     "ChangesUnavailable": shared_watches.ChangesUnavailable,
@@ -91,7 +93,7 @@
 # Order of the values in a row that encodes one gossip entry.
 GOSSIP_COLUMNS = tuple(each.name for each in fields(members.GossipEntry))
 # Fields that are left out where they are empty, as older builds do.
-OPTIONAL_FIELDS = frozenset({"slow_start"})
+OPTIONAL_FIELDS = frozenset({"region", "regions", "slow_start"})
 
 
 class FrameError(Exception):
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -16,6 +16,7 @@
     FetchNewerVersion,
     SendVersion,
 )
+from hawthornstage.actors.evacuations import CheckEvacuations, EvacuationsTask
 from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
 from hawthornstage.actors.peers.task import Peers
@@ -81,6 +82,7 @@
     RequestCallTokens,
     RequestTransfer,
 )
+from hawthornstage.messages.evacuations import Evacuations, EvacuationsAnnounced
 from hawthornstage.messages.fleet import (
     CallBlocked,
     DesiredStateHeartbeat,
@@ -127,6 +129,7 @@
 CRASH_LOG_CHECK_INTERVAL_S = 0.1
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
+EVACUATIONS_CHECK_INTERVAL_S = 2.0
 STORE_CALLS_LOG_INTERVAL_S = 10.0
 SLOW_START_CHECK_INTERVAL_S = 0.25
 # Number of routers assumed to share the fleet's retries and budgets until the store
@@ -160,6 +163,7 @@
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
         self.server_notices_in_force = LatestValue(ServerNotices())
+        self.evacuations_in_force = LatestValue(Evacuations())
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.watch_readers = LatestValue(WatchReaders(settings.node))
@@ -235,6 +239,15 @@
             subscribers=(self.token_accounts, self.server_notices),
             **self.shared,
         )
+        self.evacuations = EvacuationsTask.start(
+            node,
+            self.evacuations_in_force,
+            (self.server_selection, self.server_notices),
+            self.peers,
+            lambda: frozenset(self.live_settings.value.regions),
+            metrics=self.metrics,
+            **self.shared,
+        )
         self.start_links()
         self.start_lost_servers()
         self.admission = AdmissionTask.start(
@@ -322,7 +335,9 @@
             self.server_links,
             registered=self.registered_servers,
             notices=self.server_notices_in_force,
+            evacuations=self.evacuations_in_force,
             links=self.server_links_known,
+            region=lambda: self.live_settings.value.region,
             metrics=self.metrics,
             **self.shared,
         )
@@ -361,6 +376,7 @@
                 self.server_notices,
                 self.stream_versions,
                 self.server_links,
+                self.evacuations,
                 self.shared_watches,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
@@ -392,6 +408,7 @@
             ),
         )
         register(self.tunnels, (RequestTunnel,))
+        register(self.evacuations, (EvacuationsAnnounced,))
         register(self.shared_watches, (RequestChanges,))
         register(self.stream_versions, (StreamVersionNoted, RequestStreamVersion))
 
@@ -407,6 +424,7 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(EVACUATIONS_CHECK_INTERVAL_S, self.evacuations, CheckEvacuations())
         every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
         every(STORE_CALLS_LOG_INTERVAL_S, self.store_call_log, LogStoreCalls())
@@ -422,7 +440,10 @@
         """Start the watches of the store, each with its own connection."""
         shared = (self.store_bounds, self.clock, self.events, self.share_watch)
         DesiredStateWatch(
-            self.store("desired_state"), self.desired_states, *shared
+            self.store("desired_state"),
+            self.desired_states,
+            *shared,
+            followers=(self.evacuations,),
         ).start()
         ServerRegistry(
             self.store("servers"),
@@ -487,12 +508,22 @@
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         permits = Permits(
-            self.server_notices, self.peers, self.server_notices_in_force, self.clock
+            self.server_notices,
+            self.peers,
+            self.server_notices_in_force,
+            self.evacuations_in_force,
+            self.clock,
         )
         stream_version = ResolveStreamVersion(
             self.stream_versions, self.peers, self.clock, self.events
         )
-        choice = ServerChoice(self.server_selection, permits, self.clock, self.metrics)
+        choice = ServerChoice(
+            self.server_selection,
+            permits,
+            self.clock,
+            self.metrics,
+            lambda: self.live_settings.value.regions,
+        )
         dialer = ServerDialer(
             self.server_links_known,
             self.server_links,
@@ -532,6 +563,7 @@
                 metrics=self.metrics,
             ),
             memory=memory,
+            accepting=self.accepting,
             host=self.settings.limits,
             desired=self.desired,
             clock=self.clock,
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
@@ -55,6 +56,7 @@
         permits_denied: Servers chosen for this attempt before that had no room within
             the limits that they named.
         version: Version that the server must have, or None for any.
+        failure_domains: Failure domains in the call's home regions, or None for all.
     """
 
     call_id: str
@@ -66,6 +68,7 @@
     repeatable: bool = False
     permits_denied: int = 0
     version: str | None = None
+    failure_domains: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -83,6 +86,14 @@
     pooled: PooledConnection | None = None
 
 
+class Shortage(Enum):
+    """Why no server can accept a call."""
+
+    BUSY = "busy"
+    EVACUATED = "evacuated"
+    OUTSIDE_HOMES = "outside_homes"
+
+
 @dataclass(frozen=True)
 class NoServerAvailable:
     """No server can accept the call at present.
@@ -91,12 +102,14 @@
         reason: Why not, for the log.
         retry_after_s: Time until a server may accept it, in seconds, if it is known.
         version_gone: Whether no server of the version that it needs is left.
+        shortage: What keeps the servers from accepting it.
         at_limit: Whether there are servers, but each has this router's limit of calls.
     """
 
     reason: str
     retry_after_s: float | None = None
     version_gone: bool = False
+    shortage: Shortage = Shortage.BUSY
     at_limit: bool = False
 
 
--- a/src/hawthornstage/messages/store.py
+++ b/src/hawthornstage/messages/store.py
@@ -46,16 +46,32 @@
 
 @dataclass(frozen=True)
 class ItemsListed:
-    """All items that a watch covers, for a task that follows some of them."""
+    """All items that a watch covers, for a task that follows some of them.
+
+    Args:
+        items: The items.
+        epoch: The store's epoch.
+        revision: Revision up to which all changes are known now.
+    """
 
     items: tuple[Item, ...]
+    epoch: int
+    revision: int
 
 
 @dataclass(frozen=True)
 class ItemsChanged:
-    """Changes in order that a watch has read, for a task that follows some of them."""
+    """Changes in order that a watch has read, for a task that follows some of them.
+
+    Args:
+        changes: The changes; none if only the revision went on.
+        epoch: The store's epoch.
+        revision: Revision up to which all changes are known now.
+    """
 
     changes: tuple[Item | Removal, ...]
+    epoch: int
+    revision: int
 
 
 @dataclass(frozen=True)
