Ask all holders at once while the store is away

In an outage a router without tokens asked three holders, each of which kept the question for up to 0.17 s although it could not draw: the call was refused before another holder or a transfer was tried. A holder that cannot draw replies at once; all holders are asked while the router cannot draw itself.

test_all_holders_are_asked_while_the_store_is_away failed first on the code before: no reply after as many rounds as holders were asked.

--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -303,8 +303,11 @@
     def longest_wait(self, request: TokenRequest) -> float:
         """Return how long a request may wait, in seconds; 0 if it would be in vain.
 
-        A router that asks this one for tokens soon asks the next one.
+        A router that asks this one for tokens soon asks the next one, and at once if
+        this one cannot draw any.
         """
+        if isinstance(request, RequestCallTokens) and self.store_unavailable:
+            return 0.0
         budget = self.budgets.get(request.workspace)
         account = account_of(self.token_accounts, request.workspace)
         undrawn = max(0, (budget or 0) - account.drawn)
@@ -339,7 +342,9 @@
             False if no holder is left to ask, so that this router draws them.
         """
         workspace = pending.request.workspace
-        holder = self.holders.holder_to_ask(workspace, pending.asked)
+        holder = self.holders.holder_to_ask(
+            workspace, pending.asked, can_draw=not self.store_unavailable
+        )
         pending.holder = holder
         if holder is None:
             return False
--- a/src/hawthornstage/decisions/token_holders.py
+++ b/src/hawthornstage/decisions/token_holders.py
@@ -15,7 +15,7 @@
 # Routers that hold spare tokens of one workspace.
 HOLDERS_PER_WORKSPACE = 8
 # Holders asked for the tokens of one call, one after the other, before the router draws
-# them from the budget itself.
+# them from the budget itself. All are asked while it cannot draw.
 MAX_HOLDERS_ASKED = 3
 
 
@@ -55,17 +55,21 @@
         others = [each for each in self.holders(workspace) if each != self.node]
         return tuple(rendezvous_order(f"{workspace}\n{self.node}", others))
 
-    def holder_to_ask(self, workspace: str, asked: int) -> str | None:
+    def holder_to_ask(
+        self, workspace: str, asked: int, *, can_draw: bool = True
+    ) -> str | None:
         """Return the holder that gets the next question for the tokens of a call.
 
         Args:
             workspace: The workspace.
             asked: Holders asked for this call so far.
+            can_draw: Whether this router can draw the tokens instead.
 
         Returns:
             The holder, or None if this router draws the tokens itself.
         """
-        if self.is_holder(workspace) or asked >= MAX_HOLDERS_ASKED:
+        most = MAX_HOLDERS_ASKED if can_draw else HOLDERS_PER_WORKSPACE
+        if self.is_holder(workspace) or asked >= most:
             return None
         others = self.other_holders(workspace)
         return others[asked] if asked < len(others) else None
--- a/tests/test_token_holders.py
+++ b/tests/test_token_holders.py
@@ -6,6 +6,7 @@
 
 from hawthornstage.actors.task import Ask
 from hawthornstage.actors.token_accounts import HOLDER_TIMEOUT_S
+from hawthornstage.decisions.draws import add_drawn
 from hawthornstage.decisions.token_holders import (
     HOLDERS_PER_WORKSPACE,
     MAX_HOLDERS_ASKED,
@@ -61,7 +62,8 @@
         reply = Reply()
         holder.token_accounts.handle(Ask(send.message, reply))
         holder.pump()
-        send.reply_to.put(reply.value)
+        if reply.value is not None:
+            send.reply_to.put(reply.value)
     host.pump()
 
 
@@ -170,6 +172,25 @@
     assert unasked >= 10
 
 
+def test_all_holders_are_asked_while_the_store_is_away(world: DrawsWorld) -> None:
+    host = asker(world)
+    holders = host.token_accounts.holders.other_holders(WORKSPACE)
+    world.store.mood = "refuses"
+    for each in world.hosts.values():
+        world.clock.advance(0.01)
+        each.token_accounts.handle_write_failure("refused", world.clock.monotonic())
+    for name in holders[:MAX_HOLDERS_ASKED]:
+        spare = world.free(name)
+        world.hosts[name].token_accounts.token_accounts = add_drawn(
+            world.hosts[name].token_accounts.token_accounts, {WORKSPACE: -spare}
+        )
+    reply = Reply()
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 700), reply))
+    for _ in range(MAX_HOLDERS_ASKED + 1):
+        deliver(world, host)
+    assert isinstance(reply.value, TokensReserved)
+
+
 def test_silent_and_unreachable_holders_are_passed_over(world: DrawsWorld) -> None:
     host = asker(world)
     reply = Reply()
