Take no broken response for an answer, nor a failure for a fast answer

Cause: any status from 600 to 999 was passed on; a response without a length that ended while the request had not been received counted as whole; the head of any response counted as the server's speed and ended its earlier failures, and a delivered 500 did not count as a failure, so the server that failed at once was chosen next.

Change: statuses outside 200 to 599 are failures of the server, on its own connection and through tunnels; an end without a length is not trusted if the server's system has not received the whole request; only heads of sound responses and refusals tell of speed; a delivered 5xx but 504 counts as a failure when servers are chosen. A response without chunks that is cut off ends with a reset, so that it does not look whole to HTTP/1.0 callers.

In server_selection.py: a first byte no longer ends earlier failures; the end of a call does. Refusals count as before.

--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -13,7 +13,7 @@
     ReceiveResult,
     RequestReader,
 )
-from hawthornstage.border.sockets import set_socket_options
+from hawthornstage.border.sockets import reset_on_close, set_socket_options
 from hawthornstage.clock import Clock
 from hawthornstage.messages.forward import Headers
 
@@ -155,4 +155,7 @@
 
     def close(self) -> None:
         """Close the connection; an incomplete response stays incomplete."""
+        if self.parser.our_state is h11.SEND_BODY and not self.chunked:
+            # To a caller without chunks, an orderly close would look like the end.
+            reset_on_close(self.socket)
         self.socket.close()
--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -15,6 +15,7 @@
     READABLE,
     probe_when_idle,
     set_socket_options,
+    unacknowledged_bytes,
     wait_ready,
 )
 from hawthornstage.border.tunnel import TunnelReader, send_token
@@ -35,6 +36,8 @@
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Largest body that is copied, so that it is sent together with its head, in bytes.
 MAX_JOINED_BYTES = 16_384
+# Status codes of responses, informational ones excluded.
+VALID_STATUSES = range(200, 600)
 # Most informational (1xx) responses before a response.
 MAX_INFORMATIONAL_RESPONSES = 16
 # Time without a byte after which a call over a link that fails is given up, and the
@@ -89,6 +92,7 @@
         self.watch_caller = True
         self.closed_by_server = False
         self.responded_early = False
+        self.has_length = False
         self.keep_alive_s: float | None = None
 
     def use_tunnel(self, token: str) -> None:
@@ -170,12 +174,14 @@
                     self.informational_responses += 1
                     if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
                         return ServerFailed("too many informational responses")
-                case h11.Response():
+                case h11.Response(status_code=status):
+                    if status not in VALID_STATUSES:
+                        return ServerFailed(f"invalid HTTP response: status {status}")
                     return self.begin_response(event)
                 case h11.Data(data=data):
                     return ResponseData(bytes(data))
                 case h11.EndOfMessage():
-                    return ResponseEnd(self.closed_by_server)
+                    return self.end_response()
                 case _:
                     return closed_too_early()
 
@@ -186,12 +192,24 @@
         self.unsent = []
         head = to_answer_head(response)
         self.keep_alive_s = head.keep_alive_s
+        self.has_length = any(n == b"content-length" for n, _ in response.headers)
         if has_chunked_body(response):
             self.chunks = ChunkedDecoder()
             self.stays_open = keeps_connection(response)
             self.undecoded = self.parser.trailing_data[0]
         return head
 
+    def end_response(self) -> ExchangeEvent:
+        """Return the end of a response that was not sent in chunks.
+
+        If a server stops reading a request and closes the connection, the end of its
+        response may be a reset that was seen as an orderly close.
+        """
+        unframed = self.closed_by_server and not self.has_length
+        if unframed and (self.responded_early or unacknowledged_bytes(self.socket)):
+            return closed_too_early()
+        return ResponseEnd(self.closed_by_server)
+
     def next_chunk(self, chunks: ChunkedDecoder, deadline: float) -> ExchangeEvent:
         """Return the next event of a chunked body.
 
--- a/src/hawthornstage/border/sockets.py
+++ b/src/hawthornstage/border/sockets.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import select
 import socket
+import struct
+import termios
 import threading
 from collections.abc import Sequence
 from typing import Any, Protocol
@@ -76,6 +79,21 @@
     )
 
 
+def reset_on_close(connection: socket.socket) -> None:
+    """Make the next close reset the connection; the peer sees no orderly end."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """Return how much of what was sent the peer's system has not received, in bytes."""
+    try:
+        answer = fcntl.ioctl(connection, termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        return 0
+    return struct.unpack("i", answer)[0]
+
+
 def probe_when_idle(connection: socket.socket) -> None:
     """Send keep-alive probes, which show a dead peer that nothing is sent to."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -289,7 +289,6 @@
         previous = self.lateness(load, now)
         load.lateness_s = previous + LATENESS_WEIGHT * (late - previous)
         load.lateness_at = now
-        load.failures = 0
 
     def record_end(self, ended: CallEnded, now: float) -> str | None:
         """Record the end of a call.
@@ -308,7 +307,9 @@
             load.address_reused = True
             self.preferred.clear()
         if ended.failed or ended.refused:
-            load.failures += 1
+            # Refusals do not add up as failures do: a full server is a sound one.
+            answered = ended.refused and sent.first_byte_received
+            load.failures = 1 if answered else load.failures + 1
             pause = INITIAL_AVOIDANCE_S * 2 ** min(load.failures - 1, 6)
             load.avoid_until = now + min(pause, MAX_AVOIDANCE_S)
             load.call_limit.lower_after_refusal(sent.limits, running)
--- a/src/hawthornstage/filters/attempt_reports.py
+++ b/src/hawthornstage/filters/attempt_reports.py
@@ -32,6 +32,9 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
+# The status of a call that ran out of its own time, which a sound server sends too.
+GATEWAY_TIMEOUT = 504
+
 
 @dataclass(frozen=True)
 class AttemptReports:
@@ -94,7 +97,7 @@
         call = exchange.call
         kind = OUTCOME_NAMES[type(outcome)]
         self.metrics.count_attempt(exchange.service, choice.server.id, kind)
-        failed = isinstance(outcome, ServerFailed | NotSent)
+        failed = is_server_failure(outcome)
         full = isinstance(outcome, Refused) and outcome.full
         address_reused = isinstance(outcome, Misdirected)
         self.choice.end_lease(delivery, rejected=full)
@@ -143,3 +146,12 @@
         parts = () if delivery.answer_began else exchange.shared_ids
         call = LostCall(exchange.fingerprint, parts)
         self.lost_servers.tell(ServerLost(server, call))
+
+
+def is_server_failure(outcome: AttemptOutcome) -> bool:
+    """Whether an attempt shows that its server fails calls."""
+    match outcome:
+        case Delivered(status):
+            return status >= 500 and status != GATEWAY_TIMEOUT
+        case _:
+            return isinstance(outcome, ServerFailed | NotSent)
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -22,6 +22,7 @@
     Misdirected,
     Refused,
     ResponseRelay,
+    belongs_to_call,
 )
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
@@ -263,7 +264,8 @@
         head = connection.next_event(exchange.deadline + DEADLINE_GRACE_S)
         match head:
             case ResponseHead():
-                self.serving.tell(FirstByteReceived(call.id))
+                if shows_speed(head, call.id, reused=connection.is_reused):
+                    self.serving.tell(FirstByteReceived(call.id))
                 delivery.first_byte_s = self.clock.monotonic() - sent_at
                 error_s = delivery.first_byte_s - choice.basis.wait_s
                 self.metrics.estimate_error.observe(error_s)
@@ -309,3 +311,15 @@
                 StreamVersionNoted(exchange.call.id, exchange.service, server.version)
             )
         return None
+
+
+def shows_speed(head: ResponseHead, call_id: str, *, reused: bool) -> bool:
+    """Whether the time to a response's head tells how fast the server works.
+
+    A failure of the server does not: it may be sent at once.
+    """
+    if not belongs_to_call(head, call_id, reused=reused):
+        return False
+    if head.not_executed:
+        return True
+    return head.sealed if head.is_success else head.status < 500
--- a/tests/broken_server.py
+++ b/tests/broken_server.py
@@ -9,8 +9,9 @@
 
 # Body of a whole response, and the part of it that a broken one has.
 WHOLE, PART = b'{"amount": 1200}', b'{"amount": 12'
-# Reads of the upload before the response is sent.
+# Most bytes of one read, and of what the kernel receives ahead of the reads.
 READ_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 16_384
 
 
 class BrokenServer:
@@ -26,6 +27,10 @@
         self.shape = shape
         self.calls = 0
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        # Connections inherit it, so that a long upload cannot be written at once.
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.run, daemon=True).start()
 
