--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -208,7 +208,7 @@
         """
         if self.not_executed or self.misdirected:
             return False
-        return 200 <= self.status < 500
+        return self.sealed if self.is_success else 300 <= self.status < 500
 
 
 @dataclass(frozen=True)
