Check a desired state before operators send it

A command reads files only and tells what is wrong, what can never match, what contradicts itself and what differs from the version in force, by path, as text or JSON, with exit code 0, 1 or 2. Errors of a desired state that can't be decoded name their paths, in the routers' logs, too.

--- a/src/hawthornstage/cli.py
+++ b/src/hawthornstage/cli.py
@@ -27,6 +27,7 @@
     show,
 )
 from hawthornstage.daemon import run_router
+from hawthornstage.desired_state_commands import check_desired_state
 from hawthornstage.observe import timeline as timeline_module
 from hawthornstage.observe.log_reader import read_logs
 from hawthornstage.operator_client import OperatorError
@@ -198,6 +199,27 @@
         if differences:
             raise SystemExit(EXIT_REFUSED)
 
+    def check_desired_state(
+        self,
+        file: str,
+        in_force: str = "",
+        settings: str = "",
+        call_tokens: int = 1,
+        json: bool = False,
+    ) -> None:
+        """Check a desired state of the users' platform before it is sent.
+
+        Exit code 1 if something was found, 2 if a file can't be read or is not valid.
+
+        Args:
+            file: The desired state, in JSON.
+            in_force: The version in force, to show what differs.
+            settings: A router's settings file, to check home regions.
+            call_tokens: Tokens of the smallest call that workspaces make.
+            json: Print JSON.
+        """
+        check_desired_state(str(file), in_force, settings, call_tokens, json)
+
     def load_journal(self, source: str) -> Journal:
         """Read the old setup's journal from a file or a URL."""
         try:
--- a/src/hawthornstage/platform/desired_state.py
+++ b/src/hawthornstage/platform/desired_state.py
@@ -18,6 +18,7 @@
     WorkspaceSpec,
 )
 from hawthornstage.messages.slow_start import SlowStartTerms
+from hawthornstage.settings_errors import format_validation_errors
 
 # Key of the current desired state, and the prefix to watch.
 DESIRED_STATE_PREFIX = "op/"
@@ -25,7 +26,15 @@
 
 
 class DesiredStateError(Exception):
-    """The document is not a valid desired state."""
+    """The document is not a valid desired state.
+
+    Args:
+        faults: One line for each error: its path and what was expected.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
 
 
 class ShareModel(BaseModel):
@@ -177,8 +186,10 @@
     """
     try:
         model = ConfigModel.model_validate(load_json(document))
-    except (ValueError, ValidationError) as error:
-        raise DesiredStateError(str(error)) from error
+    except ValidationError as error:
+        raise DesiredStateError(format_validation_errors(error)) from error
+    except ValueError as error:
+        raise DesiredStateError([str(error)]) from error
     return DesiredState(
         version=model.version,
         routes=tuple(each.to_route() for each in model.routes),
