Tell followers of the operators' keys before the desired state's task

A router that starts in the middle of an evacuation knows it before it has a desired state; tested over processes with a router that is killed.

--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -266,10 +266,13 @@
         return min(bounds.desired_state_s, bounds.evacuation_s)
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
-        """Pass the listed desired state to the task, and all items to the followers."""
-        self.pass_desired_state(items)
+        """Pass the listed desired state to the task, and all items to the followers.
+
+        Followers come first: a router without a desired state sends nothing.
+        """
         for follower in self.followers:
             follower.tell(ItemsListed(items, self.epoch, self.revision))
+        self.pass_desired_state(items)
 
     def apply_changes(self, changes: tuple[Item | Removal, ...]) -> None:
         """Pass changes of the desired state to the task, and all to the followers."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -657,8 +657,22 @@
         router = fleet.names[number % 2]
         assert fleet.call(router, IDEMPOTENT_PATH, f"a{number}").status == 200
     assert arrivals(fleet, "desk-1") == before
+    # A router that starts in the middle of it.
+    fleet.processes["edge-2"].kill()
+    fleet.start_router("edge-2")
+    wait_until(
+        lambda: fleet.read_log("edge-2").count("event=server_seen") >= 8,
+        description="the router that started to know all servers",
+    )
+    for number in range(10):
+        assert fleet.call("edge-2", IDEMPOTENT_PATH, f"s{number}").status == 200
+    assert arrivals(fleet, "desk-1") == before
     fleet.control("store", "put", {KEY_B: {}})
     wait_logged(fleet, "evacuation_began", 2)
+    wait_until(
+        lambda: "failure_domain=b" in fleet.read_log("edge-2"),
+        description="the router that started to know of both",
+    )
     refused = fleet.call("edge-1", NON_IDEMPOTENT_PATH, "n1")
     assert refused.status == 503 and b"evacuated" in refused.body
     # Routers keep to it while the store is away.
