--- a/src/hawthornstage/actors/servers/tunnels.py
+++ b/src/hawthornstage/actors/servers/tunnels.py
@@ -172,7 +172,7 @@
             now=now,
         )
         if refusal is not None:
-            self.refuse(refusal, reply_to, request)
+            self.refuse(refusal, reply_to, self.region_for(request))
             return
         server = self.registered.value.servers[request.server]
         self.connect(server, request, reply_to, now)
@@ -205,7 +205,7 @@
             connect_by=now + CONNECT_TIMEOUT_S,
             use_by=now + CONNECT_TIMEOUT_S + TOKEN_TIMEOUT_S,
             end_by=now + max(0.0, request.time_left_s) + LINGER_S,
-            region=None if request.regions is None else self.region(),
+            region=self.region_for(request),
         )
         error = connection.connect_ex((server.host, server.port))
         if error not in (0, errno.EINPROGRESS):
@@ -214,22 +214,25 @@
         self.tunnels[token] = tunnel
         self.selector.register(connection, selectors.EVENT_WRITE, tunnel)
 
+    def region_for(self, request: RequestTunnel) -> str | None:
+        """Return this router's region if a request names regions."""
+        return None if request.regions is None else self.region()
+
     def refuse(
         self,
         refusal: TunnelRefusal,
         reply_to: ReplyTo,
-        request: RequestTunnel | None = None,
+        region: str | None = None,
     ) -> None:
         """Reply that no tunnel is opened.
 
         Args:
             refusal: Why not.
             reply_to: Gets the reply.
-            request: The request, if it named what is refused.
+            region: This router's region, if it was asked for.
         """
         self.metrics.tunnels.labels("served", refusal.value).inc()
-        is_bound = request is not None and request.regions is not None
-        reply_to.put(TunnelRefused(refusal, self.region() if is_bound else None))
+        reply_to.put(TunnelRefused(refusal, region))
 
     def fail(self, tunnel: Tunnel, error: int) -> None:
         """Give up a tunnel whose server cannot be connected to."""
@@ -237,7 +240,7 @@
         fault = LinkFault.REFUSED if refused else LinkFault.SILENT
         self.links_task.tell(LinkFailed(tunnel.server, fault))
         self.close(tunnel)
-        self.refuse(TunnelRefusal.UNREACHABLE, tunnel.reply_to)
+        self.refuse(TunnelRefusal.UNREACHABLE, tunnel.reply_to, tunnel.region)
 
     def handle_ready(self, owner: Any, ready: int) -> None:
         match owner:
