--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -15,11 +15,13 @@
     call_leases,
     crashes,
     draws,
+    evacuations,
     events,
     fleet,
     members,
     server_limits,
     server_notices,
+    shared_watches,
     stream_versions,
     tunnels,
 )
@@ -80,6 +82,10 @@
     "StreamVersionNoted": stream_versions.StreamVersionNoted,
     "RequestStreamVersion": stream_versions.RequestStreamVersion,
     "StreamVersionReply": stream_versions.StreamVersionReply,
+    "EvacuationsAnnounced": evacuations.EvacuationsAnnounced,
+    "RequestChanges": shared_watches.RequestChanges,
+    "ChangesRead": shared_watches.ChangesRead,
+    "ChangesUnavailable": shared_watches.ChangesUnavailable,
 }
 FRAME_NAMES = {message_type: name for name, message_type in FRAME_MESSAGES.items()}
 
@@ -87,7 +93,7 @@
 # Order of the values in a row that encodes one gossip entry.
 GOSSIP_COLUMNS = tuple(each.name for each in fields(members.GossipEntry))
 # Fields that are left out where they are empty, as older builds do.
-OPTIONAL_FIELDS = frozenset({"slow_start"})
+OPTIONAL_FIELDS = frozenset({"region", "regions", "slow_start"})
 
 
 class FrameError(Exception):
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -6,19 +6,21 @@
 from pathlib import Path
 from typing import Any
 
+from hawthornstage.actors.admission import AdmissionTask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
+from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
     DesiredStateWatch,
     FetchNewerVersion,
     SendVersion,
 )
+from hawthornstage.actors.evacuations import CheckEvacuations, EvacuationsTask
 from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
-from hawthornstage.actors.response_memory import ResponseMemoryTask
 from hawthornstage.actors.servers.crash_logs import CrashLogsWatch, CrashLogWriter
 from hawthornstage.actors.servers.crashing_parts import CheckCrashLog, CrashingPartsTask
 from hawthornstage.actors.servers.failures import ServerFailuresTask
@@ -35,6 +37,12 @@
     SHARED_SECRET_STORE_KEY,
     load_shared_secret,
 )
+from hawthornstage.actors.shared_watches import SharedWatches, WatchShare
+from hawthornstage.actors.store_call_log import (
+    LogStoreCalls,
+    StoreCallEnded,
+    StoreCallLog,
+)
 from hawthornstage.actors.task import MessageDispatcher
 from hawthornstage.actors.timers import Timers
 from hawthornstage.actors.token_accounts import (
@@ -44,20 +52,24 @@
 from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
+from hawthornstage.decisions.connection_limits import derive_limits
 from hawthornstage.decisions.crashing_parts import BlockedParts
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
+from hawthornstage.decisions.watch_sharing import SHARING_PATH, WatchReaders
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
+from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
-from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.admission import AdmissionPolicy
 from hawthornstage.messages.call_leases import (
     CallLeaseEnded,
     FragileAnnounced,
@@ -70,6 +82,7 @@
     RequestCallTokens,
     RequestTransfer,
 )
+from hawthornstage.messages.evacuations import Evacuations, EvacuationsAnnounced
 from hawthornstage.messages.fleet import (
     CallBlocked,
     DesiredStateHeartbeat,
@@ -94,6 +107,7 @@
     ServerNotices,
 )
 from hawthornstage.messages.server_selection import RegisteredServers
+from hawthornstage.messages.shared_watches import RequestChanges
 from hawthornstage.messages.slow_start import EndSlowStarts
 from hawthornstage.messages.store import Put
 from hawthornstage.messages.stream_versions import (
@@ -115,6 +129,8 @@
 CRASH_LOG_CHECK_INTERVAL_S = 0.1
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
+EVACUATIONS_CHECK_INTERVAL_S = 2.0
+STORE_CALLS_LOG_INTERVAL_S = 10.0
 SLOW_START_CHECK_INTERVAL_S = 0.25
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
@@ -147,15 +163,20 @@
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
         self.server_notices_in_force = LatestValue(ServerNotices())
+        self.evacuations_in_force = LatestValue(Evacuations())
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
+        self.watch_readers = LatestValue(WatchReaders(settings.node))
+        self.admission_policy = LatestValue(AdmissionPolicy())
+        self.accepting = LatestValue(True)
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
         self.readiness = ProbeServer(
-            settings.readiness, ReadinessPage(self.stopping, self.desired)
+            settings.readiness,
+            ReadinessPage(self.stopping, self.desired, self.accepting),
         )
         metrics = SocketAddress(settings.callers.host, metrics_port)
         self.metrics_http = ProbeServer(
@@ -170,7 +191,8 @@
         self.readiness.start()
         self.metrics_http.start()
         self.timers.start()
-        secret = load_shared_secret(self.store(), self.clock)
+        self.store_call_log = StoreCallLog.start(metrics=self.metrics, **self.shared)
+        secret = load_shared_secret(self.store("secret"), self.clock)
         self.start_tasks(secret)
         self.peers.start()
         self.tunnels.start()
@@ -217,10 +239,33 @@
             subscribers=(self.token_accounts, self.server_notices),
             **self.shared,
         )
+        self.evacuations = EvacuationsTask.start(
+            node,
+            self.evacuations_in_force,
+            (self.server_selection, self.server_notices),
+            self.peers,
+            lambda: frozenset(self.live_settings.value.regions),
+            metrics=self.metrics,
+            **self.shared,
+        )
         self.start_links()
         self.start_lost_servers()
-        self.response_memory = ResponseMemoryTask.start(self.events)
+        self.admission = AdmissionTask.start(
+            self.admission_policy,
+            self.accepting,
+            desired=self.desired,
+            routers=self.routers,
+            timers=self.timers,
+            metrics=self.metrics,
+            **self.shared,
+        )
+        self.connection_memory = ConnectionMemoryTask.start(
+            derive_limits(self.settings.limits).pool_bytes, **self.shared
+        )
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
+        self.shared_watches = SharedWatches.start(
+            node, self.watch_readers, **self.shared
+        )
         self.start_members(secret)
         self.store_epoch.subscribe(
             self.members, self.ledger, self.crash_log_writer, self.crashing_parts
@@ -240,7 +285,9 @@
     def start_token_accounts(self) -> None:
         """Start the tasks that hold and draw tokens."""
         node = self.settings.node
-        self.ledger = LedgerTask.start(node, self.store(), self.peers, **self.shared)
+        self.ledger = LedgerTask.start(
+            node, self.store("ledger"), self.peers, **self.shared
+        )
         self.token_accounts = TokenAccountsTask.start(
             node=node,
             ledger=self.ledger,
@@ -256,7 +303,9 @@
         self.server_failures = ServerFailuresTask.start(
             node, self.blocked_calls, self.peers, **self.shared
         )
-        self.crash_log_writer = CrashLogWriter.start(node, self.store(), **self.shared)
+        self.crash_log_writer = CrashLogWriter.start(
+            node, self.store("crash_log"), **self.shared
+        )
         self.crashing_parts = CrashingPartsTask.start(
             node,
             self.blocked_parts,
@@ -286,7 +335,9 @@
             self.server_links,
             registered=self.registered_servers,
             notices=self.server_notices_in_force,
+            evacuations=self.evacuations_in_force,
             links=self.server_links_known,
+            region=lambda: self.live_settings.value.region,
             metrics=self.metrics,
             **self.shared,
         )
@@ -313,8 +364,8 @@
         peers = self.settings.peers
         self.members = FleetMembers.start(
             self.settings.node,
-            f"ws://{peers.host}:{peers.port}",
-            store=self.store(),
+            f"ws://{peers.host}:{peers.port}{SHARING_PATH}",
+            store=self.store("members"),
             peers=self.peers,
             routers=self.routers,
             subscribers=(
@@ -325,6 +376,8 @@
                 self.server_notices,
                 self.stream_versions,
                 self.server_links,
+                self.evacuations,
+                self.shared_watches,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
             **self.shared,
@@ -355,6 +408,8 @@
             ),
         )
         register(self.tunnels, (RequestTunnel,))
+        register(self.evacuations, (EvacuationsAnnounced,))
+        register(self.shared_watches, (RequestChanges,))
         register(self.stream_versions, (StreamVersionNoted, RequestStreamVersion))
 
     def schedule_periodic_work(self) -> None:
@@ -369,8 +424,10 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(EVACUATIONS_CHECK_INTERVAL_S, self.evacuations, CheckEvacuations())
         every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
+        every(STORE_CALLS_LOG_INTERVAL_S, self.store_call_log, LogStoreCalls())
 
     def retry_terms(self) -> RetryLimits:
         """Return the current settings of the fleet's retries."""
@@ -381,15 +438,15 @@
 
     def watch_store(self) -> None:
         """Start the watches of the store, each with its own connection."""
+        shared = (self.store_bounds, self.clock, self.events, self.share_watch)
         DesiredStateWatch(
-            self.store(),
+            self.store("desired_state"),
             self.desired_states,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            *shared,
+            followers=(self.evacuations,),
         ).start()
         ServerRegistry(
-            self.store(),
+            self.store("servers"),
             (
                 self.server_selection,
                 self.stream_versions,
@@ -398,31 +455,32 @@
             ),
             self.registered_servers,
             self.routers,
-            self.store_bounds,
-            self.clock,
-            self.events,
-            self.server_notices,
+            *shared,
+            slow_starts=self.server_notices,
         ).start()
         CrashLogsWatch(
-            self.store(),
-            self.crashing_parts,
-            self.routers,
-            self.store_bounds,
-            self.clock,
-            self.events,
+            self.store("crash_logs"), self.crashing_parts, self.routers, *shared
         ).start()
 
+    def share_watch(self, prefix: str) -> WatchShare:
+        """Return a watch's part in sharing what it reads with other routers."""
+        return WatchShare(
+            prefix, self.shared_watches, self.watch_readers, self.peers, self.clock
+        )
+
     def store_bounds(self) -> StoreBounds:
         """Return the current times within which changes in the store take effect."""
         return self.live_settings.value.store_bounds
 
-    def store(self) -> StoreClient:
-        """Return a new client of the store that counts its calls in the metrics."""
+    def store(self, client: str) -> StoreClient:
+        """Return a new client of the store whose calls are counted.
+
+        Args:
+            client: Name of the part that uses it, for the counts.
+        """
 
         def count(kind: str, outcome: str) -> None:
-            self.metrics.store_calls.labels(kind, outcome).inc()
-            if outcome.isdigit():
-                self.metrics.store_answered.set(self.clock.wall())
+            self.store_call_log.tell(StoreCallEnded(client, kind, outcome))
 
         return StoreClient(
             lambda: self.live_settings.value.store,
@@ -440,15 +498,28 @@
 
     def make_pipe(self) -> ForwardPipe:
         """Create the pipe of filters for forwarded calls."""
+        admit = AdmitCall(
+            self.admission, self.admission_policy, self.clock, self.metrics
+        )
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         permits = Permits(
-            self.server_notices, self.peers, self.server_notices_in_force, self.clock
+            self.server_notices,
+            self.peers,
+            self.server_notices_in_force,
+            self.evacuations_in_force,
+            self.clock,
         )
         stream_version = ResolveStreamVersion(
             self.stream_versions, self.peers, self.clock, self.events
         )
-        choice = ServerChoice(self.server_selection, permits, self.clock, self.metrics)
+        choice = ServerChoice(
+            self.server_selection,
+            permits,
+            self.clock,
+            self.metrics,
+            lambda: self.live_settings.value.regions,
+        )
         dialer = ServerDialer(
             self.server_links_known,
             self.server_links,
@@ -467,24 +538,28 @@
             self.events,
             self.metrics,
         )
+        memory = ConnectionMemory(self.connection_memory, self.clock)
         return ForwardPipe(
             identify=Identify(self.desired),
-            filters=(block, stream_version, reserve),
+            filters=(admit, block, stream_version, reserve),
             reserve=reserve,
             forwarder=Forwarder(
                 serving=self.server_selection,
                 crashing_parts=self.crashing_parts,
                 stream_versions=self.stream_versions,
                 choice=choice,
+                admit=admit,
                 block=block,
                 permits=permits,
                 dialer=dialer,
                 reports=reports,
-                memory=ResponseMemory(self.response_memory, self.clock),
+                memory=memory,
                 registered=self.registered_servers,
                 clock=self.clock,
                 metrics=self.metrics,
             ),
+            memory=memory,
+            host=self.settings.limits,
             desired=self.desired,
             clock=self.clock,
             events=self.events,
--- a/src/hawthornstage/filters/forward.py
+++ b/src/hawthornstage/filters/forward.py
@@ -1,6 +1,7 @@
 """Filters for forwarded calls, whose bodies are not parsed.
 
-The order is identify, block crashing calls, reserve tokens; the forwarder follows.
+The order is identify, admit, block crashing calls, reserve tokens; the forwarder
+follows.
 """
 
 from __future__ import annotations
@@ -119,9 +120,10 @@
             return exchange
         name = exchange.workspace.name
         max_tokens = prompt.tokens + prompt.max_output
+        time_left_s = exchange.deadline - self.clock.monotonic()
         reply = ask(
             self.token_account,
-            RequestReservation(name, max_tokens),
+            RequestReservation(name, max_tokens, time_left_s),
             self.clock,
             timeout=TASK_TIMEOUT_S,
         )
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -111,6 +111,9 @@
         reserved: Tokens reserved for the call.
         stream_version: Version of the servers at which the stream may go on, or None
             if it has not begun.
+        regions: Set by identify: the regions in which the call may be handled, or None
+            for all.
+        waited_s: Time for which the call waited for room, in seconds.
     """
 
     call: ForwardCall
@@ -121,6 +124,8 @@
     fingerprint: str
     reserved: int = 0
     stream_version: str | None = None
+    regions: frozenset[str] | None = None
+    waited_s: float = 0.0
 
     @property
     def shared_ids(self) -> tuple[str, ...]:
