Let streams go on only at processes that are certainly of their version

The list of servers now says whether it is current. While it is not, a stream goes on only on a connection on which the server names the process that the list has, and a stream that begins does not go on elsewhere.

--- a/src/hawthornstage/actors/servers/registry.py
+++ b/src/hawthornstage/actors/servers/registry.py
@@ -81,11 +81,15 @@
         self.restored = False
         self.slow_starts = slow_starts
         self.entries_read: list[BackendServer] = []
+        self.current = True
 
     def step(self) -> bool:
         """Make one call to the store, then drop entries whose grace time is over."""
         answered = super().step()
         self.drop_lapsed()
+        if self.current == self.unavailable:
+            self.current = not self.unavailable
+            self.publish()
         return answered
 
     def pause(self) -> float:
@@ -264,7 +268,10 @@
     def publish(self) -> None:
         """Publish the registered servers and send them to the subscribers."""
         registered = RegisteredServers(
-            dict(self.servers), dict(self.drop_times), self.leaving_since()
+            dict(self.servers),
+            dict(self.drop_times),
+            self.leaving_since(),
+            self.current,
         )
         self.registered.publish(registered)
         for subscriber in self.subscribers:
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -66,6 +66,7 @@
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
+from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
@@ -552,6 +553,7 @@
                 block=block,
                 permits=permits,
                 dialer=dialer,
+                process=ConfirmProcess(self.clock, self.events),
                 reports=reports,
                 memory=memory,
                 registered=self.registered_servers,
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -15,7 +15,7 @@
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls
-from hawthornstage.filters.forward_choice import ServerChoice
+from hawthornstage.filters.forward_choice import ServerChoice, needed_version
 from hawthornstage.filters.forward_relay import (
     DEADLINE_GRACE_S,
     AttemptOutcome,
@@ -26,6 +26,7 @@
 )
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
+from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.crashing_parts import AnswerBegan
@@ -72,6 +73,7 @@
         block: Rejects calls that crash servers, also between two attempts.
         permits: Permits for servers that have named a limit.
         dialer: Opens connections to servers.
+        process: Finds out to which process a connection leads.
         reports: Tells how each attempt went.
         memory: Memory of responses.
         registered: The servers that may get calls, read right before each send.
@@ -87,6 +89,7 @@
     block: BlockCrashingCalls
     permits: Permits
     dialer: ServerDialer
+    process: ConfirmProcess
     reports: AttemptReports
     memory: ConnectionMemory
     registered: LatestValue[RegisteredServers]
@@ -181,6 +184,8 @@
         if delivery.events and delivery.last_event_id is None:
             # It would begin anew.
             return False
+        if delivery.events and delivery.began_unconfirmed:
+            return False
         in_time = self.clock.monotonic() < exchange.deadline
         attempts = delivery.attempts - delivery.misdirected
         return in_time and attempts < exchange.route.max_attempts
@@ -266,6 +271,9 @@
             if denied is not None:
                 connection.close()
                 return NotSent(f"{choice.server.id} has reached its limit since then")
+        if not self.may_go_on_there(exchange, caller, connection, choice, delivery):
+            connection.close()
+            return NotSent(f"{choice.server.id} may have another version by now")
         delivery.attempts += 1
         delivery.through_router = connection.through_router
         ran_before, delivery.may_have_run = delivery.may_have_run, True
@@ -340,6 +348,19 @@
             )
             return relay.relay(head)
 
+    def may_go_on_there(
+        self,
+        exchange: ForwardExchange,
+        caller: CallerConnection,
+        connection: ServerConnection,
+        choice: ServerChosen,
+        delivery: Delivery,
+    ) -> bool:
+        """Whether the server certainly has the version that a stream needs, if any."""
+        if needed_version(exchange, delivery) is None or self.registered.value.current:
+            return True
+        return self.process.confirm(connection, caller, choice.server)
+
     def note_stream_version(
         self, exchange: ForwardExchange, server: BackendServer, delivery: Delivery
     ) -> str | None:
@@ -358,6 +379,9 @@
             # The connection may have been opened to either process.
             return f"the server has started again with version {current.version!r}"
         if delivery.stream_version is None:
+            if not self.registered.value.current and exchange.stream_version is None:
+                delivery.began_unconfirmed = True
+                return None
             delivery.stream_version = server.version
             self.stream_versions.tell(
                 StreamVersionNoted(exchange.call.id, exchange.service, server.version)
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -312,6 +312,8 @@
         through_router: The router that carried the latest attempt, or None.
         failed_to_connect: Whether a server could not be connected to.
         lease: The lease of the server that the call is sent to, if it is fragile.
+        began_unconfirmed: Whether the stream began at a server whose version is not
+            certain, so that it cannot go on elsewhere.
         permit_asked_at: Time at which the permit for that server was asked for, or None
             if it needed none.
     """
@@ -335,3 +337,4 @@
     failed_to_connect: bool = False
     lease: CallLease | None = None
     permit_asked_at: float | None = None
+    began_unconfirmed: bool = False
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -26,11 +26,14 @@
         drop_times: Monotonic time from which such a server gets nothing new, by id.
         leaving_since: Monotonic time at which an entry was first read that says that
             its server leaves, or was found removed, by id.
+        current: Whether the store's latest response was received; without it, servers
+            may have started again unnoticed.
     """
 
     servers: Mapping[str, BackendServer]
     drop_times: Mapping[str, float] = field(default_factory=dict)
     leaving_since: Mapping[str, float] = field(default_factory=dict)
+    current: bool = True
 
     def accepts_calls(self, server: str, now: float) -> bool:
         """Whether new calls may be sent to a server, given by its id."""
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -20,6 +20,7 @@
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
+from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.admission import (
     AdmissionPolicy,
@@ -153,6 +154,7 @@
         block=block,
         permits=permits,
         dialer=dialer,
+        process=ConfirmProcess(clock, events),
         reports=AttemptReports(
             tasks, tasks, tasks, choice, permits, dialer, events, metrics
         ),
