Ask a reader again soon after it refused

A reader that could not tell was avoided for 5 s like one that is silent, so that after an outage of the store all routers watched it themselves for that time. A refusal costs only a message: it counts for 1 s, and a reader tells again with the store's next response.

--- a/src/hawthornstage/actors/shared_watches.py
+++ b/src/hawthornstage/actors/shared_watches.py
@@ -14,6 +14,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.watch_sharing import (
     AVOIDANCE_S,
+    REFUSAL_AVOIDANCE_S,
     ChangeHistory,
     WatchReaders,
     complete_until,
@@ -105,8 +106,8 @@
         self.events = events
         self.histories: dict[str, ChangeHistory] = {}
         self.held: defaultdict[str, list[HeldRequest]] = defaultdict(list)
-        # Monotonic time of the last failed call, by prefix.
-        self.failed_at: dict[str, float] = {}
+        # Prefixes whose last call to the store has failed.
+        self.failed: set[str] = set()
 
     def handle(self, message: Any) -> None:
         match message:
@@ -116,7 +117,7 @@
             case PrefixRead():
                 self.add(message)
             case PrefixLost(prefix):
-                self.failed_at[prefix] = self.clock.monotonic()
+                self.failed.add(prefix)
                 for each in self.held.pop(prefix, []):
                     each.reply_to.put(ChangesUnavailable(store_failed=True))
             case KnownRouters(urls, settled=True):
@@ -134,8 +135,7 @@
         """Reply with changes that are known already, or hold the request."""
         prefix = held.request.prefix
         history = self.histories.get(prefix)
-        failed_at = self.failed_at.get(prefix, float("-inf"))
-        store_failed = held.received_at - failed_at < AVOIDANCE_S
+        store_failed = prefix in self.failed
         if store_failed or history is None or not self.readers.value.is_reader(prefix):
             held.reply_to.put(ChangesUnavailable(store_failed))
             return
@@ -147,6 +147,7 @@
 
     def add(self, read: PrefixRead) -> None:
         """Add what the store has returned, and answer the requests that wait for it."""
+        self.failed.discard(read.prefix)
         history = self.histories.get(read.prefix)
         if (
             history is None
@@ -269,7 +270,9 @@
 
     def avoid(self, reader: str, reply: Any) -> None:
         """Ask a reader nothing for some time, as it could not tell of changes."""
-        self.avoided[reader] = self.clock.monotonic() + AVOIDANCE_S
+        refused = isinstance(reply, ChangesUnavailable)
+        avoidance_s = REFUSAL_AVOIDANCE_S if refused else AVOIDANCE_S
+        self.avoided[reader] = self.clock.monotonic() + avoidance_s
         self.events.emit(
             "watch_reader_avoided",
             prefix=self.prefix,
--- a/src/hawthornstage/decisions/watch_sharing.py
+++ b/src/hawthornstage/decisions/watch_sharing.py
@@ -33,8 +33,10 @@
 MIN_READER_WAIT_S = 0.25
 # Longest time that a request and its reply may be under way, in seconds.
 MAX_TRANSIT_S = 0.3
-# Time for which a reader that did not reply or could not tell is not asked, in seconds.
+# Time for which a reader is not asked that did not reply, and one that said that it
+# could not tell, in seconds: a refusal costs only a message.
 AVOIDANCE_S = 5.0
+REFUSAL_AVOIDANCE_S = 1.0
 # Changes that a reader keeps for each prefix, and the bytes of one reply.
 MAX_CHANGES = 512
 MAX_REPLY_BYTES = 16_384
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -251,6 +251,16 @@
     assert reply.value == ChangesUnavailable(store_failed=True)
 
 
+def test_reader_tells_again_once_the_store_responds(world: World) -> None:
+    name = world.readers[0]
+    world.tasks[name].handle(PrefixLost(ENTRIES_PREFIX))
+    world.watches[name].step()
+    world.deliver()
+    world.remove_server()
+    world.other.step()
+    assert set(world.other.servers) == {"b"}
+
+
 def test_router_that_reads_for_nobody_refuses_at_once(world: World) -> None:
     name = next(each for each in world.names if each not in world.readers)
     reply = Reply()
