Let the standalone router take no response that hides a reset

The upload tells whether all of it was written; a response without a length to a request that was not written whole is a failure of the server. Empty bodies are sent as before.

--- a/src/hawthornstage/filters/dispatch.py
+++ b/src/hawthornstage/filters/dispatch.py
@@ -29,6 +29,8 @@
 
 # Timeout for connecting to a server, in seconds.
 CONNECT_TIMEOUT_S = 1.0
+# Size of the parts in which a body is written, in bytes.
+UPLOAD_PART_BYTES = 16 * 1024
 # Largest response body that is not streamed, in bytes.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Priority values of the engines; lower values are scheduled first.
@@ -76,6 +78,10 @@
         # use a new connection.
         pool = self.pool if idempotent else urllib3.PoolManager(retries=False)
         call = request_arguments(exchange)
+        upload = Upload(call["body"])
+        if upload.data:
+            call["headers"]["Content-Length"] = str(len(upload.data))
+            call["body"] = upload
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=exchange.pool.timeout_s
         )
@@ -87,6 +93,10 @@
             preload_content=False,
         )
         exchange.progress.sent = True
+        if not upload.written and not has_length(response):
+            # The failed write has hidden a reset, and the end looks orderly.
+            response.close()
+            raise ProtocolError("the server closed the connection during the request")
         return self.receive(exchange, response)
 
     def receive(
@@ -121,6 +131,29 @@
             exchange.upstream.close()
 
 
+class Upload:
+    """The body of a request, which tells whether all of it was written.
+
+    Args:
+        data: The body.
+    """
+
+    def __init__(self, data: bytes | str) -> None:
+        self.data = data.encode() if isinstance(data, str) else data
+        self.written = not self.data
+
+    def __iter__(self) -> Iterator[bytes]:
+        for start in range(0, len(self.data), UPLOAD_PART_BYTES):
+            yield self.data[start : start + UPLOAD_PART_BYTES]
+        self.written = True
+
+
+def has_length(response: urllib3.BaseHTTPResponse) -> bool:
+    """Whether a response shows its end by itself, not by a close."""
+    headers = response.headers
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+
 def request_arguments(exchange: Exchange) -> dict[str, Any]:
     """Return the HTTP request for a server as keyword arguments for urllib3."""
     assert exchange.server is not None
