--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -261,20 +261,24 @@
         self.followers = followers
 
     def effect_bound(self) -> float:
-        """Return the time from a version until it is in force, in seconds."""
-        return self.bounds().desired_state_s
+        """Return the time from a write until it is in force, in seconds."""
+        bounds = self.bounds()
+        return min(bounds.desired_state_s, bounds.evacuation_s)
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
-        """Pass the listed desired state to the task, and all items to the followers."""
-        self.pass_desired_state(items)
+        """Pass the listed desired state to the task, and all items to the followers.
+
+        Followers come first: a router without a desired state sends nothing.
+        """
         for follower in self.followers:
-            follower.tell(ItemsListed(items))
+            follower.tell(ItemsListed(items, self.epoch, self.revision))
+        self.pass_desired_state(items)
 
     def apply_changes(self, changes: tuple[Item | Removal, ...]) -> None:
         """Pass changes of the desired state to the task, and all to the followers."""
         self.pass_desired_state(changes)
         for follower in self.followers:
-            follower.tell(ItemsChanged(changes))
+            follower.tell(ItemsChanged(changes, self.epoch, self.revision))
 
     def pass_desired_state(self, changes: tuple[Item | Removal, ...]) -> None:
         """Pass each version of the desired state to the task."""
--- a/src/hawthornstage/actors/servers/links.py
+++ b/src/hawthornstage/actors/servers/links.py
@@ -18,6 +18,7 @@
 from hawthornstage.messages.server_links import (
     ConnectionLost,
     HelperFailed,
+    HelperRegion,
     LinkFailed,
     LinkFault,
     LinkWorked,
@@ -84,6 +85,8 @@
                 self.doubt(ServerInDoubt(incarnation, crashed=True))
             case HelperFailed(node, incarnation):
                 self.book.avoid_helper(node, incarnation or "", now)
+            case HelperRegion(node, region):
+                self.book.helper_regions[node] = region
             case RegisteredServers(servers):
                 self.book.update_servers(each.incarnation for each in servers.values())
             case KnownRouters(urls):
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from hawthornstage.actors.admission import AdmissionTask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
 from hawthornstage.actors.connection_memory import ConnectionMemoryTask
@@ -15,6 +16,7 @@
     FetchNewerVersion,
     SendVersion,
 )
+from hawthornstage.actors.evacuations import CheckEvacuations, EvacuationsTask
 from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
 from hawthornstage.actors.peers.task import Peers
@@ -56,6 +58,7 @@
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.watch_sharing import SHARING_PATH, WatchReaders
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
@@ -63,9 +66,11 @@
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
+from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.admission import AdmissionPolicy
 from hawthornstage.messages.call_leases import (
     CallLeaseEnded,
     FragileAnnounced,
@@ -78,6 +83,7 @@
     RequestCallTokens,
     RequestTransfer,
 )
+from hawthornstage.messages.evacuations import Evacuations, EvacuationsAnnounced
 from hawthornstage.messages.fleet import (
     CallBlocked,
     DesiredStateHeartbeat,
@@ -124,6 +130,7 @@
 CRASH_LOG_CHECK_INTERVAL_S = 0.1
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
+EVACUATIONS_CHECK_INTERVAL_S = 2.0
 STORE_CALLS_LOG_INTERVAL_S = 10.0
 SLOW_START_CHECK_INTERVAL_S = 0.25
 # Number of routers assumed to share the fleet's retries and budgets until the store
@@ -157,16 +164,20 @@
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
         self.server_notices_in_force = LatestValue(ServerNotices())
+        self.evacuations_in_force = LatestValue(Evacuations())
         self.server_links_known = LatestValue(ServerLinks())
         self.routers = LatestValue(INITIAL_ROUTER_COUNT)
         self.watch_readers = LatestValue(WatchReaders(settings.node))
+        self.admission_policy = LatestValue(AdmissionPolicy())
+        self.accepting = LatestValue(True)
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
         self.readiness = ProbeServer(
-            settings.readiness, ReadinessPage(self.stopping, self.desired)
+            settings.readiness,
+            ReadinessPage(self.stopping, self.desired, self.accepting),
         )
         metrics = SocketAddress(settings.callers.host, metrics_port)
         self.metrics_http = ProbeServer(
@@ -229,8 +240,26 @@
             subscribers=(self.token_accounts, self.server_notices),
             **self.shared,
         )
+        self.evacuations = EvacuationsTask.start(
+            node,
+            self.evacuations_in_force,
+            (self.server_selection, self.server_notices),
+            self.peers,
+            lambda: frozenset(self.live_settings.value.regions),
+            metrics=self.metrics,
+            **self.shared,
+        )
         self.start_links()
         self.start_lost_servers()
+        self.admission = AdmissionTask.start(
+            self.admission_policy,
+            self.accepting,
+            desired=self.desired,
+            routers=self.routers,
+            timers=self.timers,
+            metrics=self.metrics,
+            **self.shared,
+        )
         self.connection_memory = ConnectionMemoryTask.start(
             derive_limits(self.settings.limits).pool_bytes, **self.shared
         )
@@ -307,7 +336,9 @@
             self.server_links,
             registered=self.registered_servers,
             notices=self.server_notices_in_force,
+            evacuations=self.evacuations_in_force,
             links=self.server_links_known,
+            region=lambda: self.live_settings.value.region,
             metrics=self.metrics,
             **self.shared,
         )
@@ -346,6 +377,7 @@
                 self.server_notices,
                 self.stream_versions,
                 self.server_links,
+                self.evacuations,
                 self.shared_watches,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
@@ -377,6 +409,7 @@
             ),
         )
         register(self.tunnels, (RequestTunnel,))
+        register(self.evacuations, (EvacuationsAnnounced,))
         register(self.shared_watches, (RequestChanges,))
         register(self.stream_versions, (StreamVersionNoted, RequestStreamVersion))
 
@@ -392,6 +425,7 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(EVACUATIONS_CHECK_INTERVAL_S, self.evacuations, CheckEvacuations())
         every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
         every(STORE_CALLS_LOG_INTERVAL_S, self.store_call_log, LogStoreCalls())
@@ -407,7 +441,10 @@
         """Start the watches of the store, each with its own connection."""
         shared = (self.store_bounds, self.clock, self.events, self.share_watch)
         DesiredStateWatch(
-            self.store("desired_state"), self.desired_states, *shared
+            self.store("desired_state"),
+            self.desired_states,
+            *shared,
+            followers=(self.evacuations,),
         ).start()
         ServerRegistry(
             self.store("servers"),
@@ -429,7 +466,11 @@
     def share_watch(self, prefix: str) -> WatchShare:
         """Return a watch's part in sharing what it reads with other routers."""
         return WatchShare(
-            prefix, self.shared_watches, self.watch_readers, self.peers, self.clock
+            prefix,
+            self.shared_watches,
+            self.watch_readers,
+            self.peers,
+            **self.shared,
         )
 
     def store_bounds(self) -> StoreBounds:
@@ -462,15 +503,28 @@
 
     def make_pipe(self) -> ForwardPipe:
         """Create the pipe of filters for forwarded calls."""
+        admit = AdmitCall(
+            self.admission, self.admission_policy, self.clock, self.metrics
+        )
         block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
         reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
         permits = Permits(
-            self.server_notices, self.peers, self.server_notices_in_force, self.clock
+            self.server_notices,
+            self.peers,
+            self.server_notices_in_force,
+            self.evacuations_in_force,
+            self.clock,
         )
         stream_version = ResolveStreamVersion(
             self.stream_versions, self.peers, self.clock, self.events
         )
-        choice = ServerChoice(self.server_selection, permits, self.clock, self.metrics)
+        choice = ServerChoice(
+            self.server_selection,
+            permits,
+            self.clock,
+            self.metrics,
+            lambda: self.live_settings.value.regions,
+        )
         dialer = ServerDialer(
             self.server_links_known,
             self.server_links,
@@ -492,16 +546,18 @@
         memory = ConnectionMemory(self.connection_memory, self.clock)
         return ForwardPipe(
             identify=Identify(self.desired),
-            filters=(block, stream_version, reserve),
+            filters=(admit, block, stream_version, reserve),
             reserve=reserve,
             forwarder=Forwarder(
                 serving=self.server_selection,
                 crashing_parts=self.crashing_parts,
                 stream_versions=self.stream_versions,
                 choice=choice,
+                admit=admit,
                 block=block,
                 permits=permits,
                 dialer=dialer,
+                process=ConfirmProcess(self.clock, self.events),
                 reports=reports,
                 memory=memory,
                 registered=self.registered_servers,
@@ -509,6 +565,7 @@
                 metrics=self.metrics,
             ),
             memory=memory,
+            accepting=self.accepting,
             host=self.settings.limits,
             desired=self.desired,
             clock=self.clock,
--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -11,11 +11,13 @@
 
 from hawthornstage.decisions.server_loads import ServerLoad
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
     NoServerAvailable,
     RegisteredServers,
     RequestServer,
+    Shortage,
 )
 
 # Servers with a limit that may deny one attempt a permit.
@@ -32,11 +34,13 @@
     Args:
         registered: Registered servers.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         loads: Load of each server, by id.
     """
 
     registered: RegisteredServers
     notices: ServerNotices
+    evacuations: Evacuations
     loads: Mapping[str, ServerLoad]
 
     def eligible(
@@ -49,7 +53,13 @@
             limit: Number of this router's calls on a server that it knows nothing of.
             now: Monotonic time in seconds.
         """
-        accepting = self.accepting(want.service, now)
+        if not self.has_server_at_home(want):
+            return NoServerAvailable(
+                f"service {want.service!r} has no server in the home regions of the "
+                f"call's route and workspace",
+                shortage=Shortage.OUTSIDE_HOMES,
+            )
+        accepting = self.accepting(want, now)
         compatible = [each for each in accepting if self.fits_version(each, want)]
         if want.version is not None and not compatible:
             return NoServerAvailable(
@@ -57,7 +67,14 @@
                 f"{want.version!r}",
                 version_gone=True,
             )
-        eligible = [each for each in compatible if each.id not in want.excluded]
+        remaining = [each for each in compatible if not self.is_evacuated(each)]
+        if compatible and not remaining:
+            return NoServerAvailable(
+                f"all failure domains with servers of service {want.service!r} are "
+                f"evacuated",
+                shortage=Shortage.EVACUATED,
+            )
+        eligible = [each for each in remaining if each.id not in want.excluded]
         if not eligible:
             return NoServerAvailable(
                 f"service {want.service!r} has no registered server that is neither "
@@ -67,27 +84,41 @@
         if not eligible:
             return NoServerAvailable(
                 f"each server has as many calls of this router as it may have,"
-                f" {limit} at first"
+                f" {limit} at first",
+                at_limit=True,
             )
         with_room = [each for each in eligible if self.has_room(each, want, now)]
         return with_room or self.no_room(eligible, want, now)
 
-    def has_share(self, server: BackendServer, limit: int) -> bool:
-        """Whether a server may have a further call of this router."""
-        load = self.loads[server.id]
-        return load.running < load.call_limit.allowed(limit)
+    def has_server_at_home(self, want: RequestServer) -> bool:
+        """Whether a call without home regions, or a server in one of them, is there."""
+        return want.failure_domains is None or any(
+            server.service == want.service
+            and server.failure_domain in want.failure_domains
+            for server in self.registered.servers.values()
+        )
 
-    def accepting(self, service: str, now: float) -> list[BackendServer]:
-        """Return the servers of a service that accept calls."""
+    def accepting(self, want: RequestServer, now: float) -> list[BackendServer]:
+        """Return the servers of a service, in the call's homes, that accept calls."""
         return [
             server
             for server in self.registered.servers.values()
-            if server.service == service
+            if server.service == want.service
+            and is_at_home(server, want.failure_domains)
             and self.registered.accepts_calls(server.id, now)
             and server.incarnation not in self.notices.leaving
             and not self.loads[server.id].address_reused
         ]
 
+    def has_share(self, server: BackendServer, limit: int) -> bool:
+        """Whether a server may have a further call of this router."""
+        load = self.loads[server.id]
+        return load.running < load.call_limit.allowed(limit)
+
+    def is_evacuated(self, server: BackendServer) -> bool:
+        """Whether a server's failure domain gets nothing new."""
+        return server.failure_domain in self.evacuations.failure_domains
+
     def fits_version(self, server: BackendServer, want: RequestServer) -> bool:
         """Whether a server has the version that a call needs, if it needs one.
 
@@ -110,7 +141,7 @@
         """
         if not self.notices.accepts_calls(server.incarnation, now):
             return False
-        is_limited = server.incarnation in self.notices.calls_per_s
+        is_limited = self.notices.is_limited(server.incarnation)
         if not (is_limited or server.incarnation in self.notices.fragile):
             return True
         if want.permits_denied >= MAX_PERMITS_DENIED:
@@ -139,6 +170,11 @@
         )
 
 
+def is_at_home(server: BackendServer, failure_domains: frozenset[str] | None) -> bool:
+    """Whether a server is in one of some failure domains; None stands for all."""
+    return failure_domains is None or server.failure_domain in failure_domains
+
+
 def jitter(name: str, server: str) -> float:
     """Return a number in [0, 1) that spreads calls over equal servers."""
     return digest(name, server) / 2**64
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -19,10 +19,12 @@
 from hawthornstage.decisions.server_eligibility import (
     ServerEligibility,
     digest,
+    is_at_home,
     jitter,
 )
 from hawthornstage.decisions.server_loads import SentCall, ServerLoad
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.forward import PlacementBasis, Prompt
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import (
@@ -52,6 +54,9 @@
 # Time that a server in another failure domain adds to the estimate, in seconds.
 CROSS_DOMAIN_COST_S = 0.004
 
+# Service, prompt part, and the failure domains in the call's homes.
+PromptKey = tuple[str, str, frozenset[str] | None]
+
 
 @dataclass
 class ServerSelector:
@@ -62,8 +67,9 @@
         registered: Registered servers.
         loads: Load of each server, by id.
         sent: Calls in progress, by id.
-        preferred: Cache of the preferred servers, by service and prompt part.
+        preferred: Cache of the preferred servers.
         notices: What servers have said of themselves.
+        evacuations: The failure domains that get nothing new.
         permit_demand: Recent calls and permits of the services with a limited server.
     """
 
@@ -71,8 +77,9 @@
     registered: RegisteredServers = RegisteredServers({})
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     sent: dict[str, SentCall] = field(default_factory=dict)
-    preferred: dict[tuple[str, str], str] = field(default_factory=dict)
+    preferred: dict[PromptKey, str] = field(default_factory=dict)
     notices: ServerNotices = ServerNotices()
+    evacuations: Evacuations = Evacuations()
     permit_demand: dict[str, PermitDemand] = field(default_factory=dict)
 
     @property
@@ -83,7 +90,9 @@
     @property
     def eligibility(self) -> ServerEligibility:
         """Decides which servers may get a call, by what is known now."""
-        return ServerEligibility(self.registered, self.notices, self.loads)
+        return ServerEligibility(
+            self.registered, self.notices, self.evacuations, self.loads
+        )
 
     def replace_servers(self, registered: RegisteredServers) -> None:
         """Replace the registered servers; a restarted one starts with an empty load."""
@@ -112,7 +121,9 @@
             return outcome
         eligible = self.leave_to_larger(outcome, want, now)
         not_avoided = [s for s in eligible if self.loads[s.id].avoid_until <= now]
-        preferred = self.preferred_server(want.service, want.prompt)
+        preferred = self.preferred_server(
+            want.service, want.prompt, want.failure_domains
+        )
         estimates = {
             s.id: self.estimate(s, want, preferred, now)
             for s in not_avoided or eligible
@@ -135,6 +146,11 @@
         self.notices = notices
         self.preferred.clear()
 
+    def replace_evacuations(self, evacuations: Evacuations) -> None:
+        """Replace the failure domains that get nothing new."""
+        self.evacuations = evacuations
+        self.preferred.clear()
+
     def record_no_room(self, at_limit: ServerAtLimit, now: float) -> None:
         """Record that a server has no room for some time."""
         load = self.loads.get(at_limit.server)
@@ -220,33 +236,54 @@
             tokens -= part.tokens
         return max(0, tokens)
 
-    def preferred_server(self, service: str, prompt: Prompt | None) -> str:
+    def preferred_server(
+        self,
+        service: str,
+        prompt: Prompt | None,
+        failure_domains: frozenset[str] | None = None,
+    ) -> str:
         """Return the id of the server that all routers prefer for a prompt's parts.
 
         It is '' for a prompt without shared parts.
+
+        Args:
+            service: The service.
+            prompt: The prompt's declared size, or None.
+            failure_domains: Failure domains to consider, or None for all.
         """
         if prompt is None or not prompt.shared_parts:
             return ""
-        key = (service, prompt.shared_parts[-1].id)
+        part = prompt.shared_parts[-1].id
+        key = (service, part, failure_domains)
         known = self.preferred.get(key)
         if known is None:
             if len(self.preferred) >= MAX_PROMPT_PARTS:
                 self.preferred.clear()
-            known = self.preferred[key] = rendezvous(key[1], self.staying(service))
+            known = self.preferred[key] = rendezvous(
+                part, self.staying(service, failure_domains)
+            )
         return known
 
-    def staying(self, service: str) -> list[str]:
+    def staying(
+        self, service: str, failure_domains: frozenset[str] | None = None
+    ) -> list[str]:
         """Return the ids of a service's servers that are expected to stay.
 
         Those that name a limit are left out while there are others. Cold ones are not:
         they are warm soon, and calls would then have to move back.
+
+        Args:
+            service: The service.
+            failure_domains: Failure domains to consider, or None for all.
         """
         staying = [
             server
             for server in self.servers.values()
             if server.service == service
+            and is_at_home(server, failure_domains)
             and not server.leaving
             and server.incarnation not in self.notices.leaving
+            and not self.eligibility.is_evacuated(server)
             and not self.loads[server.id].address_reused
         ]
         named = self.notices.calls_per_s
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -28,6 +28,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     OVERLOADED = "overloaded"
+    LOAD_SHED = "load_shed"
     DRAINING = "draining"
     NO_SERVER = "no_server"
     SERVER_UNREACHABLE = "server_unreachable"
@@ -42,6 +43,8 @@
     CALL_BLOCKED = "call_blocked"
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
+    EVACUATED = "evacuated"
+    OUTSIDE_HOMES = "outside_homes"
     OUT_OF_TIME = "out_of_time"
     SLOW_REQUEST = "slow_request"
     INTERNAL = "internal"
@@ -130,6 +133,12 @@
         1,
         "The router has reached its limit of concurrent requests.",
     ),
+    ErrorKind.LOAD_SHED: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        0.1,
+        "The router is overloaded and serves more urgent requests first.",
+    ),
     ErrorKind.DRAINING: ErrorResponse(
         503, ExecutionState.NO, 1, "The router is shutting down."
     ),
@@ -193,6 +202,18 @@
         None,
         "The stream cannot go on: there is no server of the version that began it.",
     ),
+    ErrorKind.EVACUATED: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        1,
+        "All failure domains with servers for the request are evacuated.",
+    ),
+    ErrorKind.OUTSIDE_HOMES: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        None,
+        "No server is in the home regions of the request's route and workspace.",
+    ),
     ErrorKind.OUT_OF_TIME: ErrorResponse(
         504,
         ExecutionState.UNKNOWN,
--- a/src/hawthornstage/filters/attempt_reports.py
+++ b/src/hawthornstage/filters/attempt_reports.py
@@ -32,8 +32,23 @@
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
-# The status of a call that ran out of its own time, which a sound server sends too.
-GATEWAY_TIMEOUT = 504
+# Status code with which a server ends a call at the call's own deadline.
+DEADLINE_STATUS = 504
+
+
+def is_server_failure(outcome: AttemptOutcome) -> bool:
+    """Whether an attempt failed through the server, also if its answer was passed on.
+
+    Args:
+        outcome: How the attempt ended.
+    """
+    match outcome:
+        case ServerFailed() | NotSent():
+            return True
+        case Delivered(status):
+            return status >= 500 and status != DEADLINE_STATUS
+        case _:
+            return False
 
 
 @dataclass(frozen=True)
@@ -146,12 +161,3 @@
         parts = () if delivery.answer_began else exchange.shared_ids
         call = LostCall(exchange.fingerprint, parts)
         self.lost_servers.tell(ServerLost(server, call))
-
-
-def is_server_failure(outcome: AttemptOutcome) -> bool:
-    """Whether an attempt shows that its server fails calls."""
-    match outcome:
-        case Delivered(status):
-            return status >= 500 and status != GATEWAY_TIMEOUT
-        case _:
-            return isinstance(outcome, ServerFailed | NotSent)
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -11,10 +11,11 @@
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls
-from hawthornstage.filters.forward_choice import ServerChoice
+from hawthornstage.filters.forward_choice import ServerChoice, needed_version
 from hawthornstage.filters.forward_relay import (
     DEADLINE_GRACE_S,
     AttemptOutcome,
@@ -26,6 +27,7 @@
 )
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
+from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.crashing_parts import AnswerBegan
@@ -46,11 +48,18 @@
     NoServerAvailable,
     RegisteredServers,
     ServerChosen,
+    Shortage,
 )
 from hawthornstage.messages.stream_versions import StreamVersionNoted
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
+# Errors for shortages of servers other than too many calls.
+SHORTAGE_KINDS = {
+    Shortage.EVACUATED: ErrorKind.EVACUATED,
+    Shortage.OUTSIDE_HOMES: ErrorKind.OUTSIDE_HOMES,
+}
+
 
 @dataclass(frozen=True)
 class Forwarder:
@@ -61,9 +70,11 @@
         crashing_parts: Task that finds prompt parts which crash servers.
         stream_versions: Task that owns the versions that began streams.
         choice: Chooses servers that have room for a call.
+        admit: Lets calls wait while a service is short of room.
         block: Rejects calls that crash servers, also between two attempts.
         permits: Permits for servers that have named a limit.
         dialer: Opens connections to servers.
+        process: Finds out to which process a connection leads.
         reports: Tells how each attempt went.
         memory: Memory of responses.
         registered: The servers that may get calls, read right before each send.
@@ -75,9 +86,11 @@
     crashing_parts: pykka.ActorRef
     stream_versions: pykka.ActorRef
     choice: ServerChoice
+    admit: AdmitCall
     block: BlockCrashingCalls
     permits: Permits
     dialer: ServerDialer
+    process: ConfirmProcess
     reports: AttemptReports
     memory: ConnectionMemory
     registered: LatestValue[RegisteredServers]
@@ -99,12 +112,21 @@
             response, complete or partial, or has disconnected.
         """
         while True:
+            if exchange.waited_s and caller.is_closed_by_caller():
+                delivery.outcome = "caller_left"
+                return None
             blocked = self.block.check(exchange)
             if blocked is not None:
                 return self.blocked_failure(delivery, blocked)
             choice = self.choice.choose(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
-                return self.no_server_failure(delivery, choice)
+                if not choice.at_limit or delivery.attempts:
+                    return self.no_server_failure(delivery, choice)
+                waited = self.wait_for_room(exchange)
+                if isinstance(waited, Failure):
+                    return waited
+                exchange = waited
+                continue
             try:
                 outcome = self.attempt(exchange, caller, choice, delivery)
             except Exception:
@@ -121,7 +143,11 @@
                     return None
                 case DeadlineExceeded():
                     return self.deadline_failure(delivery)
-                case Refused(reason, _) | Misdirected(reason) | NotSent(reason):
+                case Refused(reason, full):
+                    delivery.outcome = reason
+                    if full:
+                        self.admit.note_refused(exchange)
+                case Misdirected(reason) | NotSent(reason):
                     delivery.outcome = reason
                 case ServerFailed(reason):
                     delivery.outcome = reason
@@ -129,12 +155,38 @@
                         return self.final_failure(delivery, reason)
             if not self.can_retry(exchange, delivery):
                 return self.final_failure(delivery, delivery.outcome)
+            if self.may_wait(exchange, delivery, outcome):
+                waited = self.admit.wait_for_room(exchange)
+                if isinstance(waited, Failure):
+                    return self.final_failure(
+                        delivery, waited.detail, waited.retry_after_s
+                    )
+                exchange = waited
+
+    def wait_for_room(self, exchange: ForwardExchange) -> ForwardExchange | Failure:
+        """Let a call wait that this router's own limits keep from all servers."""
+        self.admit.note_refused(exchange)
+        return self.admit.wait_for_room(exchange)
+
+    def may_wait(
+        self, exchange: ForwardExchange, delivery: Delivery, outcome: AttemptOutcome
+    ) -> bool:
+        """Whether a call waits before its next attempt.
+
+        A stream that has begun goes on at once, and a call that may not run twice waits
+        before its first send only.
+        """
+        full = isinstance(outcome, Refused) and outcome.full
+        idempotent = exchange.route.idempotency is Idempotency.IDEMPOTENT
+        return full and idempotent and not delivery.head_sent
 
     def can_retry(self, exchange: ForwardExchange, delivery: Delivery) -> bool:
         """Return whether another server may go on, and attempts and time are left."""
         if delivery.events and delivery.last_event_id is None:
             # It would begin anew.
             return False
+        if delivery.events and delivery.began_unconfirmed:
+            return False
         in_time = self.clock.monotonic() < exchange.deadline
         attempts = delivery.attempts - delivery.misdirected
         return in_time and attempts < exchange.route.max_attempts
@@ -165,6 +217,10 @@
         """Return the failure of a call for which there is no server (any more)."""
         if choice.version_gone and not (delivery.head_sent or delivery.may_have_run):
             return Failure(ErrorKind.STREAM_NOT_RESUMABLE, choice.reason)
+        untouched = not (delivery.head_sent or delivery.may_have_run)
+        kind = SHORTAGE_KINDS.get(choice.shortage)
+        if kind is not None and untouched:
+            return Failure(kind, choice.reason)
         return self.final_failure(delivery, choice.reason, choice.retry_after_s)
 
     def blocked_failure(self, delivery: Delivery, blocked: Failure) -> Failure | None:
@@ -201,6 +257,7 @@
                 choice,
                 exchange.deadline,
                 failed_before=delivery.failed_to_connect,
+                regions=exchange.regions,
             )
         except OSError as error:
             delivery.failed_to_connect = True
@@ -215,6 +272,9 @@
             if denied is not None:
                 connection.close()
                 return NotSent(f"{choice.server.id} has reached its limit since then")
+        if not self.may_go_on_there(exchange, caller, connection, choice, delivery):
+            connection.close()
+            return NotSent(f"{choice.server.id} may have another version by now")
         delivery.attempts += 1
         delivery.through_router = connection.through_router
         ran_before, delivery.may_have_run = delivery.may_have_run, True
@@ -264,12 +324,16 @@
         head = connection.next_event(exchange.deadline + DEADLINE_GRACE_S)
         match head:
             case ResponseHead():
-                if shows_speed(head, call.id, reused=connection.is_reused):
+                reused = connection.is_reused
+                own = belongs_to_call(head, call.id, reused=reused)
+                if own and head.shows_speed:
                     self.serving.tell(FirstByteReceived(call.id))
                 delivery.first_byte_s = self.clock.monotonic() - sent_at
                 error_s = delivery.first_byte_s - choice.basis.wait_s
                 self.metrics.estimate_error.observe(error_s)
                 self.reports.note_notice(call.id, choice.server, head, connection)
+                if not head.not_executed:
+                    self.admit.note_accepted(exchange)
             case ResponseData() | ResponseEnd():
                 return ServerFailed("the response has no head")
             case end:
@@ -288,6 +352,19 @@
             )
             return relay.relay(head)
 
+    def may_go_on_there(
+        self,
+        exchange: ForwardExchange,
+        caller: CallerConnection,
+        connection: ServerConnection,
+        choice: ServerChosen,
+        delivery: Delivery,
+    ) -> bool:
+        """Whether the server certainly has the version that a stream needs, if any."""
+        if needed_version(exchange, delivery) is None or self.registered.value.current:
+            return True
+        return self.process.confirm(connection, caller, choice.server)
+
     def note_stream_version(
         self, exchange: ForwardExchange, server: BackendServer, delivery: Delivery
     ) -> str | None:
@@ -306,20 +383,11 @@
             # The connection may have been opened to either process.
             return f"the server has started again with version {current.version!r}"
         if delivery.stream_version is None:
+            if not self.registered.value.current and exchange.stream_version is None:
+                delivery.began_unconfirmed = True
+                return None
             delivery.stream_version = server.version
             self.stream_versions.tell(
                 StreamVersionNoted(exchange.call.id, exchange.service, server.version)
             )
         return None
-
-
-def shows_speed(head: ResponseHead, call_id: str, *, reused: bool) -> bool:
-    """Whether the time to a response's head tells how fast the server works.
-
-    A failure of the server does not: it may be sent at once.
-    """
-    if not belongs_to_call(head, call_id, reused=reused):
-        return False
-    if head.not_executed:
-        return True
-    return head.sealed if head.is_success else head.status < 500
--- a/src/hawthornstage/messages/host_settings.py
+++ b/src/hawthornstage/messages/host_settings.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from hawthornstage.messages.slow_start import SlowStartBounds
 
@@ -25,11 +26,14 @@
         drain_s: Time from a server's leaving until it gets nothing new, in seconds.
         desired_state_s: Time from a version of the desired state until it is in force,
             in seconds.
+        evacuation_s: Time from the evacuation of a failure domain until its servers get
+            nothing new, in seconds.
     """
 
     settled_s: float = 3.0
     drain_s: float = 2.0
     desired_state_s: float = 2.0
+    evacuation_s: float = 5.0
 
 
 @dataclass(frozen=True)
@@ -68,6 +72,7 @@
         retry_slack: Fleet-wide retries allowed in addition.
         retry_window_s: Length of the window in which retries are counted, in seconds.
         limits: What the router may take of its host.
+        regions: Region of each failure domain; one that is missing has none.
         slow_start_bounds: What a cold server may get in any one second.
     """
 
@@ -84,8 +89,14 @@
     retry_slack: float
     retry_window_s: float
     limits: HostLimits = HostLimits()
+    regions: Mapping[str, str] = field(default_factory=dict)
     slow_start_bounds: SlowStartBounds = SlowStartBounds()
 
+    @property
+    def region(self) -> str:
+        """The router's own region, empty if it has none."""
+        return self.regions.get(self.failure_domain, "")
+
     @property
     def listen_addresses(self) -> tuple[SocketAddress, ...]:
         """The listen addresses, which only a restart can change."""
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.forward import (
@@ -25,11 +26,14 @@
         drop_times: Monotonic time from which such a server gets nothing new, by id.
         leaving_since: Monotonic time at which an entry was first read that says that
             its server leaves, or was found removed, by id.
+        current: Whether the store's latest response was received; without it, servers
+            may have started again unnoticed.
     """
 
     servers: Mapping[str, BackendServer]
     drop_times: Mapping[str, float] = field(default_factory=dict)
     leaving_since: Mapping[str, float] = field(default_factory=dict)
+    current: bool = True
 
     def accepts_calls(self, server: str, now: float) -> bool:
         """Whether new calls may be sent to a server, given by its id."""
@@ -55,6 +59,7 @@
         permits_denied: Servers chosen for this attempt before that had no room within
             the limits that they named.
         version: Version that the server must have, or None for any.
+        failure_domains: Failure domains in the call's home regions, or None for all.
     """
 
     call_id: str
@@ -66,6 +71,7 @@
     repeatable: bool = False
     permits_denied: int = 0
     version: str | None = None
+    failure_domains: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -83,6 +89,14 @@
     pooled: PooledConnection | None = None
 
 
+class Shortage(Enum):
+    """Why no server can accept a call."""
+
+    BUSY = "busy"
+    EVACUATED = "evacuated"
+    OUTSIDE_HOMES = "outside_homes"
+
+
 @dataclass(frozen=True)
 class NoServerAvailable:
     """No server can accept the call at present.
@@ -91,11 +105,15 @@
         reason: Why not, for the log.
         retry_after_s: Time until a server may accept it, in seconds, if it is known.
         version_gone: Whether no server of the version that it needs is left.
+        shortage: What keeps the servers from accepting it.
+        at_limit: Whether there are servers, but each has this router's limit of calls.
     """
 
     reason: str
     retry_after_s: float | None = None
     version_gone: bool = False
+    shortage: Shortage = Shortage.BUSY
+    at_limit: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/platform/desired_state.py
+++ b/src/hawthornstage/platform/desired_state.py
@@ -18,6 +18,7 @@
     WorkspaceSpec,
 )
 from hawthornstage.messages.slow_start import SlowStartTerms
+from hawthornstage.settings_errors import format_validation_errors
 
 # Key of the current desired state, and the prefix to watch.
 DESIRED_STATE_PREFIX = "op/"
@@ -25,7 +26,15 @@
 
 
 class DesiredStateError(Exception):
-    """The document is not a valid desired state."""
+    """The document is not a valid desired state.
+
+    Args:
+        faults: One line for each error: its path and what was expected.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
 
 
 class ShareModel(BaseModel):
@@ -35,6 +44,11 @@
     weight: float
 
 
+def to_regions(homes: list[str] | None) -> frozenset[str] | None:
+    """Return home regions; None if there are none, as with an empty list."""
+    return frozenset(homes) if homes else None
+
+
 class RouteModel(BaseModel):
     """A route in the operators' format."""
 
@@ -50,6 +64,7 @@
     max_attempts: int = Field(alias="max-attempts", default=1)
     public: bool = False
     resumable: bool = False
+    homes: list[str] | None = Field(alias="allowed-regions", default=None)
 
     def to_route(self) -> ForwardRoute:
         """Convert to the route that the rest of the code uses."""
@@ -73,6 +88,7 @@
             timeout_s=self.timeout_ms / 1000,
             latency_objective_s=self.objective_ms / 1000,
             priority=self.priority,
+            regions=to_regions(self.homes),
         )
 
 
@@ -136,11 +152,16 @@
     priority: int | None = None
     # Total tokens that the workspace may use over the day.
     prepaid: int | None = None
+    homes: list[str] | None = Field(alias="allowed-regions", default=None)
 
     def to_workspace(self) -> WorkspaceSpec:
         """Convert to the workspace that the rest of the code uses."""
         return WorkspaceSpec(
-            self.name, frozenset(self.api_keys), self.priority, self.prepaid
+            self.name,
+            frozenset(self.api_keys),
+            self.priority,
+            self.prepaid,
+            to_regions(self.homes),
         )
 
 
@@ -165,8 +186,10 @@
     """
     try:
         model = ConfigModel.model_validate(load_json(document))
-    except (ValueError, ValidationError) as error:
-        raise DesiredStateError(str(error)) from error
+    except ValidationError as error:
+        raise DesiredStateError(format_validation_errors(error)) from error
+    except ValueError as error:
+        raise DesiredStateError([str(error)]) from error
     return DesiredState(
         version=model.version,
         routes=tuple(each.to_route() for each in model.routes),
