--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -359,6 +359,7 @@
     loss=st.sampled_from([0.0, 0.05, 0.3]),
     delay_s=st.sampled_from([0.005, 0.08, 0.5]),
     ends=st.booleans(),
+    returns=st.booleans(),
     parted=st.integers(0, 3),
     reborn=st.booleans(),
     idle_s=st.sampled_from([0.0, 0.5, 0.8]),
@@ -369,6 +370,7 @@
     loss: float,
     delay_s: float,
     ends: bool,
+    returns: bool,
     parted: int,
     reborn: bool,
     idle_s: float,
@@ -393,10 +395,18 @@
         if ends and age >= ends_at and not world.ended:
             issuer = world.tasks["r0"].issuing.issuers.issuers("i-1")[0]
             world.ended.add(issuer)
+            ends = False
+        elif returns and world.ended and age >= ends_at + 0.5:
+            (issuer,) = world.ended
+            world.ended.clear()
+            # It knows nothing, and takes itself for the first issuer before long.
+            world.start(issuer)
+            reads_at[issuer], knows = age + 0.1, {**knows}
+            knows.pop(issuer, None)
         for node in world.names:
             if node in world.ended:
                 continue
-            if world.ended and world.random.random() < 0.02:
+            if not ends and world.random.random() < 0.02:
                 world.list_routers(node)
             if node in reads_at and age >= reads_at[node]:
                 del reads_at[node]
