--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -13,7 +13,7 @@
     ReceiveResult,
     RequestReader,
 )
-from hawthornstage.border.sockets import set_socket_options
+from hawthornstage.border.sockets import reset_on_close, set_socket_options
 from hawthornstage.clock import Clock
 from hawthornstage.messages.forward import Headers
 
@@ -39,6 +39,7 @@
         self.parser = self.new_parser()
         # Whether the response is sent in chunks, and the decoder of a chunked request.
         self.chunked = False
+        self.closing = False
         self.request_chunks: ChunkedDecoder | None = None
         set_socket_options(connection)
         connection.settimeout(SEND_TIMEOUT_S)
@@ -93,6 +94,10 @@
         if data:
             self.socket.sendall(data)
 
+    def announce_close(self) -> None:
+        """Make the next response announce that the connection closes after it."""
+        self.closing = True
+
     def send_head(self, status: int, headers: Headers, *, close: bool) -> None:
         """Send the head of a response.
 
@@ -102,7 +107,7 @@
             close: Whether to announce that the connection closes afterwards.
         """
         encoded_headers = [(name, value.encode("latin-1")) for name, value in headers]
-        if close:
+        if close or self.closing:
             encoded_headers.append(("connection", b"close"))
         self.send(h11.Response(status_code=status, headers=encoded_headers))
         sized = any(name == "content-length" for name, _ in headers)
@@ -155,4 +160,7 @@
 
     def close(self) -> None:
         """Close the connection; an incomplete response stays incomplete."""
+        if self.parser.our_state is h11.SEND_BODY and not self.chunked:
+            # To a caller without chunks, an orderly close would look like the end.
+            reset_on_close(self.socket)
         self.socket.close()
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -23,6 +23,7 @@
     Misdirected,
     Refused,
     ResponseRelay,
+    belongs_to_call,
 )
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
@@ -323,7 +324,10 @@
         head = connection.next_event(exchange.deadline + DEADLINE_GRACE_S)
         match head:
             case ResponseHead():
-                self.serving.tell(FirstByteReceived(call.id))
+                reused = connection.is_reused
+                own = belongs_to_call(head, call.id, reused=reused)
+                if own and head.shows_speed:
+                    self.serving.tell(FirstByteReceived(call.id))
                 delivery.first_byte_s = self.clock.monotonic() - sent_at
                 error_s = delivery.first_byte_s - choice.basis.wait_s
                 self.metrics.estimate_error.observe(error_s)
