--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -66,6 +66,7 @@
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
+from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
@@ -465,7 +466,11 @@
     def share_watch(self, prefix: str) -> WatchShare:
         """Return a watch's part in sharing what it reads with other routers."""
         return WatchShare(
-            prefix, self.shared_watches, self.watch_readers, self.peers, self.clock
+            prefix,
+            self.shared_watches,
+            self.watch_readers,
+            self.peers,
+            **self.shared,
         )
 
     def store_bounds(self) -> StoreBounds:
@@ -552,6 +557,7 @@
                 block=block,
                 permits=permits,
                 dialer=dialer,
+                process=ConfirmProcess(self.clock, self.events),
                 reports=reports,
                 memory=memory,
                 registered=self.registered_servers,
@@ -559,6 +565,7 @@
                 metrics=self.metrics,
             ),
             memory=memory,
+            accepting=self.accepting,
             host=self.settings.limits,
             desired=self.desired,
             clock=self.clock,
