--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -13,6 +13,7 @@
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
+from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.forward_relay import (
@@ -24,7 +25,6 @@
     ResponseRelay,
 )
 from hawthornstage.filters.permits import Permits
-from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
@@ -46,11 +46,18 @@
     NoServerAvailable,
     RegisteredServers,
     ServerChosen,
+    Shortage,
 )
 from hawthornstage.messages.stream_versions import StreamVersionNoted
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
+# Errors for shortages of servers other than too many calls.
+SHORTAGE_KINDS = {
+    Shortage.EVACUATED: ErrorKind.EVACUATED,
+    Shortage.OUTSIDE_HOMES: ErrorKind.OUTSIDE_HOMES,
+}
+
 
 @dataclass(frozen=True)
 class Forwarder:
@@ -81,7 +88,7 @@
     permits: Permits
     dialer: ServerDialer
     reports: AttemptReports
-    memory: ResponseMemory
+    memory: ConnectionMemory
     registered: LatestValue[RegisteredServers]
     clock: Clock
     metrics: Metrics
@@ -204,6 +211,10 @@
         """Return the failure of a call for which there is no server (any more)."""
         if choice.version_gone and not (delivery.head_sent or delivery.may_have_run):
             return Failure(ErrorKind.STREAM_NOT_RESUMABLE, choice.reason)
+        untouched = not (delivery.head_sent or delivery.may_have_run)
+        kind = SHORTAGE_KINDS.get(choice.shortage)
+        if kind is not None and untouched:
+            return Failure(kind, choice.reason)
         return self.final_failure(delivery, choice.reason, choice.retry_after_s)
 
     def blocked_failure(self, delivery: Delivery, blocked: Failure) -> Failure | None:
@@ -234,13 +245,13 @@
     ) -> AttemptOutcome:
         """Send a call to one server and relay its response."""
         delivery.attempted_servers = (*delivery.attempted_servers, choice.server)
-        has_permit = self.choice.needs_permit(choice)
         try:
             connection = self.dialer.connect(
                 exchange.call.id,
                 choice,
                 exchange.deadline,
                 failed_before=delivery.failed_to_connect,
+                regions=exchange.regions,
             )
         except OSError as error:
             delivery.failed_to_connect = True
@@ -250,9 +261,11 @@
         if refusal is not None:
             connection.close()
             return NotSent(f"{choice.server.id} accepts no call any more: {refusal}")
-        if not has_permit and self.choice.acquire_permit(exchange, choice, delivery):
-            connection.close()
-            return NotSent(f"{choice.server.id} has named a limit since it was chosen")
+        if self.choice.lacks_permit(choice, delivery):
+            denied = self.choice.acquire_permit(exchange, choice, delivery)
+            if denied is not None:
+                connection.close()
+                return NotSent(f"{choice.server.id} has reached its limit since then")
         delivery.attempts += 1
         delivery.through_router = connection.through_router
         ran_before, delivery.may_have_run = delivery.may_have_run, True
--- a/src/hawthornstage/filters/forward_choice.py
+++ b/src/hawthornstage/filters/forward_choice.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import pykka
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.home_regions import failure_domains_in
+from hawthornstage.decisions.slow_start import PERMIT_VALIDITY_S
 from hawthornstage.filters.forward import TASK_TIMEOUT_S
 from hawthornstage.filters.permits import Permits
 from hawthornstage.messages.desired import Idempotency
@@ -36,12 +39,14 @@
         permits: Permits for servers that have named a limit.
         clock: Source of timeouts.
         metrics: Counts permits.
+        region_of: Returns the region of each failure domain.
     """
 
     serving: pykka.ActorRef
     permits: Permits
     clock: Clock
     metrics: Metrics
+    region_of: Callable[[], Mapping[str, str]] = dict
 
     def choose(
         self, exchange: ForwardExchange, delivery: Delivery
@@ -73,10 +78,12 @@
         Returns:
             The denial, or None if the call may be sent.
         """
+        delivery.permit_asked_at = None
         if not self.needs_permit(choice):
             return None
         denied = None
         if self.permits.is_limited(choice.server.incarnation):
+            delivery.permit_asked_at = self.clock.monotonic()
             denied = self.permits.acquire(choice.server.incarnation, exchange.priority)
         if denied is None and self.permits.is_fragile(choice.server.incarnation):
             denied = self.acquire_lease(exchange, choice, delivery)
@@ -84,6 +91,19 @@
         self.metrics.permits.labels(outcome).inc()
         return denied
 
+    def lacks_permit(self, choice: ServerChosen, delivery: Delivery) -> bool:
+        """Whether a call that is about to be sent has no permit that still holds."""
+        incarnation = choice.server.incarnation
+        if self.permits.is_fragile(incarnation) and delivery.lease is None:
+            return True
+        if not self.permits.is_limited(incarnation):
+            return False
+        asked_at = delivery.permit_asked_at
+        if asked_at is None:
+            return True
+        age_s = self.clock.monotonic() - asked_at
+        return self.permits.is_cold(incarnation) and age_s > PERMIT_VALIDITY_S
+
     def acquire_lease(
         self, exchange: ForwardExchange, choice: ServerChosen, delivery: Delivery
     ) -> PermitDenied | None:
@@ -135,6 +155,7 @@
             repeatable=exchange.route.idempotency is Idempotency.IDEMPOTENT,
             permits_denied=permits_denied,
             version=needed_version(exchange, delivery),
+            failure_domains=failure_domains_in(exchange.regions, self.region_of()),
         )
         reply = ask(self.serving, want, self.clock, timeout=TASK_TIMEOUT_S)
         if reply is None:
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -111,6 +111,8 @@
         reserved: Tokens reserved for the call.
         stream_version: Version of the servers at which the stream may go on, or None
             if it has not begun.
+        regions: Set by identify: the regions in which the call may be handled, or None
+            for all.
         waited_s: Time for which the call waited for room, in seconds.
     """
 
@@ -122,6 +124,7 @@
     fingerprint: str
     reserved: int = 0
     stream_version: str | None = None
+    regions: frozenset[str] | None = None
     waited_s: float = 0.0
 
     @property
@@ -309,6 +312,8 @@
         through_router: The router that carried the latest attempt, or None.
         failed_to_connect: Whether a server could not be connected to.
         lease: The lease of the server that the call is sent to, if it is fragile.
+        permit_asked_at: Time at which the permit for that server was asked for, or None
+            if it needed none.
     """
 
     attempts: int = 0
@@ -329,3 +334,4 @@
     through_router: str | None = None
     failed_to_connect: bool = False
     lease: CallLease | None = None
+    permit_asked_at: float | None = None
--- a/src/hawthornstage/observe/metrics.py
+++ b/src/hawthornstage/observe/metrics.py
@@ -62,8 +62,8 @@
         )
         self.store_calls = Counter(
             "hawthornstage_store_calls_total",
-            "Calls to the platform's store by kind and outcome",
-            ["kind", "outcome"],
+            "Calls to the platform's store by the part that calls, kind and outcome",
+            ["client", "kind", "outcome"],
             registry=self.registry,
         )
         self.free_tokens = Gauge(
@@ -127,6 +127,11 @@
             "Tries after the first",
             registry=self.registry,
         )
+        self.cold_servers = Gauge(
+            "hawthornstage_cold_servers",
+            "Servers that get calls only within the limit of a slow start",
+            registry=self.registry,
+        )
         self.peer_bytes = Counter(
             "hawthornstage_peer_bytes_total",
             "Bytes of frames between routers",
@@ -145,6 +150,12 @@
             ["side", "outcome"],
             registry=self.registry,
         )
+        self.evacuated = Gauge(
+            "hawthornstage_evacuated",
+            "Whether a failure domain is evacuated, as far as this router knows",
+            ["failure_domain"],
+            registry=self.registry,
+        )
         self.revision = Gauge(
             "hawthornstage_tables_revision",
             "Revision of the tables in use",
--- a/src/hawthornstage/platform/desired_state.py
+++ b/src/hawthornstage/platform/desired_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from pydantic import BaseModel, Field, ValidationError
 
 from hawthornstage.border.json_values import load_json
@@ -15,6 +17,7 @@
     TrafficShare,
     WorkspaceSpec,
 )
+from hawthornstage.messages.slow_start import SlowStartTerms
 
 # Key of the current desired state, and the prefix to watch.
 DESIRED_STATE_PREFIX = "op/"
@@ -32,6 +35,11 @@
     weight: float
 
 
+def to_regions(homes: list[str] | None) -> frozenset[str] | None:
+    """Return home regions; None if there are none, as with an empty list."""
+    return frozenset(homes) if homes else None
+
+
 class RouteModel(BaseModel):
     """A route in the operators' format."""
 
@@ -47,6 +55,7 @@
     max_attempts: int = Field(alias="max-attempts", default=1)
     public: bool = False
     resumable: bool = False
+    homes: list[str] | None = Field(alias="allowed-regions", default=None)
 
     def to_route(self) -> ForwardRoute:
         """Convert to the route that the rest of the code uses."""
@@ -70,6 +79,7 @@
             timeout_s=self.timeout_ms / 1000,
             latency_objective_s=self.objective_ms / 1000,
             priority=self.priority,
+            regions=to_regions(self.homes),
         )
 
 
@@ -89,6 +99,8 @@
     name: str
     max_connections: int = Field(alias="max-connections", default=100)
     engine: EngineModel | None = None
+    cold_s: float = Field(alias="cold-s", default=0.0)
+    cold_per_s: float = Field(alias="cold-per-s", default=0.0)
 
     def to_service(self) -> ServiceSpec:
         """Convert to the service that the rest of the code uses."""
@@ -99,7 +111,10 @@
                 kv_cache_tokens=self.engine.kv_capacity,
                 tokens_per_event=self.engine.stride,
             )
-        return ServiceSpec(self.name, self.max_connections, engine)
+        slow_start = None
+        if 0.0 < self.cold_per_s < math.inf:
+            slow_start = SlowStartTerms(self.cold_per_s, max(0.0, self.cold_s))
+        return ServiceSpec(self.name, self.max_connections, engine, slow_start)
 
 
 class LimitsModel(BaseModel):
@@ -128,11 +143,16 @@
     priority: int | None = None
     # Total tokens that the workspace may use over the day.
     prepaid: int | None = None
+    homes: list[str] | None = Field(alias="allowed-regions", default=None)
 
     def to_workspace(self) -> WorkspaceSpec:
         """Convert to the workspace that the rest of the code uses."""
         return WorkspaceSpec(
-            self.name, frozenset(self.api_keys), self.priority, self.prepaid
+            self.name,
+            frozenset(self.api_keys),
+            self.priority,
+            self.prepaid,
+            to_regions(self.homes),
         )
 
 
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -14,11 +14,11 @@
 from hawthornstage.errors import Failure
 from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
+from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_attempt import Forwarder
 from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.permits import Permits
-from hawthornstage.filters.response_memory import ResponseMemory
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.admission import (
@@ -28,6 +28,7 @@
     RoomGranted,
 )
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.forward import (
     ForwardExchange,
     PlacementBasis,
@@ -112,6 +113,7 @@
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
         self.notices = LatestValue(ServerNotices())
+        self.evacuations = LatestValue(Evacuations())
         self.links = LatestValue(ServerLinks())
         self.peers: Any = self
         self.room: RoomGranted | RoomDenied = RoomGranted()
@@ -136,7 +138,7 @@
 def make_forwarder(tasks: Any, clock: Clock) -> Forwarder:
     """Return a forwarder whose tasks are all stood for by one object."""
     block = BlockCrashingCalls(tasks.blocked_calls, tasks.blocked_parts, clock)
-    permits = Permits(tasks, tasks.peers, tasks.notices, clock)
+    permits = Permits(tasks, tasks.peers, tasks.notices, tasks.evacuations, clock)
     metrics = Metrics()
     events = EventLog("a", clock)
     choice = ServerChoice(tasks, permits, clock, metrics)
@@ -154,7 +156,7 @@
         reports=AttemptReports(
             tasks, tasks, tasks, choice, permits, dialer, events, metrics
         ),
-        memory=ResponseMemory(tasks, clock),
+        memory=ConnectionMemory(tasks, clock),
         registered=tasks.registered,
         clock=clock,
         metrics=metrics,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -103,6 +103,10 @@
         budget: Tokens prepaid by the workspace.
         versions: Versions of the servers' software, which those of a service have in
             turn.
+        host_limits: Limits of each router's host, as in its settings file.
+        caller_limits: Limits of callers' requests, as in the desired state.
+        zones: Failure domains, which the servers of a service have in turn.
+        regions: Region of each failure domain.
     """
 
     def __init__(
@@ -112,11 +116,19 @@
         servers: int = 1,
         budget: int = 1_000_000,
         versions: tuple[str, ...] = ("v1",),
+        host_limits: dict[str, float] | None = None,
+        caller_limits: dict[str, float] | None = None,
+        zones: tuple[str, ...] = ("a",),
+        regions: dict[str, str] | None = None,
     ) -> None:
         self.names = [f"edge-{number}" for number in range(1, routers + 1)]
         self.server_count = servers
         self.versions = versions
+        self.zones = zones
+        self.regions = regions or {}
         self.budget = budget
+        self.host_limits = host_limits or {}
+        self.caller_limits = caller_limits or {}
         self.version = 1
         self.host = unique_loopback_host()
         self.processes: dict[str, Process] = {}
@@ -130,8 +142,13 @@
         for service in ("models", "desk"):
             for number in range(1, self.server_count + 1):
                 version = self.versions[number % len(self.versions)]
-                self.add_server(service, f"{service}-{number}", version=version)
-        self.publish_desired_state(desired_state(self.version, self.budget))
+                zone = self.zones[number % len(self.zones)]
+                self.add_server(
+                    service, f"{service}-{number}", version=version, zone=zone
+                )
+        self.publish_desired_state(
+            desired_state(self.version, self.budget, limits=self.caller_limits)
+        )
         ports = free_ports(self.host, 4 * len(self.names))
         for name in self.names:
             self.write_settings(name, [ports.pop() for _ in range(4)])
@@ -154,7 +171,15 @@
         self.processes[name] = start_stand_in(name, module, *options)
 
     def add_server(
-        self, service: str, name: str, state: str = "ready", *, version: str = "v1"
+        self,
+        service: str,
+        name: str,
+        state: str = "ready",
+        *,
+        version: str = "v1",
+        zone: str = "a",
+        born: int = 1,
+        cold_left_ms: int = 0,
     ) -> None:
         """Register a backend server in the store, and start it if necessary."""
         if name not in self.processes:
@@ -162,11 +187,12 @@
         entry = {
             "service": service,
             "address": f"127.0.0.1:{self.processes[name].port}",
-            "zone": "a",
+            "zone": zone,
             "slots": 8,
             "state": state,
             "version": version,
-            "born": 1,
+            "born": born,
+            "cold-left-ms": cold_left_ms,
         }
         self.control("store", "put", {f"servers/{name}": entry})
 
@@ -197,11 +223,13 @@
             "node-name": name,
             "ip": self.host,
             "zone": "a",
+            "zones": self.regions,
             "listen": {
                 "front": f"{self.host}:{caller_port}",
                 "ready": f"{self.host}:{ready_port}",
             },
             "port-range": [peer_port, tunnel_port],
+            "limits": self.host_limits,
             "bounds": {"grace-s": 8},
             "platform": {"address": f"127.0.0.1:{self.processes['store'].port}"},
         }
