--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -200,6 +200,16 @@
         """Whether the status code is 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def shows_speed(self) -> bool:
+        """Whether the time to it shows the server's speed.
+
+        A failing server may answer sooner than one that does its work.
+        """
+        if self.not_executed or self.misdirected:
+            return False
+        return self.sealed if self.is_success else 300 <= self.status < 500
+
 
 @dataclass(frozen=True)
 class ResponseData:
@@ -312,6 +322,8 @@
         through_router: The router that carried the latest attempt, or None.
         failed_to_connect: Whether a server could not be connected to.
         lease: The lease of the server that the call is sent to, if it is fragile.
+        began_unconfirmed: Whether the stream began at a server whose version is not
+            certain, so that it cannot go on elsewhere.
         permit_asked_at: Time at which the permit for that server was asked for, or None
             if it needed none.
     """
@@ -335,3 +347,4 @@
     failed_to_connect: bool = False
     lease: CallLease | None = None
     permit_asked_at: float | None = None
+    began_unconfirmed: bool = False
