Serve no call whose caller left before it was read

A call is dropped now once it is read if its caller has closed the connection, before it costs tokens, a server or a processor.

The check for a caller that left while it waited for room took five seconds if the caller was still there, and then took it for gone: the socket's timeout applied. It polls first. test_caller_that_is_there_after_its_wait_is_served and test_call_is_not_served_whose_caller_left_before_it_was_read cover both; the second failed on the code before.

--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -215,6 +215,10 @@
             self.report(call, None, Delivery(), failure, 0)
             self.send_error(call.id, failure, close=True)
             return False
+        if self.caller.has_caller_left():
+            # It gave up while its request waited to be read.
+            self.report(call, None, Delivery(outcome="caller_left"), None, 0)
+            return False
         if self.sends_callers_away:
             self.caller.announce_close()
         with self.connections.active_call():
--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -13,7 +13,12 @@
     ReceiveResult,
     RequestReader,
 )
-from hawthornstage.border.sockets import reset_on_close, set_socket_options
+from hawthornstage.border.sockets import (
+    READABLE,
+    reset_on_close,
+    set_socket_options,
+    wait_ready,
+)
 from hawthornstage.clock import Clock
 from hawthornstage.messages.forward import Headers
 
@@ -149,6 +154,12 @@
             self.parser.receive_data(chunks.rest)
         return True
 
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed the connection; does not wait."""
+        return bool(wait_ready([(self.socket, READABLE)], 0)) and (
+            self.is_closed_by_caller()
+        )
+
     def is_closed_by_caller(self) -> bool:
         """Whether a readable socket means that the caller closed the connection."""
         try:
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -112,7 +112,7 @@
             response, complete or partial, or has disconnected.
         """
         while True:
-            if exchange.waited_s and caller.is_closed_by_caller():
+            if exchange.waited_s and caller.has_caller_left():
                 delivery.outcome = "caller_left"
                 return None
             blocked = self.block.check(exchange)
--- a/tests/test_admit.py
+++ b/tests/test_admit.py
@@ -9,6 +9,7 @@
 
 from hawthornstage.actors.admission import CHECK_INTERVAL_S, AdmissionTask
 from hawthornstage.actors.task import Ask
+from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.admission import SHORTAGE_TTL_S
 from hawthornstage.errors import ErrorKind, ExecutionState, Failure, response_for
@@ -31,7 +32,7 @@
 from hawthornstage.messages.server_selection import NoServerAvailable
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
-from tests.connection_pair import CallerPair, sealed
+from tests.connection_pair import REQUEST, CallerPair, sealed
 from tests.delivery_world import (
     ScriptedServer,
     Tasks,
@@ -151,6 +152,17 @@
     assert server.seen == []
 
 
+def test_a_caller_that_is_there_after_its_wait_is_served(pair: CallerPair) -> None:
+    server = ScriptedServer([sealed(b"")])
+    pair.caller.sendall(REQUEST + b"Content-Length: 4\r\n\r\ntext")
+    assert isinstance(pair.receive(), RawRequest)
+    failure, delivery = send_to(
+        pair, Tasks([server.start()]), "/letters/x", waited_s=1.0
+    )
+    assert failure is None
+    assert (delivery.outcome, delivery.attempts) == ("answered", 1)
+
+
 def test_a_call_that_may_run_twice_waits_after_a_full_server(
     pair: CallerPair,
 ) -> None:
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -249,3 +249,18 @@
     caller.sendall(REQUEST)
     answer = read_all(caller).lower()
     assert answer.startswith(b"http/1.1 503") and b"connection: close" in answer
+
+
+def test_call_is_not_served_whose_caller_left_before_it_was_read(
+    listener: CallerListener, connect: Connect, refusing: RefuseEachCall
+) -> None:
+    left = connect()
+    left.sendall(REQUEST)
+    left.close()
+    stays = connect()
+    stays.sendall(REQUEST)
+    listener.start()
+    assert stays.recv(4_096).startswith(b"HTTP/1.1 503")
+    stays.close()
+    assert listener.wait_ended(SOON)
+    assert refusing.calls == 1
