Let the allocator return the memory of large bodies

Cause: the C library raises the size from which it maps a block by itself to that of the largest block freed, and threads keep freed blocks in arenas of their own.

Change: that size is fixed at 128 KB, and threads share two arenas. A server's refusals do not add up to longer avoidance, also since the heads of refusals do not count as first bytes.

--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -345,8 +345,7 @@
             self.preferred.clear()
         if ended.failed or ended.refused:
             # Refusals do not add up as failures do: a full server is a sound one.
-            answered = ended.refused and sent.first_byte_received
-            load.failures = 1 if answered else load.failures + 1
+            load.failures = 1 if ended.refused else load.failures + 1
             pause = INITIAL_AVOIDANCE_S * 2 ** min(load.failures - 1, 6)
             load.avoid_until = now + min(pause, MAX_AVOIDANCE_S)
             load.call_limit.lower_after_refusal(sent.limits, running)
--- a/src/hawthornstage/fleet_daemon.py
+++ b/src/hawthornstage/fleet_daemon.py
@@ -8,6 +8,7 @@
 import threading
 from pathlib import Path
 
+from hawthornstage.allocator import limit_allocator
 from hawthornstage.compose_fleet import FleetRouter
 from hawthornstage.observe.logs import configure_logs
 from hawthornstage.platform.settings import SETTINGS_VARIABLE, load_host_settings
@@ -29,6 +30,7 @@
     if path is None:
         print(f"settings: {SETTINGS_VARIABLE} is not set", file=sys.stderr)
         return EXIT_USAGE
+    limit_allocator()
     configure_logs("info", sys.stdout)
     try:
         settings = load_host_settings(Path(path))
