Draw ahead of calls at once where there are any

A router drew nothing ahead until it knew all others, 1 to 2 s after its start: one with calls could not bridge an outage of the store that began then. It now draws ahead at once for workspaces that it has calls of. tests/test_fleet.py::test_outage_of_the_store_is_bridged failed twice on the commit before (waited 20 s for draws to stop), and passes.

--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -478,15 +478,22 @@
     def draws_ahead(self) -> bool:
         """Return whether tokens are drawn ahead of the calls that need them.
 
-        Not until all routers are known, nor until the first stored record has returned
-        how much of the budgets is left.
+        Not until the first stored record has returned how much of the budgets is left.
         """
-        stored = self.token_accounts.stored is not None
-        return stored and self.fleet_known and not self.stopping
+        return self.token_accounts.stored is not None and not self.stopping
 
     def held_workspaces(self) -> frozenset[str]:
-        """Return the workspaces of which this router holds spare tokens."""
-        return frozenset(name for name in self.budgets if self.holders.is_holder(name))
+        """Return the workspaces of which this router holds spare tokens.
+
+        While it does not know all routers, it may be a holder of any that it has calls
+        of, and holds nothing ahead of others' calls.
+        """
+        if self.fleet_known:
+            return frozenset(filter(self.holders.is_holder, self.budgets))
+        accounts = self.token_accounts.accounts
+        return frozenset(
+            name for name in self.budgets if name in accounts and accounts[name].spent
+        )
 
     def record_due(self, terms: DrawTerms, now: float) -> bool:
         """Return whether a record has to be stored even without a draw.
