--- a/tests/test_server_process.py
+++ b/tests/test_server_process.py
@@ -11,6 +11,7 @@
 import pytest
 
 from hawthornstage.actors.servers.registry import ServerRegistry
+from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.clock import ManualClock
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.forward import Delivery
@@ -19,7 +20,7 @@
 from hawthornstage.messages.store import Changes, Listing, StoreRefused
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.server_reports import decode_started_ms
-from tests.connection_pair import CallerPair
+from tests.connection_pair import REQUEST, CallerPair
 from tests.delivery_world import (
     ScriptedServer,
     Tasks,
@@ -87,6 +88,8 @@
     servers_known = tasks.registered.value.servers
     tasks.registered = LatestValue(RegisteredServers(servers_known, current=current))
     exchange = replace(exchange_for(RESUMABLE), stream_version=began_at)
+    pair.caller.sendall(REQUEST + b"Content-Length: 4\r\n\r\ntext")
+    assert isinstance(pair.receive(), RawRequest)
     delivery = Delivery()
     forwarder = make_forwarder(tasks, ManualClock(start=10.0))
     forwarder.deliver(exchange, pair.connection, delivery)
