--- a/src/hawthornstage/decisions/watch_sharing.py
+++ b/src/hawthornstage/decisions/watch_sharing.py
@@ -33,8 +33,10 @@
 MIN_READER_WAIT_S = 0.25
 # Longest time that a request and its reply may be under way, in seconds.
 MAX_TRANSIT_S = 0.3
-# Time for which a reader that did not reply or could not tell is not asked, in seconds.
+# Time for which a reader is not asked that did not reply, and one that said that it
+# could not tell, in seconds: a refusal costs only a message.
 AVOIDANCE_S = 5.0
+REFUSAL_AVOIDANCE_S = 1.0
 # Changes that a reader keeps for each prefix, and the bytes of one reply.
 MAX_CHANGES = 512
 MAX_REPLY_BYTES = 16_384
@@ -156,10 +158,18 @@
             self.base = self.changes.popleft().revision
 
     def since(self, epoch: int, after: int) -> tuple[SharedChange, ...] | None:
-        """Return the changes after a revision, or None if they are not all known."""
+        """Return the changes after a revision, or None if they are not all known.
+
+        Of several changes of a key only the last is returned.
+        """
         if epoch != self.epoch or not self.base <= after <= self.revision:
             return None
-        return tuple(each for each in self.changes if each.revision > after)
+        latest: dict[str, SharedChange] = {}
+        for each in self.changes:
+            if each.revision > after:
+                latest.pop(each.key, None)
+                latest[each.key] = each
+        return tuple(latest.values())
 
 
 def fits_reply(changes: Iterable[SharedChange]) -> bool:
--- a/tests/test_token_holders.py
+++ b/tests/test_token_holders.py
@@ -6,6 +6,7 @@
 
 from hawthornstage.actors.task import Ask
 from hawthornstage.actors.token_accounts import HOLDER_TIMEOUT_S
+from hawthornstage.decisions.draws import add_drawn
 from hawthornstage.decisions.token_holders import (
     HOLDERS_PER_WORKSPACE,
     MAX_HOLDERS_ASKED,
@@ -17,6 +18,7 @@
     TokensReserved,
     TokensUsed,
 )
+from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.members import PeerUnreachable
 from tests.draws_world import WORKSPACE, DrawsWorld, Host, Reply
 
@@ -60,7 +62,8 @@
         reply = Reply()
         holder.token_accounts.handle(Ask(send.message, reply))
         holder.pump()
-        send.reply_to.put(reply.value)
+        if reply.value is not None:
+            send.reply_to.put(reply.value)
     host.pump()
 
 
@@ -101,6 +104,32 @@
     assert len(free) == HOLDERS_PER_WORKSPACE
 
 
+def test_nothing_is_drawn_ahead_while_few_routers_are_known(world: DrawsWorld) -> None:
+    name = next(n for n in NAMES if directory(n).is_holder(WORKSPACE))
+    host = world.hosts[name]
+    host.start()
+    known = KnownRouters({"edge-0": "", "edge-1": ""}, settled=False)
+    host.token_accounts.handle(known)
+    before = world.store.counts().get(WORKSPACE, 0)
+    for _ in range(10):
+        world.clock.advance(0.5)
+        host.check()
+    assert world.store.counts().get(WORKSPACE, 0) <= before
+    host.token_accounts.handle(KnownRouters(dict.fromkeys(NAMES, "")))
+    world.clock.advance(0.5)
+    host.check()
+    assert world.free(name) > 0
+
+
+def test_count_is_told_to_the_other_holders(world: DrawsWorld) -> None:
+    name = next(n for n in NAMES if directory(n).is_holder(WORKSPACE))
+    host = world.hosts[name]
+    host.ledger_peers.messages.clear()
+    host.ledger.tell_counts(9, {WORKSPACE: 5})
+    told = {send.node for send in host.ledger_peers.messages}
+    assert told == set(directory(name).other_holders(WORKSPACE))
+
+
 def test_call_gets_its_tokens_from_a_holder(world: DrawsWorld) -> None:
     host = asker(world)
     reply = Reply()
@@ -143,6 +172,25 @@
     assert unasked >= 10
 
 
+def test_all_holders_are_asked_while_the_store_is_away(world: DrawsWorld) -> None:
+    host = asker(world)
+    holders = host.token_accounts.holders.other_holders(WORKSPACE)
+    world.store.mood = "refuses"
+    for each in world.hosts.values():
+        world.clock.advance(0.01)
+        each.token_accounts.handle_write_failure("refused", world.clock.monotonic())
+    for name in holders[:MAX_HOLDERS_ASKED]:
+        spare = world.free(name)
+        world.hosts[name].token_accounts.token_accounts = add_drawn(
+            world.hosts[name].token_accounts.token_accounts, {WORKSPACE: -spare}
+        )
+    reply = Reply()
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 700), reply))
+    for _ in range(MAX_HOLDERS_ASKED + 1):
+        deliver(world, host)
+    assert isinstance(reply.value, TokensReserved)
+
+
 def test_silent_and_unreachable_holders_are_passed_over(world: DrawsWorld) -> None:
     host = asker(world)
     reply = Reply()
