--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -150,6 +150,8 @@
         self.holders = HolderDirectory(node)
         self.other_routers: tuple[str, ...] = ()
         self.router_index = 0
+        # Whether all routers are known, so that this one knows what it holds.
+        self.fleet_known = False
         self.waiting: list[PendingRequest] = []
         self.write_in_progress = False
         self.write_started_at = float("-inf")
@@ -201,7 +203,8 @@
                 self.update_budgets(state.workspaces)
                 self.retry_waiting(now)
                 self.write_record(now)
-            case KnownRouters(urls):
+            case KnownRouters(urls, settled):
+                self.fleet_known = settled
                 self.other_routers = tuple(sorted(urls))
                 node = self.holders.node
                 self.holders = HolderDirectory(node, frozenset((node, *urls)))
@@ -300,8 +303,11 @@
     def longest_wait(self, request: TokenRequest) -> float:
         """Return how long a request may wait, in seconds; 0 if it would be in vain.
 
-        A router that asks this one for tokens soon asks the next one.
+        A router that asks this one for tokens soon asks the next one, and at once if
+        this one cannot draw any.
         """
+        if isinstance(request, RequestCallTokens) and self.store_unavailable:
+            return 0.0
         budget = self.budgets.get(request.workspace)
         account = account_of(self.token_accounts, request.workspace)
         undrawn = max(0, (budget or 0) - account.drawn)
@@ -336,7 +342,9 @@
             False if no holder is left to ask, so that this router draws them.
         """
         workspace = pending.request.workspace
-        holder = self.holders.holder_to_ask(workspace, pending.asked)
+        holder = self.holders.holder_to_ask(
+            workspace, pending.asked, can_draw=not self.store_unavailable
+        )
         pending.holder = holder
         if holder is None:
             return False
@@ -428,9 +436,7 @@
         wanted = wanted_tokens(self.waiting)
         amounts: dict[str, int] = {}
         if self.token_accounts.sent is None:
-            # Nothing is drawn ahead until the first stored record has returned how much
-            # of the budgets is left.
-            ahead = self.token_accounts.stored is not None and not self.stopping
+            ahead = self.draws_ahead()
             amounts = plan_draws(
                 self.token_accounts,
                 self.budgets,
@@ -469,9 +475,25 @@
         )
         self.ledger.tell(Ask(request, ReplyCallback(self.actor_ref.tell)))
 
+    def draws_ahead(self) -> bool:
+        """Return whether tokens are drawn ahead of the calls that need them.
+
+        Not until the first stored record has returned how much of the budgets is left.
+        """
+        return self.token_accounts.stored is not None and not self.stopping
+
     def held_workspaces(self) -> frozenset[str]:
-        """Return the workspaces of which this router holds spare tokens."""
-        return frozenset(name for name in self.budgets if self.holders.is_holder(name))
+        """Return the workspaces of which this router holds spare tokens.
+
+        While it does not know all routers, it may be a holder of any that it has calls
+        of, and holds nothing ahead of others' calls.
+        """
+        if self.fleet_known:
+            return frozenset(filter(self.holders.is_holder, self.budgets))
+        accounts = self.token_accounts.accounts
+        return frozenset(
+            name for name in self.budgets if name in accounts and accounts[name].spent
+        )
 
     def record_due(self, terms: DrawTerms, now: float) -> bool:
         """Return whether a record has to be stored even without a draw.
