Draw ahead with a new router's first call

A router that does not know all others yet drew ahead only after a call's tokens were spent, so that an outage right after its first call found it empty (tests/test_fleet.py::test_outage_of_the_store_is_bridged failed once at a load of 27, one of five calls got no 200). The draw for the first call now covers the next ones. test_first_call_of_a_router_that_knows_few_others_draws_for_the_next failed first on the commit before.

--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -491,9 +491,9 @@
         if self.fleet_known:
             return frozenset(filter(self.holders.is_holder, self.budgets))
         accounts = self.token_accounts.accounts
-        return frozenset(
-            name for name in self.budgets if name in accounts and accounts[name].spent
-        )
+        called = {name for name, each in accounts.items() if each.spent or each.open}
+        called |= wanted_tokens(self.waiting).keys()
+        return frozenset(called & self.budgets.keys())
 
     def record_due(self, terms: DrawTerms, now: float) -> bool:
         """Return whether a record has to be stored even without a draw.
--- a/tests/test_token_holders.py
+++ b/tests/test_token_holders.py
@@ -121,6 +121,18 @@
     assert world.free(name) > 0
 
 
+def test_first_call_of_a_router_that_knows_few_others_draws_for_the_next(
+    world: DrawsWorld,
+) -> None:
+    host = world.hosts[NAMES[0]]
+    host.start()
+    host.token_accounts.handle(KnownRouters({}, settled=False))
+    host.pump()
+    host.check()
+    assert host.ask(700)
+    assert world.free(NAMES[0]) > 0
+
+
 def test_count_is_told_to_the_other_holders(world: DrawsWorld) -> None:
     name = next(n for n in NAMES if directory(n).is_holder(WORKSPACE))
     host = world.hosts[name]
