Read whole answers, and wait for what is read, in the listener's tests

Two tests raced on a busy machine: one read a first answer in part, so that its rest stood before the next one (failed 3 of 6 and 1 of 3 runs); the other counted connections that waited but had not read a byte, so that an idle one gave way first (failed 2 of 6). They wait now for what they are about.

--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
 import threading
 from collections.abc import Callable, Iterator
-from contextlib import ExitStack
+from contextlib import ExitStack, closing
 from typing import Any
 
 import pytest
@@ -201,6 +202,12 @@
         assert each.recv(4_096).startswith(b"HTTP/1.1 503")
 
 
+def reading(listener: CallerListener) -> int:
+    """Return the number of connections on which a request has begun."""
+    waiting = list(listener.connections.waiting.values())
+    return sum(not each.connection.idle for each in waiting)
+
+
 def test_request_that_is_not_complete_gives_way_and_is_said_not_to_have_run(
     listener: CallerListener, connect: Connect, refusing: RefuseEachCall
 ) -> None:
@@ -209,7 +216,7 @@
     for _ in range(MAX_CONNECTIONS):
         callers.append(connect())
         callers[-1].sendall(HEAD)
-        wait_until(lambda: len(listener.connections.waiting) == len(callers))
+        wait_until(lambda: reading(listener) == len(callers))
     newest = connect()
     newest.sendall(REQUEST)
     assert newest.recv(4_096).startswith(b"HTTP/1.1 503")
@@ -243,12 +250,18 @@
 ) -> None:
     listener.start()
     caller = connect()
-    caller.sendall(REQUEST)
-    assert b"connection: close" not in caller.recv(4_096).lower()
-    listener.pipe.accepting.publish(False)
-    caller.sendall(REQUEST)
-    answer = read_all(caller).lower()
-    assert answer.startswith(b"http/1.1 503") and b"connection: close" in answer
+    with closing(http.client.HTTPConnection("h")) as client:
+        client.sock = caller
+        client.request("POST", "/orders/", b"hi", {"X-Request-Id": "r"})
+        first = client.getresponse()
+        first.read()
+        assert first.getheader("connection") is None
+        listener.pipe.accepting.publish(False)
+        client.request("POST", "/orders/", b"hi", {"X-Request-Id": "r"})
+        second = client.getresponse()
+        second.read()
+        assert (second.status, second.getheader("connection")) == (503, "close")
+    assert listener.wait_ended(SOON)
 
 
 def test_call_is_not_served_whose_caller_left_before_it_was_read(
