Serve callers' connections by workers that go on to the next one

The listener started a thread for each connection and waited for its start, so on a pressed router the accept queue grew to seconds. Idle workers take connections now. How late a connection begins to be served counts as the router's lateness, as timers run in time there; calls are shed only while the router takes no new connections, since refused callers come back to it before.

--- a/src/hawthornstage/actors/admission.py
+++ b/src/hawthornstage/actors/admission.py
@@ -5,12 +5,12 @@
 import math
 from typing import Any
 
+from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.actors.timers import Timers
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.admission import Answer, ServiceRoom
 from hawthornstage.decisions.load_shedding import (
-    MIN_OTHERS,
     LoadLevel,
     class_shares,
     classes_of,
@@ -43,6 +43,7 @@
     Args:
         policy: Published: what is short now.
         ready: Published: whether the router takes new connections.
+        start_delays: How late connections begin to be served.
         desired: The desired state, for the classes of calls.
         routers: Number of routers known.
         timers: Sends the messages that trigger checks and releases.
@@ -56,6 +57,7 @@
         policy: LatestValue[AdmissionPolicy],
         ready: LatestValue[bool],
         *,
+        start_delays: StartDelays,
         desired: LatestValue[DesiredState | None],
         routers: LatestValue[int],
         timers: Timers,
@@ -66,6 +68,7 @@
         super().__init__()
         self.policy = policy
         self.ready = ready
+        self.start_delays = start_delays
         self.desired = desired
         self.routers = routers
         self.timers = timers
@@ -144,15 +147,15 @@
                 reply_to.put(answer.reply)
 
     def check_overload(self, now: float) -> None:
-        """Measure how late this task runs, and adapt what is admitted.
+        """Measure how late this router works, and adapt what is admitted.
 
-        A small fleet refuses nothing: its callers have no other router with room.
+        Callers that are refused find another router only while this one takes no new
+        connections; before, they would come back to it and cost its processor twice.
         """
-        late_s = max(0.0, now - self.check_due_at)
+        late_s = max(0.0, now - self.check_due_at, self.start_delays.take())
         limit_s = lateness_limit_s(self.desired.value)
         before = self.load.level
-        if self.routers.value > MIN_OTHERS:
-            self.load.update(late_s, limit_s)
+        self.load.update(late_s if self.pause.is_paused(now) else 0.0, limit_s)
         if self.load.overloaded:
             self.load.decay_counts()
         else:
--- a/src/hawthornstage/actors/caller_listener.py
+++ b/src/hawthornstage/actors/caller_listener.py
@@ -7,6 +7,7 @@
 from itertools import count
 
 from hawthornstage.actors.caller_connections import CallerConnections
+from hawthornstage.actors.caller_workers import CallerWorkers
 from hawthornstage.actors.callers import CallerTask, ForwardPipe, StopSignal
 from hawthornstage.border.sockets import READABLE, wait_ready
 from hawthornstage.decisions.connection_limits import derive_limits
@@ -14,8 +15,6 @@
 
 # Listen backlog: connections that may wait to be accepted.
 BACKLOG = 512
-# Stack of a connection's thread, in bytes.
-STACK_BYTES = 512 * 1024
 # Wait after a connection could not be accepted, in seconds.
 FAILED_ACCEPT_WAIT_S = 0.1
 # Longest wait for a connection before the next one, in seconds.
@@ -23,7 +22,7 @@
 
 
 class CallerListener(threading.Thread):
-    """Owns the listening socket, and starts a task for each caller's connection.
+    """Owns the listening socket, and has a worker serve each caller's connection.
 
     Args:
         address: The address to listen on.
@@ -35,10 +34,10 @@
         self, address: SocketAddress, pipe: ForwardPipe, stopping: StopSignal
     ) -> None:
         super().__init__(name="callers", daemon=True)
-        threading.stack_size(STACK_BYTES)
         self.pipe = pipe
         self.stopping = stopping
         self.connections = CallerConnections(pipe.clock, pipe.events)
+        self.workers = CallerWorkers(pipe.clock, pipe.start_delays)
         self.max_connections = derive_limits(pipe.host).connections
         self.numbers = count()
         self.socket = socket.create_server(
@@ -84,7 +83,7 @@
             address,
         )
         try:
-            task.start()
+            self.workers.serve(task.run)
         except RuntimeError as error:
             # The system gives the process no further thread.
             self.pipe.events.emit("accept_failed", reason=str(error))
--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -4,7 +4,6 @@
 
 import json
 import socket
-import threading
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -12,6 +11,7 @@
 import structlog
 
 from hawthornstage.actors.caller_connections import CallerConnections, RequestWatch
+from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.error_responses import error_document, error_headers
 from hawthornstage.border.request_reader import (
@@ -64,6 +64,7 @@
         memory: Memory of request bodies.
         host: What the router may take of its host.
         accepting: Whether the router takes new connections.
+        start_delays: How late connections begin to be served.
         desired: The desired state in use, for the limits of callers.
         clock: The runtime's clock.
         events: The event log.
@@ -77,6 +78,7 @@
     memory: ConnectionMemory
     host: HostLimits
     accepting: LatestValue[bool]
+    start_delays: StartDelays
     desired: LatestValue[DesiredState | None]
     clock: Clock
     events: EventLog
@@ -113,7 +115,7 @@
         self.refusing = True
 
 
-class CallerTask(threading.Thread):
+class CallerTask:
     """Owns one caller's connection and serves its requests in turn.
 
     Args:
@@ -134,7 +136,6 @@
         number: int,
         address: str,
     ) -> None:
-        super().__init__(name="caller", daemon=True)
         self.pipe = pipe
         self.stopping = stopping
         self.connections = connections
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -8,6 +8,7 @@
 
 from hawthornstage.actors.admission import AdmissionTask
 from hawthornstage.actors.caller_listener import CallerListener
+from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
 from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.desired_states import (
@@ -170,6 +171,7 @@
         self.watch_readers = LatestValue(WatchReaders(settings.node))
         self.admission_policy = LatestValue(AdmissionPolicy())
         self.accepting = LatestValue(True)
+        self.start_delays = StartDelays()
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
@@ -254,6 +256,7 @@
         self.admission = AdmissionTask.start(
             self.admission_policy,
             self.accepting,
+            start_delays=self.start_delays,
             desired=self.desired,
             routers=self.routers,
             timers=self.timers,
@@ -566,6 +569,7 @@
             ),
             memory=memory,
             accepting=self.accepting,
+            start_delays=self.start_delays,
             host=self.settings.limits,
             desired=self.desired,
             clock=self.clock,
--- a/src/hawthornstage/decisions/load_shedding.py
+++ b/src/hawthornstage/decisions/load_shedding.py
@@ -26,8 +26,6 @@
 OVERLOADED_FACTOR = 0.7
 RECOVERY_STEP = 0.1
 MIN_LEVEL = 0.1
-# Other routers that must be known: they take the callers that are refused.
-MIN_OTHERS = 4
 # Share of each class and workspace that is admitted at any level.
 MIN_SHARE = 0.1
 # A workspace is refused more if it sends this many times the mean of all workspaces.
--- a/src/hawthornstage/decisions/readiness.py
+++ b/src/hawthornstage/decisions/readiness.py
@@ -48,7 +48,9 @@
             others: Other routers that are known.
             now: Monotonic time in seconds.
         """
-        self.late_s += LATENESS_WEIGHT * (late_s - self.late_s)
+        # One long stall weighs no more than a moment of overload.
+        bounded_s = min(late_s, limit_s)
+        self.late_s += LATENESS_WEIGHT * (bounded_s - self.late_s)
         if self.late_s <= limit_s * PRESSED_SHARE:
             self.pressed_since = None
             return
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -12,6 +12,7 @@
 import pytest
 
 from hawthornstage.actors.caller_listener import CallerListener
+from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.actors.callers import ForwardPipe, StopSignal
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
@@ -69,6 +70,7 @@
         forwarder=unused,
         memory=ConnectionMemory(unused, Clock()),
         accepting=LatestValue(True),
+        start_delays=StartDelays(),
         host=HostLimits(max_connections=MAX_CONNECTIONS),
         desired=LatestValue(None),
         clock=Clock(),
