--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -67,6 +67,8 @@
     fleet.control("desk-faulty", "shape", {"shape": "length", "pause_s": 0.02})
     fleet.add_server("desk", "desk-faulty")
     fleet.add_server("models", "models-sound")
+    for server in ("desk-faulty", "models-sound"):
+        fleet.wait_seen("edge-1", server)
     wait_until(
         lambda: "server=models-sound" in fleet.read_log("edge-1"),
         description="edge-1 to know the sound server",
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -28,6 +28,8 @@
         fleet.add_stand_in(faulty, "endless", "--port", "0")
         fleet.control(faulty, "shape", {"shape": shape})
         fleet.add_server(service, faulty)
+    for service in ("desk", "models"):
+        fleet.wait_seen("edge-1", f"{service}-faulty")
     # A repeatable call goes on at the sound server.
     orders = call_at_once(fleet, IDEMPOTENT_PATH, "o", body=b"b")
     whole = {(200, b"done:b"), (200, WHOLE_BODY)}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -243,6 +243,16 @@
         """Return the text of a router's log."""
         return (self.folder / f"{name}.log").read_text()
 
+    def wait_seen(self, name: str, server: str) -> None:
+        """Wait until a router has read a server's entry.
+
+        Args:
+            name: The router's name.
+            server: The server's id.
+        """
+        line = f"event=server_seen node={name} server={server} "
+        wait_until(lambda: line in self.read_log(name), description=line)
+
     def metrics_url(self, name: str) -> str:
         """Return the URL of a router's metrics, with the port from its log.
 
