--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -38,6 +38,8 @@
 )
 # Timeout of one call, for connecting and for each read.
 RESPONSE_TIMEOUT_S = 15.0
+# Characters of a router's log that an error quotes.
+LOG_TAIL = 4_000
 
 
 @dataclass(frozen=True)
@@ -313,15 +315,15 @@
             return False
 
     def wait_ready(self, name: str) -> None:
-        """Wait until a router is ready and its log names all servers."""
-        wait_until(lambda: self.is_ready(name), description=f"{name} to be ready")
-        expected_sightings = self.server_count * 2
-        wait_until(
-            lambda: (
-                self.read_log(name).count("event=server_seen") >= expected_sightings
-            ),
-            description=f"{name} to log {expected_sightings} server_seen events",
-        )
+        """Wait until a router is ready.
+
+        Raises:
+            TimeoutError: It did not become ready; the message ends with its log.
+        """
+        try:
+            wait_until(lambda: self.is_ready(name), description=f"{name} to be ready")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}\n{self.read_log(name)[-LOG_TAIL:]}") from error
 
     def call(
         self,
