--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -315,13 +315,20 @@
             return False
 
     def wait_ready(self, name: str) -> None:
-        """Wait until a router is ready.
+        """Wait until a router is ready and its log names all servers.
 
         Raises:
-            TimeoutError: It did not become ready; the message ends with its log.
+            TimeoutError: It did not get there; the message ends with its log.
         """
         try:
             wait_until(lambda: self.is_ready(name), description=f"{name} to be ready")
+            expected_sightings = self.server_count * 2
+            wait_until(
+                lambda: (
+                    self.read_log(name).count("event=server_seen") >= expected_sightings
+                ),
+                description=f"{name} to log {expected_sightings} server_seen events",
+            )
         except TimeoutError as error:
             raise TimeoutError(f"{error}\n{self.read_log(name)[-LOG_TAIL:]}") from error
 
