Check a server's leaving and permit after it was asked for its process

While the list of servers may be out of date, a stream that goes on first asks the server which process it is, for up to 0.4 s. The checks that the server still takes calls and that the permit is fresh were made before that: a call could be sent to a server that had said in the meantime that it leaves, to an evacuated domain, or with a permit of a cold server older than 0.1 s. They are now the last step before the send; a server that must get no call is not asked either.

test_server_that_leaves_while_it_is_asked_gets_no_call fails on: one call reaches the server.

--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -262,7 +262,10 @@
         except OSError as error:
             delivery.failed_to_connect = True
             return NotSent(f"no connection to {choice.server.id}: {error}")
-        # It may have left while the connection was opened.
+        if not self.may_go_on_there(exchange, caller, connection, choice, delivery):
+            connection.close()
+            return NotSent(f"{choice.server.id} may have another version by now")
+        # It may have left while the connection was opened, or while it was asked.
         refusal = self.permits.why_not_accepting(choice.server, self.registered.value)
         if refusal is not None:
             connection.close()
@@ -272,9 +275,6 @@
             if denied is not None:
                 connection.close()
                 return NotSent(f"{choice.server.id} has reached its limit since then")
-        if not self.may_go_on_there(exchange, caller, connection, choice, delivery):
-            connection.close()
-            return NotSent(f"{choice.server.id} may have another version by now")
         delivery.attempts += 1
         delivery.through_router = connection.through_router
         ran_before, delivery.may_have_run = delivery.may_have_run, True
@@ -361,8 +361,11 @@
         delivery: Delivery,
     ) -> bool:
         """Whether the server certainly has the version that a stream needs, if any."""
-        if needed_version(exchange, delivery) is None or self.registered.value.current:
+        registered = self.registered.value
+        if needed_version(exchange, delivery) is None or registered.current:
             return True
+        if self.permits.why_not_accepting(choice.server, registered) is not None:
+            return False
         return self.process.confirm(connection, caller, choice.server)
 
     def note_stream_version(
--- a/tests/test_server_process.py
+++ b/tests/test_server_process.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import threading
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -16,6 +17,7 @@
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.forward import Delivery
 from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Changes, Listing, StoreRefused
 from hawthornstage.observe.events import EventLog
@@ -47,6 +49,7 @@
     def __init__(self, report: bytes | None) -> None:
         self.report = report
         self.calls: list[bytes] = []
+        self.on_report: Callable[[], None] = lambda: None
 
     def start(self) -> SocketAddress:
         """Listen in a thread of its own."""
@@ -63,6 +66,7 @@
                 data += chunk
                 if data.startswith(b"GET /-/report ") and data.endswith(b"\r\n\r\n"):
                     data = b""
+                    self.on_report()
                     if self.report is None:
                         return
                     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
@@ -84,7 +88,15 @@
         began_at: Version that began the stream, or None if it begins.
         current: Whether the list of servers is.
     """
-    tasks: Any = Tasks([each.start() for each in servers])
+    return deliver_by(
+        Tasks([each.start() for each in servers]), pair, began_at, current
+    )
+
+
+def deliver_by(
+    tasks: Any, pair: CallerPair, began_at: str | None, current: bool
+) -> Delivery:
+    """Forward one call as `deliver` does, with tasks that the test has prepared."""
     servers_known = tasks.registered.value.servers
     tasks.registered = LatestValue(RegisteredServers(servers_known, current=current))
     exchange = replace(exchange_for(RESUMABLE), stream_version=began_at)
@@ -125,6 +137,17 @@
     assert (delivery.events, delivery.attempts) == (1, 1)
 
 
+def test_server_that_leaves_while_it_is_asked_gets_no_call(pair: CallerPair) -> None:
+    server = ReportingServer(report(1))
+    tasks = Tasks([server.start()])
+    (known,) = tasks.registered.value.servers.values()
+    leaving = ServerNotices(leaving={known.incarnation: 10.0})
+    server.on_report = lambda: tasks.notices.publish(leaving)
+    delivery = deliver_by(tasks, pair, "", False)
+    assert tasks.notices.value == leaving
+    assert (server.calls, delivery.attempts) == ([], 0)
+
+
 def test_servers_are_not_asked_while_the_list_is_current(pair: CallerPair) -> None:
     server = ScriptedServer([REST])
     delivery = deliver(pair, [server], began_at="", current=True)
