List at once when another call has seen that the store was restored

A watch learned of a new epoch from its own next response only. With shared watches that call may begin long after the restore, and where the copy's revisions had passed the one that it watches from, it waits for its whole time, up to 4 s, before all is listed again: a server's leaving in between took effect as late. All clients of a process share the epoch, so the watch now lists without that call.

test_router_whose_other_calls_saw_the_restored_store_lists_at_once fails on: the step ends without a listing.

--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -134,6 +134,9 @@
     def ask_store(self) -> bool:
         """Make one call to the store; return False if it failed."""
         began_at = self.clock.monotonic()
+        if self.store.epoch != self.epoch:
+            # Another client of this process has seen it; a watch might wait for long.
+            self.restart_after_restore()
         after = self.revision
         if after is None:
             outcome = self.store.list(self.prefix)
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -306,6 +306,19 @@
     assert set(registry.registered.value.servers) == {"a", "b"}
 
 
+def test_router_whose_other_calls_saw_the_restored_store_lists_at_once(
+    clock: ManualClock, events: EventLog
+) -> None:
+    listing = Listing((entry_item("a", 8),), 10)
+    store = RestoredStore((1, listing))
+    registry = follow(clock, events, store)
+    # A watch could wait for long for a revision that the copy has passed already.
+    store.epoch, store.outcomes = 2, [(2, Listing((entry_item("b", 9),), 12))]
+    assert registry.step()
+    assert set(registry.registered.value.servers) == {"a", "b"}
+    assert (registry.revision, registry.epoch) == (12, 2)
+
+
 @pytest.mark.parametrize("removed", [False, True])
 def test_copy_does_not_bring_a_server_back_that_left(
     clock: ManualClock, events: EventLog, removed: bool
