Let no entry end a slow start that may be older than news of it

A router that heard from another one that a server is cold, and then read an entry which was written before that (a reply of a reader that was under way), took the server for warm until it read the newer entry: its calls needed no permits for up to a second. An entry that says that a server is warm now counts against news only 2.5 s after these, as it does against signs of a new start.

--- a/src/hawthornstage/decisions/slow_start.py
+++ b/src/hawthornstage/decisions/slow_start.py
@@ -76,6 +76,15 @@
     in_doubt: bool = False
     dead: str = ""
 
+    @property
+    def entries_count_from(self) -> float:
+        """The time before which an entry that is read may be older than this.
+
+        Another router may have read a newer one before it told of it.
+        """
+        lag_s = 0.0 if self.calls_per_s is None else ENTRY_LAG_S
+        return self.as_of + lag_s
+
 
 @dataclass
 class SlowStartBook:
@@ -107,7 +116,7 @@
             del self.starts[server.id]
             known = None
         if left_s == 0.0:
-            outdated = known and (now < known.as_of or known.dead)
+            outdated = known and (now < known.entries_count_from or known.dead)
             if not outdated:
                 keep_newest(self.starts, server.id, SlowStart(now, now))
             return False
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -194,6 +194,16 @@
     assert book.in_force(14.0 + END_MARGIN_S) == {}
 
 
+def test_entry_that_may_be_older_than_news_does_not_end_a_slow_start() -> None:
+    book = book_of(make_server())
+    book.record_news("i-1", SlowStartNews(RATE, left_s=3.0, age_s=0.1), 11.0)
+    # It was written before the server turned cold, and read late.
+    book.record_entry(make_server(), 11.2)
+    assert book.in_force(11.2) == {"i-1": RATE}
+    book.record_entry(make_server(), 10.9 + ENTRY_LAG_S)
+    assert book.in_force(10.9 + ENTRY_LAG_S) == {}
+
+
 def test_late_and_repeated_news_change_nothing() -> None:
     news = SlowStartNews(RATE, left_s=1.0, age_s=0.2)
     book = book_of(make_server())
