Tell of evacuations only routers of builds that know the message

Beside routers of an earlier build, each evacuation and then every 2 s a neighbour got EvacuationsAnnounced, whichever build it ran: an earlier one closes the connection on which it reads an unknown kind. All that waited on that link (permits, draws, tunnels) failed, and the link was not opened again for 0.5 s. Routers whose address says that they share watches know the message, as that came with the same build; the others read the store.

test_routers_of_an_earlier_build_are_not_told fails on: edge-1 is told. The routers of the other tests have addresses of this build now; their checks are as they were.

--- a/src/hawthornstage/actors/evacuations.py
+++ b/src/hawthornstage/actors/evacuations.py
@@ -13,6 +13,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.evacuations import EvacuationBook
 from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.decisions.watch_sharing import sharing_routers
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.evacuations import (
@@ -41,8 +42,8 @@
 class EvacuationsTask(Task):
     """Owns the evacuations, and tells neighbours of them, which tell theirs.
 
-    While there is nothing to tell, nothing is sent: older builds do not know these
-    messages.
+    While there is nothing to tell, nothing is sent. Routers that do not share watches
+    are of builds that do not know these messages, and are not told.
 
     Args:
         node: This router's name.
@@ -98,7 +99,8 @@
                 self.apply(self.book.end_lapsed(now), "lapsed", now)
                 self.tell_next(now)
             case KnownRouters(urls):
-                self.neighbours = neighbours(self.node, urls)
+                # Earlier builds close a connection that brings an unknown message.
+                self.neighbours = neighbours(self.node, sharing_routers(urls))
 
     def decode(
         self, changes: tuple[Item | Removal, ...], epoch: int
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -21,6 +21,7 @@
 )
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.store_news import DETECTION_S
+from hawthornstage.decisions.watch_sharing import SHARING_PATH
 from hawthornstage.errors import ErrorKind, response_for
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.evacuations import (
@@ -377,6 +378,9 @@
 
 # Routers that tell each other.
 
+# Address of a router of this build.
+ADDRESS = f"ws://h:1{SHARING_PATH}"
+
 
 class Routers:
     """Routers' tasks that own evacuations, and the messages between them."""
@@ -390,7 +394,8 @@
         for name in self.names:
             peers: Any = self.inboxes[name]
             task = self.tasks[name] = make_task(name, peers, clock, events)
-            task.handle(KnownRouters({n: "" for n in self.names if n != name}))
+            others = {n: ADDRESS for n in self.names if n != name}
+            task.handle(KnownRouters(others))
             task.handle(ItemsListed((), 1, 1))
 
     def deliver(self) -> int:
@@ -427,6 +432,18 @@
         }
 
 
+def test_routers_of_an_earlier_build_are_not_told(
+    clock: ManualClock, events: EventLog
+) -> None:
+    peers: Any = Inbox()
+    task = make_task("edge-0", peers, clock, events)
+    task.handle(KnownRouters({"edge-1": "ws://h:1", "edge-2": ADDRESS}))
+    task.handle(ItemsListed((item(KEY_A, 2),), 1, 2))
+    for _ in range(4):
+        task.handle(CheckEvacuations())
+    assert {each.node for each in peers.messages} == {"edge-2"}
+
+
 def test_nothing_is_sent_without_an_evacuation(
     clock: ManualClock, events: EventLog
 ) -> None:
