Keep the bound of a server's leaving although a reader is cut off

A router took a reader's word that its call to the store had failed for an outage of the store, as of that moment. An entry that it then read as removed stayed in use for the time that one has after an outage, counted from the read. If only the reader was cut off from the store (its watch fails late) the bound ran on from the removal: a server got calls for 2.9 s instead of 2 s at most. The time is now counted from when the entry was last known to be there; a failed call of the router itself counts as before.

test_change_is_in_force_in_time_although_the_reader_is_cut_from_the_store fails on: in force 2.9 s after the removal, allowed 1.8 s.

--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -109,7 +109,8 @@
         """Return the changes that a reader tells, or None if the store is to be asked.
 
         A reader's word that the store has failed counts like a failed call of this
-        router, which did not call it.
+        router, which did not call it. But maybe only the reader was cut off: it does
+        not show that the store was down, so that no bound is any later for it.
         """
         if self.share is None or self.revision is None or not self.may_ask_reader():
             return None
@@ -123,7 +124,7 @@
             return news
         now = self.clock.monotonic()
         if news.store_failed and now - self.reader_failed_at >= AVOIDANCE_S:
-            self.reader_failed_at = self.down_at = now
+            self.reader_failed_at = now
             self.record_failure("a reader's calls to the store failed")
         return None
 
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -217,6 +217,24 @@
     assert gone_at <= removed_at + BOUNDS.drain_s - SEND_MARGIN_S
 
 
+def test_change_is_in_force_in_time_although_the_reader_is_cut_from_the_store(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world.other.step()
+    # The store is well: its responses to the reader alone are lost, which notices late.
+    delays_s = [reply_timeout(BOUNDS.drain_s) - 0.1]
+
+    def fail(send: Any) -> None:
+        world.clock.advance(delays_s.pop() if delays_s else 0.0)
+        send.reply_to.put(ChangesUnavailable(store_failed=True))
+
+    monkeypatch.setattr(world, "tell", fail)
+    removed_at = world.remove_server()
+    gone_at = world.run_until_removed(world.other)
+    assert not delays_s
+    assert gone_at <= removed_at + BOUNDS.drain_s - SEND_MARGIN_S
+
+
 def test_time_to_apply_changes_does_not_count_as_heard_of_the_store(
     world: World,
 ) -> None:
