Ask no reader once the store is known to be restored

A router whose other calls had seen a new epoch still asked a reader for changes of the one before, and waited for a silent one until 0.6 s before the bound, although it would have dropped the reply. It lists at once.

--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -97,7 +97,8 @@
 
     def step(self) -> bool:
         """Make one call; return False if the store failed."""
-        news = self.ask_reader()
+        # A reader cannot tell of another epoch than the one asked for.
+        news = self.ask_reader() if self.store.epoch == self.epoch else None
         if news is None or self.store.epoch != self.epoch:
             return self.ask_store()
         self.revision = news.changes.revision
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -235,6 +235,18 @@
     assert gone_at <= removed_at + BOUNDS.drain_s - SEND_MARGIN_S
 
 
+def test_router_that_knows_of_a_restore_does_not_wait_for_a_reader(
+    world: World,
+) -> None:
+    world.other.step()
+    world.frozen.update(world.readers)
+    world.store.epoch = 2
+    began_at = world.clock.monotonic()
+    world.other.step()
+    assert world.other.epoch == 2
+    assert world.clock.monotonic() == began_at
+
+
 def test_time_to_apply_changes_does_not_count_as_heard_of_the_store(
     world: World,
 ) -> None:
