--- a/src/hawthornstage/actors/store_watch.py
+++ b/src/hawthornstage/actors/store_watch.py
@@ -97,7 +97,8 @@
 
     def step(self) -> bool:
         """Make one call; return False if the store failed."""
-        news = self.ask_reader()
+        # A reader cannot tell of another epoch than the one asked for.
+        news = self.ask_reader() if self.store.epoch == self.epoch else None
         if news is None or self.store.epoch != self.epoch:
             return self.ask_store()
         self.revision = news.changes.revision
@@ -109,7 +110,8 @@
         """Return the changes that a reader tells, or None if the store is to be asked.
 
         A reader's word that the store has failed counts like a failed call of this
-        router, which did not call it.
+        router, which did not call it. But maybe only the reader was cut off: it does
+        not show that the store was down, so that no bound is any later for it.
         """
         if self.share is None or self.revision is None or not self.may_ask_reader():
             return None
@@ -123,7 +125,7 @@
             return news
         now = self.clock.monotonic()
         if news.store_failed and now - self.reader_failed_at >= AVOIDANCE_S:
-            self.reader_failed_at = self.down_at = now
+            self.reader_failed_at = now
             self.record_failure("a reader's calls to the store failed")
         return None
 
@@ -134,11 +136,15 @@
     def ask_store(self) -> bool:
         """Make one call to the store; return False if it failed."""
         began_at = self.clock.monotonic()
+        if self.store.epoch != self.epoch:
+            # Another client of this process has seen it; a watch might wait for long.
+            self.restart_after_restore()
         after = self.revision
         if after is None:
             outcome = self.store.list(self.prefix)
         else:
             outcome = self.store.watch(self.prefix, after, self.next_watch_timeout())
+        responded_at = self.clock.monotonic()
         if self.store.epoch != self.epoch:
             self.restart_after_restore()
             return not isinstance(outcome, StoreRefused | StoreNoResponse)
@@ -147,13 +153,13 @@
                 self.record_success()
                 self.revision = revision
                 self.apply_listing(items)
-                self.note_read(revision, Changes((), revision))
+                self.note_read(revision, Changes((), revision), responded_at)
             case Changes(changes, revision):
                 self.record_success()
                 self.revision = revision
                 self.apply_changes(changes)
                 assert after is not None
-                self.note_read(after, outcome)
+                self.note_read(after, outcome, responded_at)
             case HistoryCompacted():
                 self.events.emit("watch_restarted", prefix=self.prefix)
                 self.revision = None
@@ -165,16 +171,18 @@
                 return False
         return True
 
-    def note_read(self, after: int, changes: Changes) -> None:
+    def note_read(self, after: int, changes: Changes, at: float) -> None:
         """Note the time of the store's response, and tell it to those who wait for it.
 
         Args:
             after: Revision after which the changes are complete.
             changes: What the store returned.
+            at: Monotonic time of the response, in seconds. Applying the changes took
+                time, in which there may have been others.
         """
-        self.heard_at = self.clock.monotonic()
+        self.heard_at = at
         if self.share is not None:
-            self.share.tell_read(self.epoch, after, changes, at=self.heard_at)
+            self.share.tell_read(self.epoch, after, changes, at=at)
 
     def restart_after_restore(self) -> None:
         """List again: revisions of the epoch before mean nothing in this one.
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -217,6 +217,50 @@
     assert gone_at <= removed_at + BOUNDS.drain_s - SEND_MARGIN_S
 
 
+def test_change_is_in_force_in_time_although_the_reader_is_cut_from_the_store(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world.other.step()
+    # The store is well: its responses to the reader alone are lost, which notices late.
+    delays_s = [reply_timeout(BOUNDS.drain_s) - 0.1]
+
+    def fail(send: Any) -> None:
+        world.clock.advance(delays_s.pop() if delays_s else 0.0)
+        send.reply_to.put(ChangesUnavailable(store_failed=True))
+
+    monkeypatch.setattr(world, "tell", fail)
+    removed_at = world.remove_server()
+    gone_at = world.run_until_removed(world.other)
+    assert not delays_s
+    assert gone_at <= removed_at + BOUNDS.drain_s - SEND_MARGIN_S
+
+
+def test_router_that_knows_of_a_restore_does_not_wait_for_a_reader(
+    world: World,
+) -> None:
+    world.other.step()
+    world.frozen.update(world.readers)
+    world.store.epoch = 2
+    began_at = world.clock.monotonic()
+    world.other.step()
+    assert world.other.epoch == 2
+    assert world.clock.monotonic() == began_at
+
+
+def test_time_to_apply_changes_does_not_count_as_heard_of_the_store(
+    world: World,
+) -> None:
+    reader = world.watches[world.readers[0]]
+    world.remove_server()
+    read_at = world.clock.monotonic()
+    publish = reader.publish
+    reader.publish = lambda: (world.clock.advance(0.4), publish())  # type: ignore
+    reader.step()
+    world.deliver()
+    assert reader.heard_at == read_at
+    assert world.tasks[world.readers[0]].histories[ENTRIES_PREFIX].read_at == read_at
+
+
 def test_reader_that_gave_no_reply_is_not_asked_for_a_time(world: World) -> None:
     other = world.other
     assert other.share is not None
