Do not spin for room when a call has no time left to wait

Cause: a call whose latest start had passed, at a router with its own limit on all servers, asked for room with a timeout of 0. It went on without a reply, found the limit again and asked again, past its deadline, with no pause. Each round was counted as a request in the share of retries and as a refusal. Change: such a call is refused at once; it has not been sent. The new test failed before: 3 questions to the tasks instead of 1.

--- a/src/hawthornstage/filters/admit.py
+++ b/src/hawthornstage/filters/admit.py
@@ -73,14 +73,7 @@
         Without a reply the call goes on: the servers decide then.
         """
         began = self.clock.monotonic()
-        request = RequestRoom(
-            call_id=exchange.call.id,
-            service=exchange.service,
-            priority=exchange.priority,
-            workspace=workspace_name(exchange),
-            deadline=exchange.deadline,
-            work_s=expected_work_s(exchange.call.prompt),
-        )
+        request = room_request(exchange)
         longest_s = max(0.0, request.latest_start - began)
         reply = ask(self.task, request, self.clock, timeout=longest_s)
         waited_s = self.clock.monotonic() - began
@@ -91,6 +84,10 @@
         self.metrics.admission_wait.observe(waited_s)
         return replace(exchange, waited_s=exchange.waited_s + waited_s)
 
+    def has_time_to_wait(self, exchange: ForwardExchange) -> bool:
+        """Whether a call could be served in time if it were sent later than now."""
+        return self.clock.monotonic() < room_request(exchange).latest_start
+
     def note_refused(self, exchange: ForwardExchange) -> None:
         """Report that there was no room for a call."""
         self.task.tell(SendRefused(exchange.service))
@@ -101,6 +98,18 @@
             self.task.tell(SendAccepted(exchange.service))
 
 
+def room_request(exchange: ForwardExchange) -> RequestRoom:
+    """Return the request for room of a call."""
+    return RequestRoom(
+        call_id=exchange.call.id,
+        service=exchange.service,
+        priority=exchange.priority,
+        workspace=workspace_name(exchange),
+        deadline=exchange.deadline,
+        work_s=expected_work_s(exchange.call.prompt),
+    )
+
+
 def workspace_name(exchange: ForwardExchange) -> str:
     """Return the name of a call's workspace, or '' for none."""
     return exchange.workspace.name if exchange.workspace else ""
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -120,7 +120,8 @@
                 return self.blocked_failure(delivery, blocked)
             choice = self.choice.choose(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
-                if not choice.at_limit or delivery.attempts:
+                waits = choice.at_limit and not delivery.attempts
+                if not waits or not self.admit.has_time_to_wait(exchange):
                     return self.no_server_failure(delivery, choice)
                 waited = self.wait_for_room(exchange)
                 if isinstance(waited, Failure):
--- a/tests/test_admit.py
+++ b/tests/test_admit.py
@@ -205,6 +205,28 @@
     assert delivery.attempts == 0
 
 
+def test_a_call_without_time_to_wait_is_refused_while_the_router_is_at_its_limit(
+    pair: CallerPair,
+) -> None:
+    class AtLimitOnce(Tasks):
+        """Tasks that have no room at first; a second question would be a spin."""
+
+        def tell(self, message: Any) -> None:
+            if isinstance(message, Ask):
+                self.told.append(message)
+                at_limit = len(self.told) == 1
+                message.reply_to.put(NoServerAvailable("limit", at_limit=at_limit))
+
+    tasks = AtLimitOnce([])
+    forwarder = make_forwarder(tasks, ManualClock(start=10.0))
+    exchange = exchange_for("/letters/x", arrived=0.0)
+    delivery = Delivery()
+    failure = forwarder.deliver(exchange, pair.connection, delivery)
+    assert failure is not None
+    assert failure.kind is ErrorKind.SERVERS_BUSY
+    assert len(tasks.told) == 1
+
+
 class TimersStub:
     """Notes what is scheduled."""
 
