Wait between two sends only where no server has room

Cause: after a 503 of one server, a call that may run twice asked for room although other servers were free. Once it had been sent to all, it waited in vain: each server was excluded afterwards, so its turn ended in a refusal. Change: it goes to the next server at once. It waits only if it has been sent to each server that wants calls, and then may go again to those that were only full. A server that names the time for which it wants none is not waited for. The new tests of test_admit failed on the code before (denied instead of answered, refused after its wait). The stand-in of the choosing task now says that its servers have all been attempted, as the selection does.

--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -78,7 +78,11 @@
         if not eligible:
             return NoServerAvailable(
                 f"service {want.service!r} has no registered server that is neither "
-                f"leaving nor already attempted"
+                f"leaving nor already attempted",
+                all_attempted=any(
+                    self.notices.accepts_calls(each.incarnation, now)
+                    for each in remaining
+                ),
             )
         eligible = [each for each in eligible if self.has_share(each, limit)]
         if not eligible:
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -120,12 +120,13 @@
                 return self.blocked_failure(delivery, blocked)
             choice = self.choice.choose(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
-                waits = choice.at_limit and not delivery.attempts
-                if not waits or not self.admit.has_time_to_wait(exchange):
+                if not self.may_wait(exchange, delivery, choice):
                     return self.no_server_failure(delivery, choice)
-                waited = self.wait_for_room(exchange)
+                waited = self.wait_for_room(exchange, delivery)
                 if isinstance(waited, Failure):
-                    return waited
+                    return self.final_failure(
+                        delivery, waited.detail, waited.retry_after_s
+                    )
                 exchange = waited
                 continue
             try:
@@ -147,6 +148,8 @@
                 case Refused(reason, full):
                     delivery.outcome = reason
                     if full:
+                        if not outcome.closed:
+                            delivery.full |= {choice.server.id}
                         self.admit.note_refused(exchange)
                 case Misdirected(reason) | NotSent(reason):
                     delivery.outcome = reason
@@ -156,30 +159,31 @@
                         return self.final_failure(delivery, reason)
             if not self.can_retry(exchange, delivery):
                 return self.final_failure(delivery, delivery.outcome)
-            if self.may_wait(exchange, delivery, outcome):
-                waited = self.admit.wait_for_room(exchange)
-                if isinstance(waited, Failure):
-                    return self.final_failure(
-                        delivery, waited.detail, waited.retry_after_s
-                    )
-                exchange = waited
 
-    def wait_for_room(self, exchange: ForwardExchange) -> ForwardExchange | Failure:
-        """Let a call wait that this router's own limits keep from all servers."""
-        self.admit.note_refused(exchange)
+    def wait_for_room(
+        self, exchange: ForwardExchange, delivery: Delivery
+    ) -> ForwardExchange | Failure:
+        """Let a call wait for room; then it may go to servers that had none before."""
+        if not delivery.full:
+            self.admit.note_refused(exchange)
+        delivery.excluded -= delivery.full
+        delivery.full = frozenset()
         return self.admit.wait_for_room(exchange)
 
     def may_wait(
-        self, exchange: ForwardExchange, delivery: Delivery, outcome: AttemptOutcome
+        self, exchange: ForwardExchange, delivery: Delivery, choice: NoServerAvailable
     ) -> bool:
-        """Whether a call waits before its next attempt.
+        """Whether a call waits because no server has room for it now.
 
         A stream that has begun goes on at once, and a call that may not run twice waits
         before its first send only.
         """
-        full = isinstance(outcome, Refused) and outcome.full
+        if delivery.head_sent or not self.admit.has_time_to_wait(exchange):
+            return False
+        if choice.at_limit and not delivery.attempts:
+            return True
         idempotent = exchange.route.idempotency is Idempotency.IDEMPOTENT
-        return full and idempotent and not delivery.head_sent
+        return choice.all_attempted and idempotent and bool(delivery.full)
 
     def can_retry(self, exchange: ForwardExchange, delivery: Delivery) -> bool:
         """Return whether another server may go on, and attempts and time are left."""
@@ -252,6 +256,7 @@
     ) -> AttemptOutcome:
         """Send a call to one server and relay its response."""
         delivery.attempted_servers = (*delivery.attempted_servers, choice.server)
+        delivery.excluded |= {choice.server.id}
         try:
             connection = self.dialer.connect(
                 exchange.call.id,
--- a/src/hawthornstage/filters/forward_choice.py
+++ b/src/hawthornstage/filters/forward_choice.py
@@ -149,7 +149,7 @@
             call_id=exchange.call.id,
             service=exchange.service,
             prompt=exchange.call.prompt,
-            excluded=frozenset(server.id for server in delivery.attempted_servers),
+            excluded=delivery.excluded,
             retry=delivery.attempts > 0,
             max_connections_per_server=exchange.max_connections_per_server,
             repeatable=exchange.route.idempotency is Idempotency.IDEMPOTENT,
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -44,10 +44,12 @@
     Args:
         reason: Status of the response, for the log.
         full: Whether the server is at capacity, so that it is avoided for a while.
+        closed: Whether it has said that it wants no calls for some time.
     """
 
     reason: str
     full: bool
+    closed: bool = False
 
 
 @dataclass(frozen=True)
@@ -114,7 +116,11 @@
         if head.misdirected:
             return Misdirected()
         if head.not_executed:
-            return Refused(f"status {head.status}, not run", head.status == 503)
+            return Refused(
+                f"status {head.status}, not run",
+                head.status == 503,
+                closed=bool(head.notice.closed_for_s),
+            )
         if head.is_success and (not head.sealed or head.content_encoded):
             return ServerFailed(
                 "the response lacks the server's digest or is re-encoded"
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -306,6 +306,8 @@
         attempts: Number of times that the call was sent to a server.
         misdirected: Attempts that a server other than the intended one answered.
         attempted_servers: The chosen servers, including unreachable ones.
+        excluded: Ids of the servers that must not be chosen again.
+        full: Ids of those among them that only had no room for the call.
         may_have_run: Whether a server may have started to run the call.
         events: Complete events forwarded to the caller.
         last_event_id: Id of the last forwarded event.
@@ -331,6 +333,8 @@
     attempts: int = 0
     misdirected: int = 0
     attempted_servers: tuple[BackendServer, ...] = ()
+    excluded: frozenset[str] = frozenset()
+    full: frozenset[str] = frozenset()
     may_have_run: bool = False
     events: int = 0
     last_event_id: str | None = None
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -107,6 +107,8 @@
         version_gone: Whether no server of the version that it needs is left.
         shortage: What keeps the servers from accepting it.
         at_limit: Whether there are servers, but each has this router's limit of calls.
+        all_attempted: Whether there are servers that want calls, but the call has been
+            sent to each.
     """
 
     reason: str
@@ -114,6 +116,7 @@
     version_gone: bool = False
     shortage: Shortage = Shortage.BUSY
     at_limit: bool = False
+    all_attempted: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -131,7 +131,7 @@
             reply_to.put(self.room)
             return
         if not self.addresses:
-            reply_to.put(NoServerAvailable("none is left"))
+            reply_to.put(NoServerAvailable("none is left", all_attempted=True))
             return
         server = server_at(self.addresses.pop(0))
         reply_to.put(ServerChosen(server, PlacementBasis()))
--- a/tests/test_admit.py
+++ b/tests/test_admit.py
@@ -29,7 +29,7 @@
     SendRefused,
 )
 from hawthornstage.messages.forward import Delivery
-from hawthornstage.messages.server_selection import NoServerAvailable
+from hawthornstage.messages.server_selection import NoServerAvailable, RequestServer
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from tests.connection_pair import REQUEST, CallerPair, sealed
@@ -227,6 +227,58 @@
     assert len(tasks.told) == 1
 
 
+def room_requests(tasks: Tasks) -> list[RequestRoom]:
+    """Return the requests for room that the tasks got."""
+    asked = [each.message for each in tasks.told if isinstance(each, Ask)]
+    return [each for each in asked if isinstance(each, RequestRoom)]
+
+
+def test_a_refused_call_goes_to_a_free_server_without_a_wait(pair: CallerPair) -> None:
+    full, free = ScriptedServer([REFUSAL]), ScriptedServer([sealed(b"")])
+    tasks = Tasks([full.start(), free.start()])
+    tasks.room = RoomDenied("full", 0.7)
+    pair.caller.sendall(REQUEST + b"Content-Length: 4\r\n\r\ntext")
+    assert isinstance(pair.receive(), RawRequest)
+    failure, delivery = send_to(pair, tasks, "/letters/long/x")
+    assert failure is None
+    assert (delivery.outcome, delivery.attempts) == ("answered", 2)
+    assert room_requests(tasks) == []
+
+
+def test_after_its_wait_a_call_may_go_to_a_server_that_was_full(
+    pair: CallerPair,
+) -> None:
+    class OneServer(Tasks):
+        """Tasks with one server, which a call gets unless it is excluded."""
+
+        def tell(self, message: Any) -> None:
+            request = getattr(message, "message", None)
+            if isinstance(request, RequestServer) and not request.excluded:
+                self.addresses = [address]
+            super().tell(message)
+
+    server = ScriptedServer([REFUSAL, sealed(b"")])
+    address = server.start()
+    tasks = OneServer([address])
+    pair.caller.sendall(REQUEST + b"Content-Length: 4\r\n\r\ntext")
+    assert isinstance(pair.receive(), RawRequest)
+    failure, delivery = send_to(pair, tasks, "/letters/long/x")
+    assert failure is None
+    assert (delivery.outcome, delivery.attempts) == ("answered", 2)
+    assert len(room_requests(tasks)) == 1
+
+
+def test_no_call_waits_for_a_server_that_wants_none_for_some_time(
+    pair: CallerPair,
+) -> None:
+    closed = REFUSAL.replace(b"Content", b"Retry-After: 5\r\nContent")
+    tasks = Tasks([ScriptedServer([closed]).start()])
+    failure, delivery = send_to(pair, tasks, "/letters/long/x")
+    assert failure is not None
+    assert (failure.kind, delivery.attempts) == (ErrorKind.SERVERS_BUSY, 1)
+    assert room_requests(tasks) == []
+
+
 class TimersStub:
     """Notes what is scheduled."""
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -67,6 +67,10 @@
         assert choice.server.id == "c"
     none = serving.choose(want(excluded=frozenset({"b", "c"})), LIMIT, 1.0)
     assert isinstance(none, NoServerAvailable)
+    assert none.all_attempted
+    serving.replace_servers(RegisteredServers({}))
+    none = serving.choose(want(excluded=frozenset({"b", "c"})), LIMIT, 1.0)
+    assert isinstance(none, NoServerAvailable) and not none.all_attempted
 
 
 def test_failing_server_is_avoided_for_a_while() -> None:
