End the wait for a draw once the budget cannot cover it any more

Cause: a call may wait 0.8 s for a draw while the budget has tokens left. If another router drew them first, it was held for the rest of that time in vain. Change: after each write, waits are cut to what is known of the budgets then.

--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -560,11 +560,20 @@
             case RecordOutcomeUnknown(reason):
                 self.handle_write_failure(reason, now)
         self.update_metrics()
+        self.shorten_waits(now)
         self.retry_waiting(now)
         if self.waiting and isinstance(outcome, RecordStored):
             # Calls that arrived during the write are not covered by it.
             self.write_record(now)
 
+    def shorten_waits(self, now: float) -> None:
+        """Let calls wait no longer than what is known of the budgets now allows."""
+        for each in self.waiting:
+            wait = self.longest_wait(each.request)
+            if wait and each.holder is not None:
+                wait = max(wait, HOLDER_WAIT_S)
+            each.deadline = min(each.deadline, now + wait)
+
     def update_metrics(self) -> None:
         """Update the gauges of free and undrawn tokens and of the record's age."""
         for name, budget in self.budgets.items():
--- a/tests/test_draws.py
+++ b/tests/test_draws.py
@@ -152,6 +152,26 @@
     assert isinstance(reply.value, TokensUnavailable)
 
 
+def test_call_waits_no_longer_for_tokens_that_another_router_drew(
+    world: DrawsWorld,
+) -> None:
+    for each in world.hosts.values():
+        each.token_accounts.handle(Ask(ReturnAllTokens(), Reply()))
+        each.pump()
+        each.start()
+    host, other = world.hosts["a"], world.hosts["b"]
+    reply = Reply()
+    tokens = int(BUDGET * 0.75)
+    request = RequestReservation(WORKSPACE, tokens, time_left_s=4.0)
+    host.token_accounts.handle(Ask(request, reply))
+    assert other.ask(tokens)
+    host.pump()
+    assert reply.value is None
+    world.clock.advance(MAX_WAIT_S)
+    host.check()
+    assert isinstance(reply.value, TokensUnavailable)
+
+
 @pytest.mark.parametrize(
     ("tokens", "time_left_s", "supply", "wait_s"),
     [
