Count each call once for this router's share of the retries

Cause: a call was counted as a request each time it asked for a server: also while it waited for room, and after each server that it could not connect to. Ten such rounds allowed two further retries, so the fleet could pass its limit. A retry for which there was no server used up a part of the share. Change: a call counts once, when its first server is chosen, and a retry when its server is. `take` is split into `allows_retry` and `count_retry`; the property test of the share calls both and checks the same bound.

--- a/src/hawthornstage/actors/servers/selection.py
+++ b/src/hawthornstage/actors/servers/selection.py
@@ -95,7 +95,7 @@
         Pooled connections count towards a server's connections, so the limit of the
         calls there is that much lower.
         """
-        if not self.count_attempt(request, now):
+        if not self.may_attempt(request, now):
             return NoServerAvailable(
                 "this router's share of the fleet's retries is exhausted"
             )
@@ -106,22 +106,30 @@
         choice = self.serving.choose(request, max(1, limit), now)
         if not isinstance(choice, ServerChosen):
             return choice
+        self.count_attempt(request, now)
         self.max_pooled[choice.server.id] = max_pooled
         if not request.repeatable:
             return choice
         return replace(choice, pooled=self.pooled.take(choice.server.id, now))
 
-    def count_attempt(self, request: RequestServer, now: float) -> bool:
-        """Count an attempt once; return False for a retry beyond this router's share.
+    def may_attempt(self, request: RequestServer, now: float) -> bool:
+        """Return False for a retry beyond this router's share.
 
         An attempt that was denied a permit is counted already.
         """
-        if request.permits_denied:
+        if request.permits_denied or not request.retry:
             return True
+        return self.share.allows_retry(request.service, self.routers.value, now)
+
+    def count_attempt(self, request: RequestServer, now: float) -> None:
+        """Count an attempt once a server is chosen, as the call may ask again."""
+        if request.permits_denied:
+            return
         if request.retry:
-            return self.share.take(request.service, self.routers.value, now)
-        self.share.count_request(request.service, now)
-        return True
+            self.share.count_retry(request.service, now)
+        elif not request.excluded:
+            # Otherwise it was counted before it failed to reach another server.
+            self.share.count_request(request.service, now)
 
     def pool_connection(self, server: str | None, ended: CallEnded, now: float) -> None:
         """Return the connection of an ended call to the pool, or close it.
--- a/src/hawthornstage/decisions/retry_share.py
+++ b/src/hawthornstage/decisions/retry_share.py
@@ -44,28 +44,27 @@
         since = now - self.limits().window_s / 2
         recent_times(self.requests, service, since).append(now)
 
-    def take(self, service: str, routers: int, now: float) -> bool:
-        """Take one retry, if this router's share allows it.
+    def count_retry(self, service: str, now: float) -> None:
+        """Count a retry."""
+        since = now - self.limits().window_s
+        recent_times(self.retries, service, since).append(now)
+
+    def allows_retry(self, service: str, routers: int, now: float) -> bool:
+        """Whether this router's share allows one more retry.
 
         Args:
             service: The service that the retry goes to.
             routers: Routers that share the slack; an overestimate is safe.
             now: Monotonic time in seconds.
-
-        Returns:
-            False if this router's share is used up.
         """
         limits = self.limits()
         recent_retries = recent_times(self.retries, service, now - limits.window_s)
         recent_requests = recent_times(
             self.requests, service, now - limits.window_s / 2
         )
-        if len(recent_retries) + 1 > limits.ratio * len(
-            recent_requests
-        ) + limits.slack / max(1, routers):
-            return False
-        recent_retries.append(now)
-        return True
+        allowed = limits.ratio * len(recent_requests)
+        allowed += limits.slack / max(1, routers)
+        return len(recent_retries) + 1 <= allowed
 
 
 def recent_times(
--- a/tests/test_connection_share.py
+++ b/tests/test_connection_share.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from hawthornstage.actors.servers.selection import ServerSelectionTask
@@ -70,6 +72,31 @@
         assert isinstance(choice, ServerChosen), choice
 
 
+def test_call_counts_once_for_retries_however_often_it_finds_no_room(
+    selector: ServerSelector, clock: ManualClock, events: EventLog
+) -> None:
+    share = RetryShare(lambda: RetryLimits(0.2, 100.0, 10.0))
+    task = ServerSelectionTask(
+        selector,
+        share,
+        LatestValue(ROUTERS),
+        metrics=Metrics(),
+        clock=clock,
+        events=events,
+    )
+    call = want("c", excluded=frozenset(selector.servers))
+    for _ in range(5):
+        assert isinstance(task.choose(call, clock.monotonic()), NoServerAvailable)
+    retry = replace(call, retry=True)
+    assert isinstance(task.choose(retry, clock.monotonic()), NoServerAvailable)
+    assert not any(share.requests.values())
+    assert not any(share.retries.values())
+    task.choose(want("c"), clock.monotonic())
+    # It could not connect to that server.
+    task.choose(want("c", excluded=frozenset({"a"})), clock.monotonic())
+    assert [len(each) for each in share.requests.values()] == [1]
+
+
 def test_limit_follows_demand_up_to_a_safe_part(selector: ServerSelector) -> None:
     running: list[str] = []
     for number in range(20 * MAX_CONNECTIONS):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -316,7 +316,8 @@
         share = shares[number % routers]
         share.count_request("models", now)
         asked.append(now)
-        while share.take("models", routers, now):
+        while share.allows_retry("models", routers, now):
+            share.count_retry("models", now)
             retried.append(now)
         recent = [at for at in retried if at > now - 10.0]
         # The platform counts the requests of this window, of the one before it, or of
