--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -44,10 +45,12 @@
     Args:
         reason: Status of the response, for the log.
         full: Whether the server is at capacity, so that it is avoided for a while.
+        closed: Whether it has said that it wants no calls for some time.
     """
 
     reason: str
     full: bool
+    closed: bool = False
 
 
 @dataclass(frozen=True)
@@ -114,7 +117,11 @@
         if head.misdirected:
             return Misdirected()
         if head.not_executed:
-            return Refused(f"status {head.status}, not run", head.status == 503)
+            return Refused(
+                f"status {head.status}, not run",
+                head.status == 503,
+                closed=bool(head.notice.closed_for_s),
+            )
         if head.is_success and (not head.sealed or head.content_encoded):
             return ServerFailed(
                 "the response lacks the server's digest or is re-encoded"
@@ -130,19 +137,19 @@
 
     def relay_buffered(self, head: ResponseHead) -> AttemptOutcome:
         """Read a complete response, then send it to the caller."""
-        parts: list[bytes] = []
-        size = 0
+        # A list of parts and the body joined from it would take twice the memory.
+        body = io.BytesIO()
         while True:
             match self.connection.next_event(self.exchange.deadline + DEADLINE_GRACE_S):
                 case ResponseData(data):
-                    size += len(data)
+                    size = body.tell() + len(data)
                     if size > MAX_BUFFERED_BYTES:
                         return ServerFailed(
                             f"the response exceeds {MAX_BUFFERED_BYTES} bytes"
                         )
                     if not self.memory.grow(size):
                         return ServerFailed(NO_MEMORY)
-                    parts.append(data)
+                    body.write(data)
                 case ResponseEnd():
                     break
                 case ResponseHead():
@@ -156,7 +163,7 @@
         if self.delivery.head_sent or (failed and self.retryable):
             return ServerFailed(f"status {head.status}")
         send_response(
-            self.caller, head.status, head.headers, b"".join(parts), close=False
+            self.caller, head.status, head.headers, body.getvalue(), close=False
         )
         self.delivery.head_sent = True
         self.delivery.status = head.status
