Say what decisions are for in plain words, and give two constants one meaning each

'Answers' stood for both replies and remedies. Two constants named MIN_OTHERS had different values and uses; a comment on two constants told of neither clearly.

--- a/src/hawthornstage/actors/admission.py
+++ b/src/hawthornstage/actors/admission.py
@@ -10,7 +10,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.admission import Answer, ServiceRoom
 from hawthornstage.decisions.load_shedding import (
-    MIN_OTHERS,
+    MIN_OTHERS_TO_SHED,
     LoadLevel,
     class_shares,
     classes_of,
@@ -151,7 +151,7 @@
         late_s = max(0.0, now - self.check_due_at)
         limit_s = lateness_limit_s(self.desired.value)
         before = self.load.level
-        if self.routers.value > MIN_OTHERS:
+        if self.routers.value > MIN_OTHERS_TO_SHED:
             self.load.update(late_s, limit_s)
         if self.load.overloaded:
             self.load.decay_counts()
--- a/src/hawthornstage/decisions/admission.py
+++ b/src/hawthornstage/decisions/admission.py
@@ -1,11 +1,11 @@
 """Decides which waiting call of a service is sent next, when its servers lack room.
 
-Answers bursts on services with few slots: many routers find the servers full, and each
-knows only what its own calls were told. The sends to a service are paced. The interval
-between two of them grows with each refusal and shrinks with each call that a server
-took. Waiting calls go in the order of a virtual deadline. It contains the time itself,
-so a call that has waited long passes later ones of any class, size and workspace. Times
-are seconds of the monotonic clock.
+It handles bursts on services with few slots: many routers find the servers full, and
+each knows only what its own calls were told. The sends to a service are paced. The
+interval between two of them grows with each refusal and shrinks with each call that a
+server took. Waiting calls go in the order of a virtual deadline. It contains the time
+itself, so a call that has waited long passes later ones of any class, size and
+workspace. Times are seconds of the monotonic clock.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 ACCEPTED_FACTOR = 0.85
 # Time without a refusal after which a service is not short any more, in seconds.
 SHORTAGE_TTL_S = 1.5
-# Calls that wait for one service.
+# Most calls that wait for one service.
 MAX_WAITING = 64
 # Delay of the virtual deadline for each level of priority, in seconds.
 PRIORITY_STEP_S = 1.0
@@ -35,7 +35,7 @@
 # Delay of the virtual deadline as a multiple of the call's work: more calls are served
 # in time if those that need little go first, but large ones must not starve.
 WORK_WEIGHT = 1.0
-# Time over which refused callers are spread that return, in seconds.
+# Time over which the returns of refused callers are spread, in seconds.
 RETURN_SPREAD_S = 0.2
 # Expected time of a call without a prompt, in seconds.
 DEFAULT_WORK_S = 0.1
--- a/src/hawthornstage/decisions/connection_share.py
+++ b/src/hawthornstage/decisions/connection_share.py
@@ -1,10 +1,10 @@
 """How many calls one router may have on one server.
 
-Answers callers that reach routers unevenly: an equal part of a server's connections is
-too little for a router with several times the mean of the calls, while most of the
-server lies idle. A router begins with several equal parts of each server. It raises the
-limit while calls succeed at it, up to a part of all connections, and lowers it when the
-server refuses a call or resets its connection.
+Callers reach routers unevenly: an equal part of a server's connections is too little
+for a router with several times the mean of the calls, while most of the server lies
+idle. A router begins with several equal parts of each server. It raises the limit while
+calls succeed at it, up to a part of all connections, and lowers it when the server
+refuses a call or resets its connection.
 """
 
 from __future__ import annotations
--- a/src/hawthornstage/decisions/load_shedding.py
+++ b/src/hawthornstage/decisions/load_shedding.py
@@ -1,11 +1,11 @@
 """Decides which calls an overloaded router refuses before it works on them.
 
-Answers uneven demand: callers are hashed to routers, so one router may get many times
-the calls that its processor can serve. It measures how late its own tasks run. While
-they are late, the admitted level falls by a factor; when they are punctual, it rises by
-steps. The least urgent class is refused first, and in each class those of a workspace
-that sends more than its fair share. A part of each class and workspace is always
-admitted. Times are seconds.
+Callers are hashed to routers, so one router may get many times the calls that its
+processor can serve. A router measures how late its tasks run. While they are late, the
+admitted level falls by a factor; when they are punctual, it rises by steps. The least
+urgent class is refused first, and in each class those of a workspace that sends more
+than its fair share. A part of each class and workspace is always admitted. Times are
+seconds.
 """
 
 from __future__ import annotations
@@ -26,19 +26,19 @@
 OVERLOADED_FACTOR = 0.7
 RECOVERY_STEP = 0.1
 MIN_LEVEL = 0.1
-# Other routers that must be known: they take the callers that are refused.
-MIN_OTHERS = 4
+# Fewest other routers with which calls are shed: they take the refused callers.
+MIN_OTHERS_TO_SHED = 4
 # Share of each class and workspace that is admitted at any level.
 MIN_SHARE = 0.1
 # A workspace is refused more if it sends this many times the mean of all workspaces.
 FAIR_MULTIPLE = 2.0
 # Part of the counted calls that is kept at each check.
 COUNT_DECAY = 0.8
-# Share of a class's admitted calls that is kept of the largest ones.
+# Factor of the admitted share for large calls.
 LARGE_CALL_SHARE = 0.8
 # Output from which a call is large, in tokens.
 LARGE_OUTPUT_TOKENS = 256
-# Time over which refused callers are spread that return, in seconds.
+# Time over which the returns of refused callers are spread, in seconds.
 RETURN_SPREAD_S = 0.1
 
 
--- a/src/hawthornstage/decisions/readiness.py
+++ b/src/hawthornstage/decisions/readiness.py
@@ -1,6 +1,6 @@
 """Decides whether an overloaded router takes new connections.
 
-Answers a router that stays overloaded although it refuses calls: its callers' next
+A router that stays overloaded although it refuses calls pauses: its callers' next
 connections go to others. It stays away for a bounded time and takes part again for a
 longer one, whatever its load, so that not all routers of a fleet stay away together.
 Times are seconds of the monotonic clock.
@@ -18,10 +18,11 @@
 PRESSED_SHARE = 0.25
 # Weight of a new lateness in the average.
 LATENESS_WEIGHT = 0.3
-# Time for which it takes none, and least time until it may do so again, in seconds.
+# Length of a pause, in seconds.
 PAUSE_S = 30.0
+# Shortest time from the end of a pause to the next one, in seconds.
 REST_S = 240.0
-# Other routers that must be known: fewer would miss the one that pauses.
+# Fewest other routers with which a router pauses: fewer could not take its callers.
 MIN_OTHERS = 11
 
 
--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -20,9 +20,9 @@
     Shortage,
 )
 
-# Servers with a limit that may deny one attempt a permit.
+# Most denied permits of one attempt.
 MAX_PERMITS_DENIED = 4
-# Time over which refused callers are spread that return once a server has room, in
+# Time over which the returns of refused callers are spread once a server has room, in
 # seconds.
 RETURN_SPREAD_S = 0.5
 
--- a/src/hawthornstage/decisions/token_waits.py
+++ b/src/hawthornstage/decisions/token_waits.py
@@ -1,7 +1,7 @@
 """How long a call waits for tokens that its router does not hold.
 
-Answers draws that take long, as the first of a router that has just started, or those
-of a router that lacks processor time: while the budget has tokens left and the store
+Some draws take long, such as the first one of a router that has just started, or those
+of a router that lacks processor time. While the budget has tokens left and the store
 responds, a refusal would cost the caller more than the wait.
 """
 
--- a/src/hawthornstage/decisions/watch_sharing.py
+++ b/src/hawthornstage/decisions/watch_sharing.py
@@ -1,11 +1,10 @@
 """Which routers watch the store for the others, and how long those rely on them.
 
-Answers a fleet in which every router's own watch would make the store's calls grow with
-the routers, although all of them read the same changes. A few routers read each prefix;
-the others ask one of them, and it replies as soon as the store has responded to it. A
-router that gets no reply in time asks the store itself, so that a change takes effect
-within its bound whatever becomes of the readers. Times are seconds of the monotonic
-clock.
+If every router watched the store, its calls would grow with the routers, although all
+of them read the same changes. So a few routers read each prefix; the others ask one of
+them, and it replies as soon as the store has responded to it. A router that gets no
+reply in time asks the store itself, so that a change takes effect within its bound
+whatever becomes of the readers. Times are seconds of the monotonic clock.
 """
 
 from __future__ import annotations
