Split the choice of eligible servers, and name its limit as what it is

One function of 36 lines decided by place, version, evacuation, limit and room; the first three are now their own step. has_share spoke of a share where a limit of calls is compared.

--- a/src/hawthornstage/decisions/server_eligibility.py
+++ b/src/hawthornstage/decisions/server_eligibility.py
@@ -53,6 +53,36 @@
             limit: Number of this router's calls on a server that it knows nothing of.
             now: Monotonic time in seconds.
         """
+        candidates = self.candidates(want, now)
+        if isinstance(candidates, NoServerAvailable):
+            return candidates
+        eligible = [each for each in candidates if each.id not in want.excluded]
+        if not eligible:
+            return NoServerAvailable(
+                f"service {want.service!r} has no registered server that is neither "
+                f"leaving nor already attempted"
+            )
+        eligible = [each for each in eligible if self.is_below_limit(each, limit)]
+        if not eligible:
+            return NoServerAvailable(
+                f"each server has as many calls of this router as it may have,"
+                f" {limit} at first",
+                at_limit=True,
+            )
+        with_room = [each for each in eligible if self.has_room(each, want, now)]
+        return with_room or self.no_room(eligible, want, now)
+
+    def candidates(
+        self, want: RequestServer, now: float
+    ) -> list[BackendServer] | NoServerAvailable:
+        """Return the servers that may get a call, whether or not they have room.
+
+        The list is empty if no server accepts calls.
+
+        Args:
+            want: The call.
+            now: Monotonic time in seconds.
+        """
         if not self.has_server_at_home(want):
             return NoServerAvailable(
                 f"service {want.service!r} has no server in the home regions of the "
@@ -74,24 +104,10 @@
                 f"evacuated",
                 shortage=Shortage.EVACUATED,
             )
-        eligible = [each for each in remaining if each.id not in want.excluded]
-        if not eligible:
-            return NoServerAvailable(
-                f"service {want.service!r} has no registered server that is neither "
-                f"leaving nor already attempted"
-            )
-        eligible = [each for each in eligible if self.has_share(each, limit)]
-        if not eligible:
-            return NoServerAvailable(
-                f"each server has as many calls of this router as it may have,"
-                f" {limit} at first",
-                at_limit=True,
-            )
-        with_room = [each for each in eligible if self.has_room(each, want, now)]
-        return with_room or self.no_room(eligible, want, now)
+        return remaining
 
     def has_server_at_home(self, want: RequestServer) -> bool:
-        """Whether a call without home regions, or a server in one of them, is there."""
+        """Whether the service has a server in the call's home regions, if any."""
         return want.failure_domains is None or any(
             server.service == want.service
             and server.failure_domain in want.failure_domains
@@ -110,8 +126,8 @@
             and not self.loads[server.id].address_reused
         ]
 
-    def has_share(self, server: BackendServer, limit: int) -> bool:
-        """Whether a server may have a further call of this router."""
+    def is_below_limit(self, server: BackendServer, limit: int) -> bool:
+        """Whether a server has fewer calls of this router than it may have."""
         load = self.loads[server.id]
         return load.running < load.call_limit.allowed(limit)
 
