Name two counts, and say plainly what comments and docstrings hinted at

The number of ticks in which a starting router reads all entries stood bare in the code; FILE_DESCRIPTORS counted those that are not for sockets.

--- a/src/hawthornstage/actors/caller_connections.py
+++ b/src/hawthornstage/actors/caller_connections.py
@@ -104,7 +104,7 @@
             self.room_wanted = True
             asked: Waiting | None = None
             while self.connections >= limit:
-                # One on which a request has crossed the close does not end.
+                # One whose request arrived meanwhile is served, and does not end.
                 if asked is None or asked.served:
                     asked = self.ask_one()
                 self.clock.wait(self.condition, None)
--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -39,6 +39,8 @@
 RENEWAL_TICKS = 8
 # Period of reading the other routers' entries, in ticks.
 DISCOVERY_TICKS = 5
+# Ticks after the start in which the entries are read each time until they settle.
+STARTING_TICKS = 12
 
 
 @dataclass(frozen=True)
@@ -108,15 +110,13 @@
                     self.store.end_lease(self.lease)
 
     def tick(self) -> None:
-        """Register or renew, and read the entries if due.
-
-        In the first 12 ticks the entries are read every time until they do not change.
-        """
+        """Register or renew, and read the entries if due."""
         if self.registered_at is None:
             self.register()
         elif self.ticks % RENEWAL_TICKS == 0:
             self.renew()
-        if self.ticks % DISCOVERY_TICKS == 0 or (self.ticks < 12 and not self.settled):
+        starting = self.ticks < STARTING_TICKS and not self.settled
+        if starting or self.ticks % DISCOVERY_TICKS == 0:
             self.discover_routers()
         self.ticks += 1
 
--- a/src/hawthornstage/actors/servers/slow_starts.py
+++ b/src/hawthornstage/actors/servers/slow_starts.py
@@ -44,7 +44,7 @@
     def hear(self, incarnation: str, news: SlowStartNews | None, now: float) -> bool:
         """Record what another router knows; return whether others should know it.
 
-        Its doubts are its own.
+        What another router only suspects is ignored.
         """
         if news is None or news.in_doubt:
             return False
--- a/src/hawthornstage/actors/shared_watches.py
+++ b/src/hawthornstage/actors/shared_watches.py
@@ -124,7 +124,7 @@
                 self.update_readers(sharing_routers(urls) | {self.node})
 
     def update_readers(self, routers: frozenset[str]) -> None:
-        """Choose the readers anew, and refuse what is asked of one that is none."""
+        """Choose the readers anew; refuse requests that are not for this one now."""
         self.readers.publish(WatchReaders(self.node, routers))
         for prefix in list(self.held):
             if not self.readers.value.is_reader(prefix):
--- a/src/hawthornstage/allocator.py
+++ b/src/hawthornstage/allocator.py
@@ -14,7 +14,11 @@
 
 
 def limit_allocator() -> bool:
-    """Make the allocator return what large bodies took; return False without one."""
+    """Make the allocator return freed large blocks to the host.
+
+    Returns:
+        False if the C library has no such settings.
+    """
     try:
         set_option = ctypes.CDLL(None).mallopt
     except (OSError, AttributeError):
--- a/src/hawthornstage/border/sockets.py
+++ b/src/hawthornstage/border/sockets.py
@@ -86,7 +86,7 @@
 
 
 def unacknowledged_bytes(connection: socket.socket) -> int:
-    """Return how much of what was sent the peer's system has not received, in bytes."""
+    """Return the sent bytes that the peer has not acknowledged; 0 if unknown."""
     try:
         answer = fcntl.ioctl(connection, termios.TIOCOUTQ, struct.pack("i", 0))
     except OSError:
--- a/src/hawthornstage/decisions/connection_limits.py
+++ b/src/hawthornstage/decisions/connection_limits.py
@@ -19,12 +19,12 @@
 HEAD_BYTES = 16_384
 # Memory of a connection that asks for none, in bytes.
 CONNECTION_BYTES = THREAD_BYTES + HEAD_COPIES * HEAD_BYTES + 2 * FREE_BYTES
-# Descriptors that sockets do not get.
-FILE_DESCRIPTORS = 200
-# A third each of the descriptors is for callers, for servers, and for all others.
+# Descriptors kept for files and others that are no callers' or servers' sockets.
+RESERVED_DESCRIPTORS = 200
+# Equal shares of the other descriptors: callers, servers, and all other sockets.
 DESCRIPTOR_SHARES = 3
-# Fraction of the memory of connections that those with large bodies or responses share,
-# and the most that they need, in bytes.
+# Fraction of the memory of connections that large bodies and responses share, and the
+# most that they share, in bytes.
 POOL_FRACTION = 0.3
 MAX_POOL_BYTES = 32_000_000
 # Callers' connections served at once, at least and at most.
@@ -54,7 +54,7 @@
     connections = host.max_connections
     if connections is None:
         by_memory = (memory - pool) // CONNECTION_BYTES
-        by_sockets = (host.descriptors - FILE_DESCRIPTORS) // DESCRIPTOR_SHARES
+        by_sockets = (host.descriptors - RESERVED_DESCRIPTORS) // DESCRIPTOR_SHARES
         connections = min(MAX_CONNECTIONS, by_memory, by_sockets)
     return ConnectionLimits(max(MIN_CONNECTIONS, connections), pool)
 
--- a/src/hawthornstage/decisions/connection_memory.py
+++ b/src/hawthornstage/decisions/connection_memory.py
@@ -85,6 +85,7 @@
         if held is not None and held.asked:
             return Denied()
         others = {k: v for k, v in self.holdings.items() if k != holder}
+        # It must leave as much free as it takes.
         needed = 2 * size + sum(each.size for each in others.values())
         if needed <= self.total_bytes:
             self.holdings[holder] = Holding(size, now, caller)
--- a/src/hawthornstage/filters/server_process.py
+++ b/src/hawthornstage/filters/server_process.py
@@ -44,7 +44,7 @@
         caller: CallerConnection,
         server: BackendServer,
     ) -> bool:
-        """Whether a connection leads to a server's known process, and can be used on.
+        """Whether a connection leads to a server's known process, and stays usable.
 
         Args:
             connection: The connection.
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -12,8 +12,8 @@
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.connection_limits import (
     CONNECTION_BYTES,
-    FILE_DESCRIPTORS,
     PROCESS_BYTES,
+    RESERVED_DESCRIPTORS,
     WaitingConnection,
     choose_to_close,
     derive_limits,
@@ -156,7 +156,7 @@
     limits = derive_limits(host)
     connections = limits.connections * CONNECTION_BYTES
     assert PROCESS_BYTES + connections + limits.pool_bytes <= host.memory_bytes
-    assert 2 * limits.connections <= descriptors - FILE_DESCRIPTORS
+    assert 2 * limits.connections <= descriptors - RESERVED_DESCRIPTORS
 
 
 def test_smallest_host_takes_the_largest_body_beside_another() -> None:
