--- a/src/hawthornstage/actors/admission.py
+++ b/src/hawthornstage/actors/admission.py
@@ -112,14 +112,14 @@
         room = self.room_of(request.service)
         # Callers may use the same id twice.
         self.replies[id(request)] = reply_to
-        self.send(room.request(request, now))
+        self.reply(room.request(request, now))
         self.settle_room(request.service, now)
 
     def settle_room(self, service: str, now: float) -> None:
         """Answer the calls whose turn has come, and schedule the next release."""
         room = self.rooms[service]
-        self.send(room.release(now))
-        self.send(room.deny_hopeless(now))
+        self.reply(room.release(now))
+        self.reply(room.deny_hopeless(now))
         self.schedule_release(service, room.due_in_s(now), now)
         self.metrics.calls_waiting.labels(service).set(len(room.waiting))
         self.publish(now)
@@ -136,7 +136,7 @@
         self.releases[service] = due_at
         self.timers.after(due_in_s, self.actor_ref, ReleaseWaiting(service))
 
-    def send(self, answers: list[Answer]) -> None:
+    def reply(self, answers: list[Answer]) -> None:
         """Reply to calls that waited."""
         for answer in answers:
             reply_to = self.replies.pop(id(answer.request), None)
@@ -158,19 +158,28 @@
         else:
             self.load.calls.clear()
         if self.load.level != before:
-            self.events.emit(
-                "admission_level",
-                routine=True,
-                level=round(self.load.level, 2),
-                late_ms=int(late_s * 1000),
-                limit_ms=int(limit_s * 1000),
-                workspaces=len(self.load.calls),
-            )
+            self.log_level(late_s, limit_s)
         self.pause.update(late_s, limit_s, self.routers.value - 1, now)
         self.update_readiness(now)
         self.publish(now)
         self.schedule_check()
 
+    def log_level(self, late_s: float, limit_s: float) -> None:
+        """Log a changed load level.
+
+        Args:
+            late_s: How late this task ran, in seconds.
+            limit_s: How late tasks may run, in seconds.
+        """
+        self.events.emit(
+            "admission_level",
+            routine=True,
+            level=round(self.load.level, 2),
+            late_ms=int(late_s * 1000),
+            limit_ms=int(limit_s * 1000),
+            workspaces=len(self.load.calls),
+        )
+
     def update_readiness(self, now: float) -> None:
         """Publish whether the router takes new connections."""
         ready = not self.pause.is_paused(now)
--- a/src/hawthornstage/actors/servers/issuing.py
+++ b/src/hawthornstage/actors/servers/issuing.py
@@ -82,7 +82,7 @@
         cold_rate = self.slow_starts.issuing_rate(incarnation, None, now)
         if cold_rate is None and self.limits.value_of(incarnation) is None:
             return PermitGranted()
-        key = incarnation if cold_rate is None else server_of(incarnation)
+        key = issuer_key(incarnation, cold_rate)
         issuer = self.issuers.issuer_to_ask(key, now)
         if issuer is None:
             return PermitDenied(NO_ISSUER_RETRY_S)
@@ -107,10 +107,10 @@
         known = [each for each in rates if each is not None]
         if not known:
             return PermitGranted()
-        server = server_of(incarnation)
-        key = incarnation if cold_rate is None else server
+        key = issuer_key(incarnation, cold_rate)
         burst_s = BURST_S if cold_rate is None else slow_start.BURST_S
         rate = min(known) * self.issuers.issuing_fraction(key, now)
+        server = server_of(incarnation)
         bucket = self.buckets.get(server) or PermitBucket(0.0, now)
         self.buckets.pop(server, None)
         self.buckets[server], decision = issue_permit(
@@ -182,3 +182,13 @@
             return LimitAnnounced(incarnation, None, UNKNOWN_AGE_S, slow_start_news)
         age_s = now - known.observed_at
         return LimitAnnounced(incarnation, known.value, age_s, slow_start_news)
+
+
+def issuer_key(incarnation: str, cold_rate: float | None) -> str:
+    """Return the name by which the issuers of a server are chosen.
+
+    Args:
+        incarnation: The server's incarnation.
+        cold_rate: Permits per second while it is cold, or None if it is not.
+    """
+    return incarnation if cold_rate is None else server_of(incarnation)
