--- a/src/hawthornstage/decisions/desired_state_check.py
+++ b/src/hawthornstage/decisions/desired_state_check.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from hawthornstage.messages.desired import (
@@ -210,14 +210,7 @@
     """Find workspaces that can't call, share keys or have too small a budget."""
     owners: dict[str, int] = {}
     for index, workspace in enumerate(state.workspaces):
-        keys = Place(Group.WORKSPACES, index, "keys")
-        if not workspace.keys:
-            yield warning(keys, f"{workspace.name!r} has no key and can make no calls")
-        if "" in workspace.keys:
-            yield error(keys, "a key is empty")
-        shared = {owners[key] for key in workspace.keys if key in owners}
-        for other in sorted(shared):
-            yield error(keys, f"a key is also one of [{other}]")
+        yield from find_in_keys(workspace, index, owners)
         owners.update((key, index) for key in workspace.keys)
         budget = workspace.budget
         if budget is not None and budget < max(1, options.call_tokens):
@@ -231,6 +224,25 @@
         yield from find_in_regions(place, workspace.regions, options)
 
 
+def find_in_keys(
+    workspace: WorkspaceSpec, index: int, owners: Mapping[str, int]
+) -> Iterator[Finding]:
+    """Find keys that are missing, empty or also those of an earlier workspace.
+
+    Args:
+        workspace: The workspace.
+        index: Its position.
+        owners: Position of the workspace of each earlier key.
+    """
+    place = Place(Group.WORKSPACES, index, "keys")
+    if not workspace.keys:
+        yield warning(place, f"{workspace.name!r} has no key and can make no calls")
+    if "" in workspace.keys:
+        yield error(place, "a key is empty")
+    for other in sorted({owners[key] for key in workspace.keys if key in owners}):
+        yield error(place, f"a key is also one of [{other}]")
+
+
 def find_in_limits(state: DesiredState) -> Iterator[Finding]:
     """Find limits of callers that let nothing pass."""
     limits = state.limits
@@ -252,10 +264,10 @@
 
 
 def error(place: Place, text: str) -> Finding:
-    """Return a finding that is wrong."""
+    """Return a finding of what is wrong."""
     return Finding(place, Severity.ERROR, text)
 
 
 def warning(place: Place, text: str) -> Finding:
-    """Return a finding that is most likely not meant."""
+    """Return a finding of what is most likely not meant."""
     return Finding(place, Severity.WARNING, text)
--- a/src/hawthornstage/decisions/desired_state_differences.py
+++ b/src/hawthornstage/decisions/desired_state_differences.py
@@ -36,8 +36,8 @@
     )
 
 
-def find_setbacks(state: DesiredState, in_force: DesiredState) -> Iterator[Finding]:
-    """Find what routers ignore, or what takes something away."""
+def find_regressions(state: DesiredState, in_force: DesiredState) -> Iterator[Finding]:
+    """Find a version that is not newer, and budgets that get smaller."""
     if state.version <= in_force.version:
         yield Finding(
             Place(Group.DOCUMENT, field="version"),
--- a/src/hawthornstage/desired_state_commands.py
+++ b/src/hawthornstage/desired_state_commands.py
@@ -9,7 +9,7 @@
 from hawthornstage.decisions.desired_state_check import CheckOptions, find_faults
 from hawthornstage.decisions.desired_state_differences import (
     find_differences,
-    find_setbacks,
+    find_regressions,
 )
 from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.desired_state_check import Difference, Finding
@@ -48,7 +48,7 @@
     differences: tuple[Difference, ...] = ()
     if in_force:
         _, current = load(in_force, json)
-        findings += find_setbacks(state, current)
+        findings += find_regressions(state, current)
         differences = find_differences(state, current)
     findings.sort(key=lambda each: (each.severity.value, format_place(each.place)))
     report = {
--- a/tests/test_desired_state_check.py
+++ b/tests/test_desired_state_check.py
@@ -12,7 +12,7 @@
 from hawthornstage.decisions.desired_state_check import CheckOptions, find_faults
 from hawthornstage.decisions.desired_state_differences import (
     find_differences,
-    find_setbacks,
+    find_regressions,
 )
 from hawthornstage.messages.desired_state_check import Severity
 from hawthornstage.platform.desired_state import decode_desired_state
@@ -242,7 +242,7 @@
         ("changed", "", "header_bytes", "4096", "8192"),
     ]
     setbacks = [
-        (format_place(s.place), s.severity) for s in find_setbacks(after, before)
+        (format_place(s.place), s.severity) for s in find_regressions(after, before)
     ]
     assert setbacks == [
         ("version", Severity.ERROR),
