--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -10,12 +10,18 @@
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
-from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.errors import Failure
 from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls
 from hawthornstage.filters.forward_choice import ServerChoice, needed_version
+from hawthornstage.filters.forward_failures import (
+    blocked_failure,
+    deadline_failure,
+    final_failure,
+    no_server_failure,
+)
 from hawthornstage.filters.forward_relay import (
     DEADLINE_GRACE_S,
     AttemptOutcome,
@@ -48,18 +54,11 @@
     NoServerAvailable,
     RegisteredServers,
     ServerChosen,
-    Shortage,
 )
 from hawthornstage.messages.stream_versions import StreamVersionNoted
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
-# Errors for shortages of servers other than too many calls.
-SHORTAGE_KINDS = {
-    Shortage.EVACUATED: ErrorKind.EVACUATED,
-    Shortage.OUTSIDE_HOMES: ErrorKind.OUTSIDE_HOMES,
-}
-
 
 @dataclass(frozen=True)
 class Forwarder:
@@ -117,23 +116,17 @@
                 return None
             blocked = self.block.check(exchange)
             if blocked is not None:
-                return self.blocked_failure(delivery, blocked)
+                return blocked_failure(delivery, blocked)
             choice = self.choice.choose(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
                 if not choice.at_limit or delivery.attempts:
-                    return self.no_server_failure(delivery, choice)
+                    return no_server_failure(delivery, choice)
                 waited = self.wait_for_room(exchange)
                 if isinstance(waited, Failure):
                     return waited
                 exchange = waited
                 continue
-            try:
-                outcome = self.attempt(exchange, caller, choice, delivery)
-            except Exception:
-                self.choice.release(exchange)
-                self.choice.end_lease(delivery)
-                raise
-            self.reports.report(exchange, choice, delivery, outcome)
+            outcome = self.attempt_and_report(exchange, caller, choice, delivery)
             match outcome:
                 case Delivered():
                     delivery.outcome = "answered"
@@ -142,7 +135,7 @@
                     delivery.outcome = "caller_left"
                     return None
                 case DeadlineExceeded():
-                    return self.deadline_failure(delivery)
+                    return deadline_failure(delivery)
                 case Refused(reason, full):
                     delivery.outcome = reason
                     if full:
@@ -152,17 +145,32 @@
                 case ServerFailed(reason):
                     delivery.outcome = reason
                     if exchange.route.idempotency is Idempotency.NON_IDEMPOTENT:
-                        return self.final_failure(delivery, reason)
+                        return final_failure(delivery, reason)
             if not self.can_retry(exchange, delivery):
-                return self.final_failure(delivery, delivery.outcome)
+                return final_failure(delivery, delivery.outcome)
             if self.may_wait(exchange, delivery, outcome):
                 waited = self.admit.wait_for_room(exchange)
                 if isinstance(waited, Failure):
-                    return self.final_failure(
-                        delivery, waited.detail, waited.retry_after_s
-                    )
+                    return final_failure(delivery, waited.detail, waited.retry_after_s)
                 exchange = waited
 
+    def attempt_and_report(
+        self,
+        exchange: ForwardExchange,
+        caller: CallerConnection,
+        choice: ServerChosen,
+        delivery: Delivery,
+    ) -> AttemptOutcome:
+        """Send a call to one server and report how that ended."""
+        try:
+            outcome = self.attempt(exchange, caller, choice, delivery)
+        except Exception:
+            self.choice.release(exchange)
+            self.choice.end_lease(delivery)
+            raise
+        self.reports.report(exchange, choice, delivery, outcome)
+        return outcome
+
     def wait_for_room(self, exchange: ForwardExchange) -> ForwardExchange | Failure:
         """Let a call wait that this router's own limits keep from all servers."""
         self.admit.note_refused(exchange)
@@ -191,57 +199,6 @@
         attempts = delivery.attempts - delivery.misdirected
         return in_time and attempts < exchange.route.max_attempts
 
-    def final_failure(
-        self, delivery: Delivery, reason: str, retry_after_s: float | None = None
-    ) -> Failure | None:
-        """Return the failure to report; None if part of a response was sent.
-
-        The failure depends on whether a server may have run the call.
-
-        Args:
-            delivery: What was done for the call.
-            reason: Why it failed, for the caller and the log.
-            retry_after_s: Time until a retry may succeed, in seconds, if it is known.
-        """
-        if delivery.head_sent:
-            delivery.outcome = f"cut: {reason}"
-            return None
-        kind = (
-            ErrorKind.SERVER_FAILED if delivery.may_have_run else ErrorKind.SERVERS_BUSY
-        )
-        return Failure(kind, reason, retry_after_s)
-
-    def no_server_failure(
-        self, delivery: Delivery, choice: NoServerAvailable
-    ) -> Failure | None:
-        """Return the failure of a call for which there is no server (any more)."""
-        if choice.version_gone and not (delivery.head_sent or delivery.may_have_run):
-            return Failure(ErrorKind.STREAM_NOT_RESUMABLE, choice.reason)
-        untouched = not (delivery.head_sent or delivery.may_have_run)
-        kind = SHORTAGE_KINDS.get(choice.shortage)
-        if kind is not None and untouched:
-            return Failure(kind, choice.reason)
-        return self.final_failure(delivery, choice.reason, choice.retry_after_s)
-
-    def blocked_failure(self, delivery: Delivery, blocked: Failure) -> Failure | None:
-        """Return the failure of a call that was blocked, maybe after an attempt."""
-        if delivery.attempts == 0:
-            return blocked
-        return self.final_failure(delivery, blocked.detail)
-
-    def deadline_failure(self, delivery: Delivery) -> Failure | None:
-        """Return the failure after the deadline; None if part of a response was sent.
-
-        The failure depends on whether a server may have run the call.
-        """
-        if delivery.head_sent:
-            delivery.outcome = "cut: deadline exceeded"
-            return None
-        kind = (
-            ErrorKind.OUT_OF_TIME if delivery.may_have_run else ErrorKind.SERVERS_BUSY
-        )
-        return Failure(kind, "the deadline of the call has passed")
-
     def attempt(
         self,
         exchange: ForwardExchange,
@@ -262,19 +219,10 @@
         except OSError as error:
             delivery.failed_to_connect = True
             return NotSent(f"no connection to {choice.server.id}: {error}")
-        # It may have left while the connection was opened.
-        refusal = self.permits.why_not_accepting(choice.server, self.registered.value)
-        if refusal is not None:
+        reason = self.why_not_send(exchange, caller, connection, choice, delivery)
+        if reason is not None:
             connection.close()
-            return NotSent(f"{choice.server.id} accepts no call any more: {refusal}")
-        if self.choice.lacks_permit(choice, delivery):
-            denied = self.choice.acquire_permit(exchange, choice, delivery)
-            if denied is not None:
-                connection.close()
-                return NotSent(f"{choice.server.id} has reached its limit since then")
-        if not self.may_go_on_there(exchange, caller, connection, choice, delivery):
-            connection.close()
-            return NotSent(f"{choice.server.id} may have another version by now")
+            return NotSent(reason)
         delivery.attempts += 1
         delivery.through_router = connection.through_router
         ran_before, delivery.may_have_run = delivery.may_have_run, True
@@ -294,6 +242,30 @@
             delivery.misdirected += 1
         return outcome
 
+    def why_not_send(
+        self,
+        exchange: ForwardExchange,
+        caller: CallerConnection,
+        connection: ServerConnection,
+        choice: ServerChosen,
+        delivery: Delivery,
+    ) -> str | None:
+        """Return why a call must not be sent after all, or None if it may be.
+
+        The server's state may have changed while the connection was opened.
+        """
+        server = choice.server
+        refusal = self.permits.why_not_accepting(server, self.registered.value)
+        if refusal is not None:
+            return f"{server.id} accepts no call any more: {refusal}"
+        if self.choice.lacks_permit(choice, delivery):
+            denied = self.choice.acquire_permit(exchange, choice, delivery)
+            if denied is not None:
+                return f"{server.id} has reached its limit since then"
+        if not self.may_go_on_there(exchange, caller, connection, choice, delivery):
+            return f"{server.id} may have another version by now"
+        return None
+
     def exchange(
         self,
         exchange: ForwardExchange,
@@ -324,16 +296,8 @@
         head = connection.next_event(exchange.deadline + DEADLINE_GRACE_S)
         match head:
             case ResponseHead():
-                reused = connection.is_reused
-                own = belongs_to_call(head, call.id, reused=reused)
-                if own and head.shows_speed:
-                    self.serving.tell(FirstByteReceived(call.id))
                 delivery.first_byte_s = self.clock.monotonic() - sent_at
-                error_s = delivery.first_byte_s - choice.basis.wait_s
-                self.metrics.estimate_error.observe(error_s)
-                self.reports.note_notice(call.id, choice.server, head, connection)
-                if not head.not_executed:
-                    self.admit.note_accepted(exchange)
+                self.note_head(exchange, connection, choice, delivery, head)
             case ResponseData() | ResponseEnd():
                 return ServerFailed("the response has no head")
             case end:
@@ -352,6 +316,26 @@
             )
             return relay.relay(head)
 
+    def note_head(
+        self,
+        exchange: ForwardExchange,
+        connection: ServerConnection,
+        choice: ServerChosen,
+        delivery: Delivery,
+        head: ResponseHead,
+    ) -> None:
+        """Report what the head of a response tells of the server."""
+        call_id = exchange.call.id
+        own = belongs_to_call(head, call_id, reused=connection.is_reused)
+        if own and head.shows_speed:
+            self.serving.tell(FirstByteReceived(call_id))
+        if delivery.first_byte_s is not None:
+            error_s = delivery.first_byte_s - choice.basis.wait_s
+            self.metrics.estimate_error.observe(error_s)
+        self.reports.note_notice(call_id, choice.server, head, connection)
+        if not head.not_executed:
+            self.admit.note_accepted(exchange)
+
     def may_go_on_there(
         self,
         exchange: ForwardExchange,
