--- a/src/hawthornstage/actors/servers/links.py
+++ b/src/hawthornstage/actors/servers/links.py
@@ -40,7 +40,7 @@
         node: This router's name.
         links: Where they are published for the request pipe.
         prober: Task that connects to servers whose links failed.
-        doubts: Get `ServerInDoubt` of servers that may have started again.
+        doubt_recipients: Get `ServerInDoubt` of servers that may have started again.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -50,7 +50,7 @@
         node: str,
         links: LatestValue[ServerLinks],
         prober: pykka.ActorRef,
-        doubts: tuple[Recipient, ...] = (),
+        doubt_recipients: tuple[Recipient, ...] = (),
         *,
         clock: Clock,
         events: EventLog,
@@ -61,7 +61,7 @@
         self.events = events
         self.book = LinkBook(node)
         self.prober = prober
-        self.doubts = doubts
+        self.doubt_recipients = doubt_recipients
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
@@ -97,7 +97,7 @@
 
     def doubt(self, doubt: ServerInDoubt) -> None:
         """Tell that a server may have started again."""
-        for recipient in self.doubts:
+        for recipient in self.doubt_recipients:
             recipient.tell(doubt)
 
     def probe(self) -> None:
--- a/src/hawthornstage/decisions/draw_plans.py
+++ b/src/hawthornstage/decisions/draw_plans.py
@@ -51,8 +51,8 @@
 # A router returns its surplus when that exceeds this fraction of the target plus an
 # average call.
 SURPLUS_FRACTION = 0.3
-# Seconds of its demand that a router asks a holder for ahead, and the number of calls
-# below which it does not.
+# Time whose demand a router asks a holder for ahead, in seconds, and the fewest calls
+# in that time with which it does so.
 AHEAD_S = 1.0
 MIN_CALLS_AHEAD = 2.0
 # Records that all routers together store regularly, per second, and the shortest and
@@ -242,8 +242,8 @@
 def tokens_ahead(account: TokenAccount, budget: int, now: float) -> int:
     """Return what a router that holds no spare tokens asks for beyond a call's tokens.
 
-    Only a router with many calls of a workspace does so: each question costs its caller
-    time, and a holder's refusal more.
+    Only a router with many calls of a workspace asks for more: each request delays its
+    call, and a holder's refusal delays it further.
     """
     ahead = account.rate_at(now) * AHEAD_S
     if ahead < account.mean_call_tokens * MIN_CALLS_AHEAD:
