--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -15,7 +15,7 @@
 
 from client import Answer, ask
 from server import Server
-from store import Store, free_port
+from store import Store, free_ports
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
@@ -138,16 +138,16 @@
 
     def start_routers(self) -> None:
         """Start all routers and wait until they are ready."""
+        ports = free_ports(self.host, 5 * len(self.names))
         for name in self.names:
-            self.write_settings(name)
+            self.write_settings(name, sorted(ports.pop() for _ in range(5)))
             self.start_router(name)
         for name in self.names:
             self.wait(lambda n=name: self.is_ready(n), 20.0, f"{name} to be ready")
         self.record("all routers are ready")
 
-    def write_settings(self, name: str) -> None:
+    def write_settings(self, name: str, ports: list[int]) -> None:
         """Write a router's settings file as the platform does."""
-        ports = sorted({free_port(self.host) for _ in range(64)})[:5]
         self.settings[name] = {
             "node-name": name,
             "role": "router",
--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -9,6 +9,7 @@
 
 import base64
 import json
+import random
 import socket
 import threading
 import time
@@ -273,8 +274,19 @@
         return 200, {"revision": self.revision}
 
 
-def free_port(host: str) -> int:
-    """Return a port of a loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def free_ports(host: str, count: int) -> list[int]:
+    """Return ports of a loopback address that are free now.
+
+    They lie below those that the kernel gives to outgoing channels.
+    """
+    found: list[int] = []
+    for port in random.sample(range(10_000, 30_000), 2_000):
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError("too few free ports")
