--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -20,6 +20,8 @@
 
 # Items in one page of a range read.
 PAGE_ITEMS = 500
+# Time for which a channel stays open on which a response was lost, in seconds.
+LOST_CHANNEL_S = 8.0
 
 
 class Store:
@@ -43,6 +45,10 @@
         # Called with a transaction that took effect; returns whether its answer is
         # lost.
         self.lose_answer: Callable[[dict[str, Any]], bool] = lambda request: False
+        # Called with a transaction that arrives; returns whether it is held back: it is
+        # done only later, by `do_late`, if its condition still holds, and its channel
+        # returns nothing.
+        self.hold_back: Callable[[dict[str, Any]], bool] = lambda request: False
         self.calls: list[tuple[float, str, int]] = []
         store = self
 
@@ -59,7 +65,10 @@
                 answer = store.call(self.command, self.path, body)
                 if answer is None:
                     # The response is lost, and nothing more comes on this channel.
-                    while not store.ended and store.mode != "up":
+                    ends_at = time.monotonic() + LOST_CHANNEL_S
+                    while not store.ended and (
+                        store.mode != "up" or time.monotonic() < ends_at
+                    ):
                         time.sleep(0.02)
                     self.close_connection = True
                     return
@@ -240,6 +249,20 @@
 
     def transact(self, request: dict[str, Any]) -> tuple[int, dict[str, Any]] | None:
         """Execute a transaction; None if its answer is lost."""
+        if self.hold_back(request):
+            return None
+        return self.do_transaction(request)
+
+    def do_late(self, request: dict[str, Any]) -> int:
+        """Do a transaction that was held back; return the status it would have had."""
+        with self.changed:
+            answer = self.do_transaction(request)
+            return 200 if answer is None else answer[0]
+
+    def do_transaction(
+        self, request: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]] | None:
+        """Do a transaction if its conditions hold; None if its answer is lost."""
         puts = request.get("puts", [])
         lacks_lease = any(
             each.get("lease") and each["lease"] not in self.leases for each in puts
