--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -22,6 +22,8 @@
 KEY = "key-of-shop-a"
 TENANT = "shop-a"
 STREAM, NOTES, BOOKING, LOOKUP = "/letters/", "/notes/", "/bookings/", "/orders/"
+# Requests of each server that the record names, the last ones.
+RECORDED_RUNS = 100
 # The bounds of the users' small sites.
 BOUNDS = {
     "seed-lag-s": 3,
@@ -253,6 +255,12 @@
         """The time of the record, in seconds."""
         return time.monotonic() - self.began_at
 
+    def record_runs(self, server: Server) -> None:
+        """Write to the record what a server ran."""
+        self.record(f"{server.name} ran {len(server.runs)} requests, the last of them:")
+        for run in server.runs[-RECORDED_RUNS:]:
+            self.record(server.name, run.version, "ran", run.request_id[:60])
+
     def close(self) -> None:
         """End all processes and stand-ins, and keep the ends of the logs."""
         for process in self.processes.values():
@@ -260,6 +268,7 @@
             process.wait()
         for server in self.servers.values():
             server.end()
+            self.record_runs(server)
         self.store.close()
         self.record_file.close()
         if keep := os.environ.get("RIG_KEEP_LOGS"):
