Decode whole small chunks in one loop

Change: chunks that have arrived completely are decoded in one loop, to the same results; an unusual or incomplete one goes through the steps as before. Bodies of callers are not counted by chunks any more, as nothing refuses them for it.

--- a/src/hawthornstage/border/chunked_body.py
+++ b/src/hawthornstage/border/chunked_body.py
@@ -16,6 +16,8 @@
 MAX_SMALL_CHUNKS = 1_024
 SMALL_CHUNK_BYTES = 4
 LINE_END = b"\r\n"
+# The sizes of small chunks as they are mostly written.
+PLAIN_SIZES = {b"%x" % size: size for size in range(1, 256)}
 
 
 class ChunkError(Exception):
@@ -81,6 +83,7 @@
         """Decode the next element; return False if more bytes are needed."""
         match self.expected:
             case Expected.SIZE:
+                self.read_whole_chunks(decoded)
                 return self.read_size()
             case Expected.DATA:
                 return self.read_data(decoded)
@@ -103,25 +106,44 @@
         self.position = end + len(LINE_END)
         return line
 
+    def read_whole_chunks(self, decoded: bytearray) -> None:
+        """Decode the chunks that have arrived completely, up to an unusual one.
+
+        The other steps come to the same result, in several times the time.
+        """
+        buffer, position = self.buffer, self.position
+        while (end := buffer.find(LINE_END, position)) >= 0:
+            line = buffer[position:end]
+            size = PLAIN_SIZES.get(line) or parse_size(line)
+            start = end + len(LINE_END)
+            if not size or not buffer.startswith(LINE_END, start + size):
+                break
+            self.count_chunk(size)
+            decoded += buffer[start : start + size]
+            position = start + size + len(LINE_END)
+        self.position = position
+
     def read_size(self) -> bool:
         """Read the size of the next chunk."""
         line = self.read_line()
         if line is None:
             return False
-        found = SIZE_LINE.fullmatch(line)
-        if found is None:
+        size = parse_size(line)
+        if size is None:
             raise ChunkError(f"invalid chunk size {line[:20]!r}")
-        self.chunk_left = int(found[1], 16)
-        self.count_chunk()
+        self.count_chunk(size)
+        self.chunk_left = size
         self.expected = Expected.DATA if self.chunk_left else Expected.TRAILER
         return True
 
-    def count_chunk(self) -> None:
+    def count_chunk(self, size: int) -> None:
         """Count a chunk, and refuse the body if most of it is sizes of chunks."""
+        if not self.refuse_small:
+            return
         self.chunks += 1
-        self.body_bytes += self.chunk_left
+        self.body_bytes += size
         small = self.body_bytes < self.chunks * SMALL_CHUNK_BYTES
-        if self.refuse_small and self.chunks > MAX_SMALL_CHUNKS and small:
+        if self.chunks > MAX_SMALL_CHUNKS and small:
             raise ChunkError(f"more than {MAX_SMALL_CHUNKS} chunks, most of them tiny")
 
     def read_data(self, decoded: bytearray) -> bool:
@@ -159,6 +181,14 @@
         return True
 
 
+def parse_size(line: bytes) -> int | None:
+    """Return the size that a line states, in bytes, or None if it is invalid."""
+    if len(line) > MAX_LINE_BYTES:
+        return None
+    found = SIZE_LINE.fullmatch(line)
+    return None if found is None else int(found[1], 16)
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Return data as one chunk; empty data would end the body and gives b''."""
     if not data:
