Tell calls apart by a number of the router's own

Cause: ServerSelector kept calls in progress by the caller's id. Change: identify numbers each call, and what tasks keep of a call is kept by its unique_id, which has a bounded length.

--- a/src/hawthornstage/decisions/stream_versions.py
+++ b/src/hawthornstage/decisions/stream_versions.py
@@ -11,13 +11,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from hawthornstage.decisions.membership import rendezvous_order
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.stream_versions import (
     StreamVersionNoted,
     StreamVersionReply,
@@ -29,8 +29,6 @@
 NOTE_LIFETIME_S = 60.0
 # Most streams whose versions are remembered.
 MAX_NOTES = 20_000
-# Longest id of a call that is kept as it is, in characters.
-MAX_ID_LENGTH = 64
 # Routers that are told the version of a stream, and that are asked for it: one more, as
 # the router that told them may have been among the first itself.
 HOLDERS_PER_STREAM = 2
@@ -142,14 +140,6 @@
         ]
 
 
-def bounded_id(call_id: str) -> str:
-    """Return a call's id, or its hash if callers chose a long one."""
-    if len(call_id) <= MAX_ID_LENGTH:
-        return call_id
-    data = call_id.encode("utf-8", "surrogatepass")
-    return hashlib.blake2b(data, digest_size=16).hexdigest()
-
-
 @dataclass(frozen=True)
 class VersionFound:
     """The stream goes on at servers of this version."""
--- a/src/hawthornstage/filters/admit.py
+++ b/src/hawthornstage/filters/admit.py
@@ -101,7 +101,7 @@
 def room_request(exchange: ForwardExchange) -> RequestRoom:
     """Return the request for room of a call."""
     return RequestRoom(
-        call_id=exchange.call.id,
+        call_id=exchange.unique_id,
         service=exchange.service,
         priority=exchange.priority,
         workspace=workspace_name(exchange),
--- a/src/hawthornstage/filters/attempt_reports.py
+++ b/src/hawthornstage/filters/attempt_reports.py
@@ -119,7 +119,7 @@
         pooled, delivery.pooled = delivery.pooled, None
         self.serving.tell(
             CallEnded(
-                call.id,
+                exchange.unique_id,
                 failed=failed,
                 refused=full,
                 address_reused=address_reused,
--- a/src/hawthornstage/filters/forward.py
+++ b/src/hawthornstage/filters/forward.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from itertools import count
 from typing import Protocol
 
 import pykka
@@ -58,16 +59,21 @@
 
     Args:
         desired: The current desired state, or None before one is known.
+        numbers: Numbers of the calls.
     """
 
     desired: LatestValue[DesiredState | None]
+    numbers: Iterator[int] = field(default_factory=count)
 
     def begin(self, call: ForwardCall) -> ForwardExchange | Failure:
         """Match a call against the current desired state."""
         state = self.desired.value
         if state is None:
             return Failure(ErrorKind.NO_DESIRED_STATE)
-        return resolve_call(call, state)
+        resolved = resolve_call(call, state)
+        if isinstance(resolved, Failure):
+            return resolved
+        return replace(resolved, number=next(self.numbers))
 
 
 @dataclass(frozen=True)
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -36,6 +36,7 @@
 from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.crashing_parts import AnswerBegan
 from hawthornstage.messages.desired import Idempotency
 from hawthornstage.messages.forward import (
@@ -316,7 +317,7 @@
                 self.crashing_parts.tell(AnswerBegan(exchange.shared_ids))
             return self.note_stream_version(exchange, choice.server, delivery)
 
-        with self.memory.hold(call.id) as memory:
+        with self.memory.hold(exchange.unique_id) as memory:
             relay = ResponseRelay(
                 exchange, connection, delivery, retryable, memory, on_answer_began
             )
@@ -334,7 +335,7 @@
         call_id = exchange.call.id
         own = belongs_to_call(head, call_id, reused=connection.is_reused)
         if own and head.shows_speed:
-            self.serving.tell(FirstByteReceived(call_id))
+            self.serving.tell(FirstByteReceived(exchange.unique_id))
         if delivery.first_byte_s is not None:
             error_s = delivery.first_byte_s - choice.basis.wait_s
             self.metrics.estimate_error.observe(error_s)
@@ -381,6 +382,8 @@
                 return None
             delivery.stream_version = server.version
             self.stream_versions.tell(
-                StreamVersionNoted(exchange.call.id, exchange.service, server.version)
+                StreamVersionNoted(
+                    bounded_id(exchange.call.id), exchange.service, server.version
+                )
             )
         return None
--- a/src/hawthornstage/filters/forward_choice.py
+++ b/src/hawthornstage/filters/forward_choice.py
@@ -146,7 +146,7 @@
             permits_denied: Servers chosen for this attempt that had no room.
         """
         want = RequestServer(
-            call_id=exchange.call.id,
+            call_id=exchange.unique_id,
             service=exchange.service,
             prompt=exchange.call.prompt,
             excluded=delivery.excluded,
@@ -174,8 +174,9 @@
             exchange: The call.
             pooled: The unused connection to the server, if there is one.
         """
-        ended = CallEnded(exchange.call.id, failed=False, refused=False, pooled=pooled)
-        self.serving.tell(ended)
+        self.serving.tell(
+            CallEnded(exchange.unique_id, failed=False, refused=False, pooled=pooled)
+        )
 
 
 def needed_version(exchange: ForwardExchange, delivery: Delivery) -> str | None:
--- a/src/hawthornstage/filters/stream_version.py
+++ b/src/hawthornstage/filters/stream_version.py
@@ -21,6 +21,7 @@
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.forward import TASK_TIMEOUT_S
 from hawthornstage.mailbox import Mailbox, ReplyCallback
+from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.forward import ForwardExchange
 from hawthornstage.messages.stream_versions import (
     FindStreamVersion,
@@ -60,7 +61,7 @@
         call = exchange.call
         if not exchange.route.resumable or not call.continues_stream:
             return exchange
-        request = RequestStreamVersion(call.resumes or "", exchange.service)
+        request = RequestStreamVersion(bounded_id(call.resumes or ""), exchange.service)
         sources = ask(
             self.streams,
             FindStreamVersion(request),
--- a/src/hawthornstage/messages/admission.py
+++ b/src/hawthornstage/messages/admission.py
@@ -44,7 +44,7 @@
     The reply is `RoomGranted` at the call's turn, or `RoomDenied`.
 
     Args:
-        call_id: Id of the call.
+        call_id: Tells the call from all others of this router.
         service: The service.
         priority: The call's priority; 0 is the most urgent.
         workspace: The workspace, or '' for none.
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.call_leases import CallLease
 from hawthornstage.messages.desired import (
     DesiredState,
@@ -58,7 +59,8 @@
     """A caller's request as received.
 
     Args:
-        id: Request id, unique to each attempt of the caller.
+        id: Request id, which a caller is to choose anew for each attempt, but may use
+            for several calls.
         method: HTTP method.
         target: Path and query.
         host: The Host header in lower case, without a port.
@@ -114,6 +116,7 @@
         regions: Set by identify: the regions in which the call may be handled, or None
             for all.
         waited_s: Time for which the call waited for room, in seconds.
+        number: Set by identify: tells the router's calls apart.
     """
 
     call: ForwardCall
@@ -126,6 +129,12 @@
     stream_version: str | None = None
     regions: frozenset[str] | None = None
     waited_s: float = 0.0
+    number: int = 0
+
+    @property
+    def unique_id(self) -> str:
+        """Id that no other call of this router has, of bounded length."""
+        return f"{bounded_id(self.call.id)}#{self.number}"
 
     @property
     def shared_ids(self) -> tuple[str, ...]:
--- a/src/hawthornstage/messages/server_selection.py
+++ b/src/hawthornstage/messages/server_selection.py
@@ -48,7 +48,7 @@
     """Asks for a server; the reply is `ServerChosen` or `NoServerAvailable`.
 
     Args:
-        call_id: Id of the call.
+        call_id: Tells the call from all others of this router.
         service: The service to choose a server of.
         prompt: The prompt's declared size, or None.
         excluded: Ids of servers to which the call was sent before.
@@ -134,7 +134,11 @@
 
 @dataclass(frozen=True)
 class FirstByteReceived:
-    """The first byte of a call's response has arrived."""
+    """The first byte of a call's response has arrived.
+
+    Args:
+        call_id: The one with which the server was asked for.
+    """
 
     call_id: str
 
@@ -144,7 +148,7 @@
     """A call no longer runs on its server.
 
     Args:
-        call_id: Id of the call.
+        call_id: The one with which the server was asked for.
         failed: Whether the call failed through the server's fault.
         refused: Whether the server refused the call because it is full.
         address_reused: Whether another server now uses the server's address.
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -14,7 +14,6 @@
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.stream_versions import (
     HOLDERS_PER_STREAM,
-    MAX_ID_LENGTH,
     NOTE_LIFETIME_S,
     STREAM_LIFETIME_S,
     StreamNotes,
@@ -29,6 +28,7 @@
 from hawthornstage.filters import stream_version
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.bounded_text import MAX_ID_LENGTH
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.forward import ForwardExchange
 from hawthornstage.messages.members import PeerUnreachable
