Bound events and log lines in bytes

Change: the buffer holds 16 MB, and nothing in the router on the platform, where nobody reads it; the queue holds 4,000,000 characters; a text in an event is cut at 512 characters. hawthornstage explain cuts the id that it looks for in the same way.

--- a/src/hawthornstage/cli.py
+++ b/src/hawthornstage/cli.py
@@ -28,6 +28,7 @@
 )
 from hawthornstage.daemon import run_router
 from hawthornstage.desired_state_commands import check_desired_state
+from hawthornstage.messages.bounded_text import bounded_text
 from hawthornstage.observe import timeline as timeline_module
 from hawthornstage.observe.log_reader import read_logs
 from hawthornstage.operator_client import OperatorError
@@ -50,7 +51,8 @@
         events = read_logs(str(logs).split(","))
     except OSError as error:
         fail(f"a log cannot be read: {error}", EXIT_USAGE)
-    return [event for event in events if not request or event["request_id"] == request]
+    logged_id = bounded_text(request)
+    return [each for each in events if not request or each["request_id"] == logged_id]
 
 
 class HawthornstageCommands:
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -160,7 +160,8 @@
         self.settings = settings
         self.live_settings = LatestValue(settings)
         self.clock = clock or Clock()
-        self.events = EventLog(settings.node, self.clock)
+        # Nothing reads the events of this router but the log.
+        self.events = EventLog(settings.node, self.clock, buffer_bytes=0)
         self.metrics = Metrics()
         self.desired: LatestValue[DesiredState | None] = LatestValue(None)
         self.blocked_calls = LatestValue(BlockedCalls())
--- a/src/hawthornstage/observe/events.py
+++ b/src/hawthornstage/observe/events.py
@@ -9,13 +9,16 @@
 import structlog
 
 from hawthornstage.clock import Clock
+from hawthornstage.messages.bounded_text import bounded_text
 from hawthornstage.messages.events import Event, Stamp
 from hawthornstage.observe.log_rate_limiter import LogRateLimiter
 
 log = structlog.get_logger()
 
-# Maximum number of events that a process buffers for the timeline.
-MAX_BUFFERED_EVENTS = 20_000
+# Most memory of the events that a process buffers for the timeline, in bytes, and what
+# one takes besides the text of its fields.
+MAX_BUFFERED_BYTES = 16_000_000
+EVENT_BYTES = 1_500
 
 
 class HybridClock:
@@ -49,19 +52,58 @@
                 self.last = Stamp(stamp.millis, stamp.counter, self.node)
 
 
+class EventBuffer:
+    """The latest events, in a bounded number of bytes; any thread may use it.
+
+    Args:
+        max_bytes: Most memory of the events, in bytes; 0 to keep none.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.kept: deque[Event] = deque()
+        self.size = 0
+        self.lock = threading.Lock()
+
+    def append(self, event: Event) -> None:
+        """Add an event, and drop the oldest ones beyond the limit."""
+        size = size_of(event)
+        if size > self.max_bytes:
+            return
+        with self.lock:
+            self.kept.append(event)
+            self.size += size
+            while self.size > self.max_bytes:
+                self.size -= size_of(self.kept.popleft())
+
+    def events(self) -> list[Event]:
+        """Return the events, oldest first."""
+        with self.lock:
+            return list(self.kept)
+
+
+def size_of(event: Event) -> int:
+    """Return roughly the memory of an event, in bytes."""
+    texts = (each for each in event.fields.values() if isinstance(each, str))
+    return EVENT_BYTES + len(event.request_id) + sum(map(len, texts))
+
+
 class EventLog:
     """Records the events of all tasks of a process.
 
     Args:
         node: Name of the process.
         clock: Source of wall time and monotonic time.
+        buffer_bytes: Most memory of the buffered events, in bytes; 0 to keep none.
     """
 
-    def __init__(self, node: str, clock: Clock) -> None:
+    def __init__(
+        self, node: str, clock: Clock, *, buffer_bytes: int = MAX_BUFFERED_BYTES
+    ) -> None:
         self.node = node
         self.clock = HybridClock(node, clock)
         self.limiter = LogRateLimiter(clock)
-        self.buffer: deque[Event] = deque(maxlen=MAX_BUFFERED_EVENTS)
+        self.buffer = EventBuffer(buffer_bytes)
 
     def emit(
         self,
@@ -74,12 +116,18 @@
     ) -> None:
         """Record an event and write it to the log as one line.
 
+        Long texts are cut off, as callers and servers may have chosen them.
+
         Args:
             name: Name of the event.
             request_id: Id of the request that it belongs to, or empty.
             routine: Whether the stricter limit of routine lines applies.
             fields: Additional data.
         """
+        request_id = bounded_text(request_id)
+        for key, value in fields.items():
+            if isinstance(value, str):
+                fields[key] = bounded_text(value)
         self.buffer.append(Event(self.clock.now(), name, request_id, fields))
         if not self.limiter.try_acquire(routine=routine):
             return
@@ -96,9 +144,10 @@
             request_id: Selects the events of one request; empty selects all.
             since_millis: Earliest wall time, in milliseconds since the Unix epoch.
         """
+        request_id = bounded_text(request_id)
         return [
             event
-            for event in list(self.buffer)
+            for event in self.buffer.events()
             if event.stamp.millis >= since_millis
             and (not request_id or event.request_id == request_id)
         ]
--- a/src/hawthornstage/observe/logs.py
+++ b/src/hawthornstage/observe/logs.py
@@ -11,8 +11,8 @@
 
 import structlog
 
-# Capacity of the queue; further lines are dropped and counted.
-MAX_QUEUED_LINES = 50_000
+# Capacity of the queue, in characters; further lines are dropped and counted.
+MAX_QUEUED_LENGTH = 4_000_000
 # Longest wait for queued lines to be written when the process exits, in seconds.
 CLOSE_TIMEOUT_S = 2.0
 
@@ -28,13 +28,17 @@
         super().__init__(name="log", daemon=True)
         self.file = file
         self.lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self.lock = threading.Lock()
+        self.queued_length = 0
         self.dropped = 0
 
     def write(self, text: str) -> None:
         """Queue a line, or drop it if the queue is full."""
-        if self.lines.qsize() >= MAX_QUEUED_LINES:
-            self.dropped += 1
-            return
+        with self.lock:
+            if self.queued_length + len(text) > MAX_QUEUED_LENGTH:
+                self.dropped += 1
+                return
+            self.queued_length += len(text)
         self.lines.put(text)
 
     def flush(self) -> None:
@@ -47,8 +51,10 @@
             while not self.lines.empty():
                 batch.append(self.lines.get())
             text = "".join(line for line in batch if line is not None)
-            if self.dropped:
+            with self.lock:
+                self.queued_length -= len(text)
                 dropped, self.dropped = self.dropped, 0
+            if dropped:
                 text += f"level=warning event=log_lines_dropped count={dropped}\n"
             self.file.write(text)
             self.file.flush()
