Take token counts that are numbers only, and bound what parts of prompts take

Change: a count is up to ten decimal digits, else the call gets 400, not run. Ids of more than 64 characters are kept by their hash, the same on all routers. Parts are bounded over all servers: 16,384, of some 250 bytes each.

--- a/src/hawthornstage/decisions/server_loads.py
+++ b/src/hawthornstage/decisions/server_loads.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from hawthornstage.decisions.connection_share import CallLimit, LimitRange
@@ -39,6 +40,20 @@
     room_at: float = 0.0
     call_limit: CallLimit = field(default_factory=CallLimit)
 
+    def add_parts(self, parts: Iterable[str], most: int, now: float) -> None:
+        """Note the prompt parts of a call, and forget those sent longest ago.
+
+        Args:
+            parts: The parts.
+            most: Number of parts that are kept.
+            now: Monotonic time in seconds.
+        """
+        for part in parts:
+            self.prompt_parts.pop(part, None)
+            self.prompt_parts[part] = now
+        while len(self.prompt_parts) > most:
+            del self.prompt_parts[next(iter(self.prompt_parts))]
+
 
 @dataclass
 class SentCall:
--- a/src/hawthornstage/decisions/server_selection.py
+++ b/src/hawthornstage/decisions/server_selection.py
@@ -47,8 +47,12 @@
 MAX_AVOIDANCE_S = 6.0
 # Time for which a server is assumed to cache a prompt part, in seconds.
 PROMPT_CACHE_TTL_S = 30.0
-# Prompt parts kept for each server.
-MAX_PROMPT_PARTS = 4_096
+# Prompt parts kept for all servers together, and fewest for each of them; the memory of
+# one is some 250 bytes, as its id has a bounded length.
+MAX_PROMPT_PARTS = 16_384
+MIN_PROMPT_PARTS = 64
+# Preferred servers that are cached.
+MAX_PREFERRED = 4_096
 # Time that each running call adds to the estimate, in seconds.
 CALL_COST_S = 0.004
 # Time that a server in another failure domain adds to the estimate, in seconds.
@@ -257,7 +261,7 @@
         key = (service, part, failure_domains)
         known = self.preferred.get(key)
         if known is None:
-            if len(self.preferred) >= MAX_PROMPT_PARTS:
+            if len(self.preferred) >= MAX_PREFERRED:
                 self.preferred.clear()
             known = self.preferred[key] = rendezvous(
                 part, self.staying(service, failure_domains)
@@ -304,11 +308,8 @@
             self.demand_of(server.service).asked.append(now)
         tokens = self.tokens_to_read(server, want.prompt, preferred, now)
         if want.prompt is not None:
-            for part in want.prompt.shared_parts:
-                load.prompt_parts.pop(part.id, None)
-                load.prompt_parts[part.id] = now
-            while len(load.prompt_parts) > MAX_PROMPT_PARTS:
-                del load.prompt_parts[next(iter(load.prompt_parts))]
+            most = max(MIN_PROMPT_PARTS, MAX_PROMPT_PARTS // len(self.loads))
+            load.add_parts(want.prompt.shared_ids, most, now)
         load.calls[want.call_id] = tokens
         load.running += 1
         expected = tokens / PREFILL_TOKENS_PER_S
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.messages.bounded_text import bounded_id, bounded_text
 from hawthornstage.messages.forward import (
     ForwardCall,
     Headers,
@@ -21,6 +22,8 @@
 TIME_BUDGET = "x-time-budget"
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_COUNTS = "x-token-counts"
+# Most digits of a number of tokens.
+MAX_TOKEN_DIGITS = 10
 # Parts of the prompt as ID:TOKENS, separated by commas.
 PROMPT_PARTS = "x-prompt-prefix"
 TARGET_SERVER = "x-target-instance"
@@ -159,7 +162,7 @@
     """Return the prompt that the headers declare, or None.
 
     Raises:
-        ValueError: A token count is not an integer.
+        ValueError: A token count is not a number from 0 up to some billions.
     """
     if TOKEN_COUNTS not in headers:
         return None
@@ -167,8 +170,20 @@
     parts: list[PromptPart] = []
     for entry in filter(None, headers.get(PROMPT_PARTS, "").split(",")):
         name, _, count = entry.strip().rpartition(":")
-        parts.append(PromptPart(name, int(count)))
-    return Prompt(int(tokens), int(max_output), tuple(parts))
+        parts.append(PromptPart(bounded_id(name), parse_tokens(count)))
+    return Prompt(parse_tokens(tokens), parse_tokens(max_output), tuple(parts))
+
+
+def parse_tokens(text: str) -> int:
+    """Return a number of tokens.
+
+    Raises:
+        ValueError: The text is no decimal number, or no prompt has so many tokens.
+    """
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit()) or len(digits) > MAX_TOKEN_DIGITS:
+        raise ValueError(f"{bounded_text(text)!r} is not a number of tokens")
+    return int(digits)
 
 
 def request_headers(
