Keep what one request raises with it, and let readiness tell of it

Cause: a task that failed at a request logged it and let the asker wait for a second; a router none of whose requests could be served said that it was ready; an exception while a connection was accepted or closed ended the listener or left a connection counted. Change: whoever asks a task that fails gets no reply at once. The listener goes on after a connection that can't be taken, and each connection is uncounted however its end fails.

--- a/src/hawthornstage/actors/caller_connections.py
+++ b/src/hawthornstage/actors/caller_connections.py
@@ -220,9 +220,15 @@
         Args:
             served: Whether the request is complete; otherwise the connection ends.
         """
-        self.pace.end_reading()
-        if served:
-            self.memory.note_body_read()
+        try:
+            self.pace.end_reading()
+            if served:
+                self.memory.note_body_read()
+        finally:
+            self.end_wait(served=served)
+
+    def end_wait(self, *, served: bool) -> None:
+        """Take the connection from those that wait, if it is among them."""
         if self.waiting is not None:
             self.connections.end_wait(self.waiting, served=served)
             self.waiting.interrupt.close()
--- a/src/hawthornstage/actors/caller_listener.py
+++ b/src/hawthornstage/actors/caller_listener.py
@@ -74,18 +74,18 @@
             return False
         self.connections.make_room(self.max_connections)
         self.connections.add_connection()
-        task = CallerTask(
-            connection,
-            self.pipe,
-            self.stopping,
-            self.connections,
-            next(self.numbers),
-            address,
-        )
         try:
+            task = CallerTask(
+                connection,
+                self.pipe,
+                self.stopping,
+                self.connections,
+                next(self.numbers),
+                address,
+            )
             self.workers.serve(task.run)
-        except RuntimeError as error:
-            # The system gives the process no further thread.
+        except (OSError, RuntimeError) as error:
+            # The caller has reset it, or the system gives the process no thread more.
             self.pipe.events.emit("accept_failed", reason=str(error))
             connection.close()
             self.connections.remove_connection()
--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -174,8 +174,10 @@
         except Exception:
             log.exception("connection_error")
         finally:
-            self.caller.close()
-            self.connections.remove_connection()
+            try:
+                self.caller.close()
+            finally:
+                self.connections.remove_connection()
 
     def serve_next(self) -> bool:
         """Receive and serve one request; return whether another one may follow."""
--- a/src/hawthornstage/actors/probe_server.py
+++ b/src/hawthornstage/actors/probe_server.py
@@ -32,11 +32,13 @@
         stopping: Signals that the router stops.
         desired: The desired state, or None before one is known.
         accepting: Whether the router's load allows new connections.
+        faulty: The names of tasks that do not serve.
     """
 
     stopping: StopSignal
     desired: LatestValue[DesiredState | None]
     accepting: LatestValue[bool]
+    faulty: LatestValue[tuple[str, ...]]
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -47,6 +49,9 @@
         if self.desired.value is None:
             reason = b"no desired state yet\n"
             return send_response(start_response, 503, "text/plain", reason)
+        if self.faulty.value:
+            reason = f"faulty tasks: {', '.join(self.faulty.value)}\n".encode()
+            return send_response(start_response, 503, "text/plain", reason)
         if not self.accepting.value:
             return send_response(start_response, 503, "text/plain", b"overloaded\n")
         return send_response(start_response, 200, "text/plain", b"ready\n")
--- a/src/hawthornstage/actors/task.py
+++ b/src/hawthornstage/actors/task.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 import pykka
 import structlog
 
-from hawthornstage.mailbox import DISCARD_REPLY, ReplyTo
+from hawthornstage.mailbox import DISCARD_REPLY, Mailbox, ReplyTo
+from hawthornstage.messages.health import ReportHealth, TaskHealth
 
 log = structlog.get_logger()
 
@@ -37,19 +38,40 @@
 class Task(pykka.ThreadingActor):
     """An actor with an inbox of typed messages.
 
-    An exception in the handler of a message is logged, and the task goes on.
+    An exception in the handler of a message is logged, and the task goes on. Whoever
+    waits for a reply to that message gets none at once, instead of after its timeout.
     """
 
     use_daemon_thread = True
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.health = TaskHealth(failures_in_row=0, failures=0)
+
     def on_receive(self, message: Any) -> None:
         """Handle one message, and log any exception."""
+        match message:
+            case Ask(message=ReportHealth(), reply_to=reply_to):
+                reply_to.put(self.health)
+                return
         try:
             self.handle(message)
         except Exception:
             log.exception(
                 "task_error", task=type(self).__name__, message=type(message).__name__
             )
+            if isinstance(message, Ask):
+                self.fail(message)
+        else:
+            if self.health.failures_in_row and isinstance(message, Ask):
+                self.health = replace(self.health, failures_in_row=0)
+
+    def fail(self, request: Ask) -> None:
+        """Count a request whose handling failed, and end the wait for its reply."""
+        failures = self.health.failures + 1
+        self.health = TaskHealth(self.health.failures_in_row + 1, failures)
+        if isinstance(request.reply_to, Mailbox):
+            request.reply_to.put(None)
 
     def handle(self, message: Any) -> None:
         """Handle one message; subclasses match on its class."""
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -19,6 +19,7 @@
 )
 from hawthornstage.actors.evacuations import CheckEvacuations, EvacuationsTask
 from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
+from hawthornstage.actors.health import HealthTask
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
@@ -94,6 +95,7 @@
     RequestDesiredState,
     ServerFailedDuringCall,
 )
+from hawthornstage.messages.health import CheckTasks
 from hawthornstage.messages.host_settings import (
     HostSettings,
     SocketAddress,
@@ -136,6 +138,7 @@
 EVACUATIONS_CHECK_INTERVAL_S = 2.0
 STORE_CALLS_LOG_INTERVAL_S = 10.0
 SLOW_START_CHECK_INTERVAL_S = 0.25
+HEALTH_CHECK_INTERVAL_S = 1.0
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -174,6 +177,7 @@
         self.watch_readers = LatestValue(WatchReaders(settings.node))
         self.admission_policy = LatestValue(AdmissionPolicy())
         self.accepting = LatestValue(True)
+        self.faulty_tasks: LatestValue[tuple[str, ...]] = LatestValue(())
         self.start_delays = StartDelays()
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
@@ -182,7 +186,9 @@
         self.dispatcher = MessageDispatcher()
         self.readiness = ProbeServer(
             settings.readiness,
-            ReadinessPage(self.stopping, self.desired, self.accepting),
+            ReadinessPage(
+                self.stopping, self.desired, self.accepting, self.faulty_tasks
+            ),
         )
         metrics = SocketAddress(settings.callers.host, metrics_port)
         self.metrics_http = ProbeServer(
@@ -275,6 +281,7 @@
             node, self.watch_readers, **self.shared
         )
         self.start_members(secret)
+        self.start_health_checks()
         self.store_epoch.subscribe(
             self.members, self.ledger, self.crash_log_writer, self.crashing_parts
         )
@@ -391,6 +398,18 @@
             **self.shared,
         )
 
+    def start_health_checks(self) -> None:
+        """Start the task that checks the tasks without which no call is served."""
+        watched = {
+            "server_selection": self.server_selection,
+            "token_accounts": self.token_accounts,
+            "stream_versions": self.stream_versions,
+            "admission": self.admission,
+            "connection_memory": self.connection_memory,
+            "reading_turns": self.reading_turns,
+        }
+        self.health = HealthTask.start(watched, self.faulty_tasks, **self.shared)
+
     def register_messages(self) -> None:
         """Register the tasks for the messages of other routers."""
         register = self.dispatcher.register
@@ -424,6 +443,7 @@
         """Schedule the messages that trigger the tasks' periodic work."""
         self.members.tell(MembershipTick())
         every = self.timers.every
+        every(HEALTH_CHECK_INTERVAL_S, self.health, CheckTasks())
         every(MEMBERS_INTERVAL_S, self.members, MembershipTick())
         every(HEARTBEAT_INTERVAL_S, self.desired_states, SendVersion())
         every(FETCH_CHECK_INTERVAL_S, self.desired_states, FetchNewerVersion())
--- a/src/hawthornstage/mailbox.py
+++ b/src/hawthornstage/mailbox.py
@@ -37,7 +37,10 @@
             self.condition.notify()
 
     def get(self, *, timeout: float) -> Any | None:
-        """Return the next reply, or None if there is none within `timeout` seconds."""
+        """Return the next reply, or None if there is none within `timeout` seconds.
+
+        None at once stands for a task that failed to handle the request.
+        """
         deadline = self.clock.monotonic() + timeout
         with self.condition:
             while not self.replies:
