Serve the standalone router's callers by the listener of the router on the platform

Cause: cheroot owned the sockets and read whole chunks and lines before the router saw a byte, gave each connection that sent nothing a thread, and renewed its timeout with each byte: no sum bounded its memory, and as many clients as it had threads kept all others off. Change: CallerTask reads requests for both routers; what answers them is an Answerer: ForwardedCalls on the platform, WsgiCalls (the application as it was) here. Connections, the memory of bodies, processor time and the time of a request are bounded by the same code. limits.body_memory_bytes (64 MiB) bounds all bodies together. cheroot still serves the probes and metrics of the router on the platform.

--- a/src/hawthornstage/actors/caller_listener.py
+++ b/src/hawthornstage/actors/caller_listener.py
@@ -8,7 +8,12 @@
 
 from hawthornstage.actors.caller_connections import CallerConnections
 from hawthornstage.actors.caller_workers import CallerWorkers
-from hawthornstage.actors.callers import CallerTask, ForwardPipe, StopSignal
+from hawthornstage.actors.callers import (
+    Answerer,
+    CallerIntake,
+    CallerTask,
+    StopSignal,
+)
 from hawthornstage.border.sockets import READABLE, wait_ready
 from hawthornstage.decisions.connection_limits import derive_limits
 from hawthornstage.messages.host_settings import SocketAddress
@@ -26,19 +31,25 @@
 
     Args:
         address: The address to listen on.
-        pipe: The filters that serve a request.
+        intake: What connections share while they read.
+        answerer: Serves complete requests.
         stopping: Signals to connections that the router stops.
     """
 
     def __init__(
-        self, address: SocketAddress, pipe: ForwardPipe, stopping: StopSignal
+        self,
+        address: SocketAddress,
+        intake: CallerIntake,
+        answerer: Answerer,
+        stopping: StopSignal,
     ) -> None:
         super().__init__(name="callers", daemon=True)
-        self.pipe = pipe
+        self.intake = intake
+        self.answerer = answerer
         self.stopping = stopping
-        self.connections = CallerConnections(pipe.clock, pipe.events)
-        self.workers = CallerWorkers(pipe.clock, pipe.start_delays)
-        self.max_connections = derive_limits(pipe.host).connections
+        self.connections = CallerConnections(intake.clock, intake.events)
+        self.workers = CallerWorkers(intake.clock, intake.start_delays)
+        self.max_connections = derive_limits(intake.host).connections
         self.numbers = count()
         self.socket = socket.create_server(
             (address.host, address.port), backlog=BACKLOG, reuse_port=False
@@ -69,7 +80,7 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            self.pipe.events.emit("accept_failed", reason=str(error))
+            self.intake.events.emit("accept_failed", reason=str(error))
             wait_ready([(self.close_wake, READABLE)], FAILED_ACCEPT_WAIT_S)
             return False
         self.connections.make_room(self.max_connections)
@@ -77,7 +88,8 @@
         try:
             task = CallerTask(
                 connection,
-                self.pipe,
+                self.intake,
+                self.answerer,
                 self.stopping,
                 self.connections,
                 next(self.numbers),
@@ -86,7 +98,7 @@
             self.workers.serve(task.run)
         except (OSError, RuntimeError) as error:
             # The caller has reset it, or the system gives the process no thread more.
-            self.pipe.events.emit("accept_failed", reason=str(error))
+            self.intake.events.emit("accept_failed", reason=str(error))
             connection.close()
             self.connections.remove_connection()
         return True
--- a/src/hawthornstage/border/request_reader.py
+++ b/src/hawthornstage/border/request_reader.py
@@ -100,6 +100,7 @@
         read_timeout_s: Longest time from the first byte to the complete head, and
             after it longest wait for each part of the body, in seconds.
         body_bytes: Largest body, in bytes.
+        header_bytes: Largest head, in bytes.
         request_timeout_s: Longest time from the first byte to the end of the body, in
             seconds.
     """
@@ -107,6 +108,7 @@
     first_byte_timeout_s: float
     read_timeout_s: float
     body_bytes: int
+    header_bytes: int = 16_384
     request_timeout_s: float = REQUEST_TIMEOUT_S
 
 
--- a/src/hawthornstage/border/settings.py
+++ b/src/hawthornstage/border/settings.py
@@ -107,13 +107,17 @@
         max_body_bytes: Largest request body, in bytes.
         max_header_bytes: Largest request head, in bytes.
         max_requests: Most concurrent requests.
-        request_timeout_s: Timeout of the HTTP server's sockets, in seconds.
+        request_timeout_s: Longest time for a request's head, for each part of its body
+            and between two requests, in seconds.
+        body_memory_bytes: Memory of all large request bodies together, in bytes. A body
+            never takes more than half of what is free of it.
     """
 
     max_body_bytes: int = Field(default=4 * 1024 * 1024, gt=0)
     max_header_bytes: int = Field(default=32 * 1024, gt=0)
     max_requests: int = Field(default=256, gt=0)
     request_timeout_s: float = Field(default=30.0, gt=0)
+    body_memory_bytes: int = Field(default=64 * 1024 * 1024, gt=0)
 
 
 class GrantSharing(StrEnum):
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -11,16 +11,20 @@
 
 import pykka
 import urllib3
-from cheroot import wsgi
 from prometheus_client import generate_latest
 
 from hawthornstage.actors import budgets as budgets_task
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.budgets import Budgets, DrainBudgets, HolderOptions
+from hawthornstage.actors.caller_listener import CallerListener
+from hawthornstage.actors.caller_workers import StartDelays
+from hawthornstage.actors.callers import CallerIntake, StopSignal
+from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.documents import DocumentKind, Documents
 from hawthornstage.actors.grant_closer import GrantCloser, Sweep
 from hawthornstage.actors.members import Membership, SendHeartbeat, StartDraining
 from hawthornstage.actors.peers.task import Peers
+from hawthornstage.actors.reading_turns import ReadingTurnsTask
 from hawthornstage.actors.reservations import CheckReservations, Reservations
 from hawthornstage.actors.servers.crash_guard import CrashGuard
 from hawthornstage.actors.servers.placement import (
@@ -39,12 +43,14 @@
 from hawthornstage.actors.task import MessageDispatcher
 from hawthornstage.actors.timers import Timers
 from hawthornstage.actors.witnesses import CheckCopies, Witnesses
+from hawthornstage.actors.wsgi_calls import WsgiCalls
 from hawthornstage.border import old_setup_api, operator_api
 from hawthornstage.border.caller_api import CallerApi
 from hawthornstage.border.documents import CLAIMS_KIND, LEDGER_KIND, TABLES_KIND
 from hawthornstage.border.old_setup_api import OldSetupApi
 from hawthornstage.border.operator_api import OperatorApi
 from hawthornstage.border.peer_connection import PeerIdentity
+from hawthornstage.border.request_reader import REQUEST_TIMEOUT_S, ReadLimits
 from hawthornstage.border.settings import ApiKeySettings, GrantSharing, Settings
 from hawthornstage.border.wsgi import StartResponse, send_response
 from hawthornstage.clock import Clock
@@ -55,14 +61,16 @@
 from hawthornstage.filters.authenticate import Authenticate, KeyRing, StoredKey
 from hawthornstage.filters.choose_server import ChooseServer
 from hawthornstage.filters.claim import Claim
+from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.dispatch import Dispatch
 from hawthornstage.filters.isolate import Isolate
 from hawthornstage.filters.match_route import MatchRoute
+from hawthornstage.filters.reading_turns import ReadingTurns
 from hawthornstage.filters.relay import Relay
 from hawthornstage.filters.reserve import ReservationClient, Reserve
 from hawthornstage.filters.settle import BillFinaliser, OutcomeRecorder, Settle
 from hawthornstage.messages import budget_messages, crashes, members
-from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.host_settings import HostLimits, SocketAddress
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.host_list import HostListClient
@@ -79,8 +87,12 @@
 RETURN_GRANTS_TIMEOUT_S = 10.0
 # Fractions of the fleet's write rate allotted to each kind of document.
 LEDGER_WRITE_SHARE, CLAIMS_WRITE_SHARE, TABLES_WRITE_SHARE = 0.6, 0.35, 0.05
-# Threads beyond the request limit; they reject requests once it is reached.
-OVERLOAD_THREADS = 8
+# Connections beyond the request limit, whose requests are rejected once it is reached.
+OVERLOAD_CONNECTIONS = 8
+# Timeouts at shutdown for accepting the last connections, and for their responses and
+# those that are being sent, in seconds.
+CLOSE_LISTENER_TIMEOUT_S = 0.5
+LAST_RESPONSES_TIMEOUT_S = 1.0
 
 
 @dataclass
@@ -118,6 +130,7 @@
         self.random = random.Random()
         self.stopping = threading.Event()
         self.watching = threading.Event()
+        self.callers_stopping = StopSignal()
         self.events = EventLog(settings.node.name, self.clock)
         self.metrics = Metrics()
         self.local_router = budget_messages.Witness(
@@ -134,7 +147,7 @@
         self.front = self.make_front()
         self.old_setup_api = self.make_old_setup_api()
         self.operator_api = self.make_operator_api()
-        self.http = self.make_http()
+        self.callers = self.make_callers()
 
     def start_tasks(self) -> Tasks:
         """Start every task with references to the tasks that it sends messages to."""
@@ -439,22 +452,35 @@
             clock=self.clock,
         )
 
-    def make_http(self) -> wsgi.Server:
-        """Create the HTTP server for callers and operators."""
+    def make_callers(self) -> CallerListener:
+        """Create the listener for callers and operators."""
+        shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
+        limits = self.settings.limits
+        memory = ConnectionMemoryTask.start(limits.body_memory_bytes, **shared)
+        turns = ReadingTurnsTask.start(self.timers, clock=self.clock)
+        connections = limits.max_requests + OVERLOAD_CONNECTIONS
+        intake = CallerIntake(
+            memory=ConnectionMemory(memory, self.clock),
+            turns=ReadingTurns(turns, self.clock),
+            host=HostLimits(max_connections=connections),
+            limits=self.read_limits,
+            start_delays=StartDelays(),
+            **shared,
+        )
+        address = SocketAddress(self.settings.listen.host, self.settings.listen.port)
+        answerer = WsgiCalls(self.application)
+        return CallerListener(address, intake, answerer, self.callers_stopping)
+
+    def read_limits(self) -> ReadLimits:
+        """Return the limits on reading one request."""
         limits = self.settings.limits
-        server = wsgi.Server(
-            (self.settings.listen.host, self.settings.listen.port),
-            self.application,
-            numthreads=limits.max_requests + OVERLOAD_THREADS,
-            request_queue_size=256,
-            timeout=limits.request_timeout_s,
-            accepted_queue_size=limits.max_requests,
-            accepted_queue_timeout=1,
+        return ReadLimits(
+            first_byte_timeout_s=limits.request_timeout_s,
+            read_timeout_s=limits.request_timeout_s,
+            body_bytes=limits.max_body_bytes,
+            header_bytes=limits.max_header_bytes,
+            request_timeout_s=max(REQUEST_TIMEOUT_S, limits.request_timeout_s),
         )
-        server.max_request_header_size = limits.max_header_bytes
-        server.max_request_body_size = limits.max_body_bytes
-        server.prepare()
-        return server
 
     def application(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -490,11 +516,11 @@
             self.store(), self.tasks.tables, self.watching, self.stopping
         ).start()
         self.tasks.membership.tell(SendHeartbeat())
-        threading.Thread(target=self.http.serve, name="http", daemon=True).start()
+        self.callers.start()
         self.events.emit(
             "router_started",
             incarnation=self.local_router.incarnation,
-            port=self.http.bind_addr[1],
+            port=self.callers.port,
         )
 
     def shut_down(self) -> None:
@@ -514,7 +540,9 @@
             timeout=RETURN_GRANTS_TIMEOUT_S,
         )
         self.events.emit("stopped", whole=whole, returned=done is not None)
-        self.http.stop()
+        self.callers_stopping.close_idle()
+        self.callers.close(CLOSE_LISTENER_TIMEOUT_S)
+        self.callers.wait_ended(LAST_RESPONSES_TIMEOUT_S)
         self.tasks.peers.stop()
 
     def sleep(self, seconds: float) -> None:
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -9,7 +9,7 @@
 from hawthornstage.actors.admission import AdmissionTask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.caller_workers import StartDelays
-from hawthornstage.actors.callers import ForwardPipe, StopSignal
+from hawthornstage.actors.callers import CallerIntake, StopSignal
 from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
@@ -19,6 +19,11 @@
 )
 from hawthornstage.actors.evacuations import CheckEvacuations, EvacuationsTask
 from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
+from hawthornstage.actors.forwarded_calls import (
+    ForwardedCalls,
+    ForwardPipe,
+    read_limits,
+)
 from hawthornstage.actors.health import HealthTask
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
 from hawthornstage.actors.peers.task import Peers
@@ -287,8 +292,12 @@
         )
         self.register_messages()
         self.schedule_periodic_work()
+        memory = ConnectionMemory(self.connection_memory, self.clock)
         self.callers = CallerListener(
-            self.settings.callers, self.make_pipe(), self.stopping
+            self.settings.callers,
+            self.make_intake(memory),
+            ForwardedCalls(self.make_pipe(memory), self.stopping),
+            self.stopping,
         )
         self.callers.start()
 
@@ -528,8 +537,27 @@
             path, load_host_settings, self.live_settings, changed, self.events
         ).start()
 
-    def make_pipe(self) -> ForwardPipe:
-        """Create the pipe of filters for forwarded calls."""
+    def make_intake(self, memory: ConnectionMemory) -> CallerIntake:
+        """Create what callers' connections share while they read requests.
+
+        Args:
+            memory: Memory of their requests, and of responses.
+        """
+        return CallerIntake(
+            memory=memory,
+            turns=ReadingTurns(self.reading_turns, self.clock),
+            host=self.settings.limits,
+            limits=lambda: read_limits(self.desired.value),
+            start_delays=self.start_delays,
+            **self.shared,
+        )
+
+    def make_pipe(self, memory: ConnectionMemory) -> ForwardPipe:
+        """Create the pipe of filters for forwarded calls.
+
+        Args:
+            memory: Memory of responses, and of requests.
+        """
         admit = AdmitCall(
             self.admission, self.admission_policy, self.clock, self.metrics
         )
@@ -570,7 +598,6 @@
             self.events,
             self.metrics,
         )
-        memory = ConnectionMemory(self.connection_memory, self.clock)
         return ForwardPipe(
             identify=Identify(self.desired),
             filters=(admit, block, stream_version, reserve),
@@ -591,12 +618,7 @@
                 clock=self.clock,
                 metrics=self.metrics,
             ),
-            memory=memory,
-            turns=ReadingTurns(self.reading_turns, self.clock),
             accepting=self.accepting,
-            start_delays=self.start_delays,
-            host=self.settings.limits,
-            desired=self.desired,
             clock=self.clock,
             events=self.events,
             metrics=self.metrics,
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -9,10 +9,14 @@
 from dataclasses import dataclass, field
 from types import TracebackType
 
+import urllib3
+
 from tools.cluster import Process
 
 # Longest wait of a client for the router to take a part of its request, in seconds.
 SEND_TIMEOUT_S = 60.0
+# Timeout of an ordinary call, for connecting and for each read, in seconds.
+CALL_TIMEOUT_S = 15.0
 # One client in so many ends its request; the others stop short of its end.
 WHOLE_ONE_IN = 8
 # Size of the parts in which a body is sent, in bytes.
@@ -132,6 +136,14 @@
         if self.shape.whole or number % WHOLE_ONE_IN == 0:
             yield self.shape.end
 
+    def ordinary_call(self, path: str, key: str) -> int:
+        """Send a sound call on a new connection, and return its status."""
+        url = self.router.url + path
+        headers = {"Authorization": f"Bearer {key}", "Connection": "close"}
+        return urllib3.request(
+            "POST", url, body=b"b", headers=headers, timeout=CALL_TIMEOUT_S
+        ).status
+
     def wait_finished(self) -> None:
         """Wait until each client has sent everything or was refused."""
         for _ in range(self.size):
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from tools.cluster import Process
 from tools.fleet import Fleet, FleetCallResult
 
 # Memory of the smallest host on the users' platform, in bytes.
@@ -16,7 +17,12 @@
 
 def peak_memory(fleet: Fleet, name: str) -> int:
     """Return the most memory that a router has used, in bytes."""
-    status = Path(f"/proc/{fleet.processes[name].popen.pid}/status").read_text()
+    return peak_memory_of(fleet.processes[name])
+
+
+def peak_memory_of(process: Process) -> int:
+    """Return the most memory that a process has used, in bytes."""
+    status = Path(f"/proc/{process.popen.pid}/status").read_text()
     return int(status.partition("VmHWM:")[2].split()[0]) * 1024
 
 
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -13,7 +13,12 @@
 
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.caller_workers import StartDelays
-from hawthornstage.actors.callers import ForwardPipe, StopSignal
+from hawthornstage.actors.callers import CallerIntake, StopSignal
+from hawthornstage.actors.forwarded_calls import (
+    ForwardedCalls,
+    ForwardPipe,
+    read_limits,
+)
 from hawthornstage.actors.reading_turns import ReadingTurnsTask
 from hawthornstage.actors.timers import Timers
 from hawthornstage.clock import Clock
@@ -62,28 +67,39 @@
 
 
 @pytest.fixture
-def listener(refusing: RefuseEachCall) -> CallerListener:
+def accepting() -> LatestValue[bool]:
+    """Return whether the listener's router takes new connections."""
+    return LatestValue(True)
+
+
+@pytest.fixture
+def listener(refusing: RefuseEachCall, accepting: LatestValue[bool]) -> CallerListener:
     """Return a listener that is not started."""
     unused: Any = None
     timers = Timers(Clock())
     timers.start()
     first_filter: Any = refusing
+    shared: dict[str, Any] = {"clock": Clock(), "events": EventLog("a", Clock())}
+    intake = CallerIntake(
+        memory=ConnectionMemory(unused, Clock()),
+        turns=ReadingTurns(ReadingTurnsTask.start(timers, clock=Clock()), Clock()),
+        host=HostLimits(max_connections=MAX_CONNECTIONS),
+        limits=lambda: read_limits(None),
+        start_delays=StartDelays(),
+        **shared,
+    )
     pipe = ForwardPipe(
         identify=first_filter,
         filters=(),
         reserve=unused,
         forwarder=unused,
-        memory=ConnectionMemory(unused, Clock()),
-        turns=ReadingTurns(ReadingTurnsTask.start(timers, clock=Clock()), Clock()),
-        accepting=LatestValue(True),
-        start_delays=StartDelays(),
-        host=HostLimits(max_connections=MAX_CONNECTIONS),
-        desired=LatestValue(None),
-        clock=Clock(),
-        events=EventLog("a", Clock()),
+        accepting=accepting,
         metrics=Metrics(),
+        **shared,
     )
-    return CallerListener(SocketAddress("127.0.0.1", 0), pipe, StopSignal())
+    stopping = StopSignal()
+    calls = ForwardedCalls(pipe, stopping)
+    return CallerListener(SocketAddress("127.0.0.1", 0), intake, calls, stopping)
 
 
 @pytest.fixture
@@ -254,7 +270,7 @@
 
 
 def test_response_closes_the_connection_while_the_router_takes_no_new_ones(
-    listener: CallerListener, connect: Connect
+    listener: CallerListener, connect: Connect, accepting: LatestValue[bool]
 ) -> None:
     listener.start()
     caller = connect()
@@ -264,7 +280,7 @@
         first = client.getresponse()
         first.read()
         assert first.getheader("connection") is None
-        listener.pipe.accepting.publish(False)
+        accepting.publish(False)
         client.request("POST", "/orders/", b"hi", {"X-Request-Id": "r"})
         second = client.getresponse()
         second.read()
--- /dev/null
+++ b/tests/test_standalone_clients.py
@@ -0,0 +1,63 @@
+"""Clients that ignore the limits neither end a standalone router nor keep others off.
+
+Run apart from other load, like the tests of the router on the platform.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from tests.client_crowd import Crowd, count_sockets, make_shapes
+from tests.conftest import WORKSPACES, top_up
+from tests.fleet_load import peak_memory_of
+from tools.cluster import Cluster, responds_ok, workspace_api_key
+
+StartCluster = Callable[..., Cluster]
+
+# Clients at a time, and chunks of a body that is sent in tiny ones.
+CROWD, TINY_CHUNKS = 96, 8_192
+# What a caller may send, and what all bodies may take together, in bytes.
+BODY_BYTES, BODIES_BYTES = 512 * 1024, 4 * 1024 * 1024
+# Requests at a time, and connections beyond them.
+REQUESTS, MORE_CONNECTIONS = 32, 8
+# Memory of a router at rest, and of one connection, in bytes; see connection_limits.
+REST_BYTES, CONNECTION_BYTES = 72_000_000, 200_000
+MOST_BYTES = (
+    REST_BYTES + BODIES_BYTES + (REQUESTS + MORE_CONNECTIONS) * CONNECTION_BYTES
+)
+# Sockets of a router besides those of its callers and of the servers that they call.
+OTHER_SOCKETS = 60
+LIMITS = {
+    "max_requests": REQUESTS,
+    "max_body_bytes": BODY_BYTES,
+    "body_memory_bytes": BODIES_BYTES,
+}
+SHAPES = make_shapes(BODY_BYTES, TINY_CHUNKS)
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+def test_crowd_leaves_the_router_within_its_bounds_and_others_served(
+    shape: str, start_cluster: StartCluster
+) -> None:
+    cluster = start_cluster(routers=1, domains=("a",), settings={"limits": LIMITS})
+    router = cluster.processes["r1"]
+    top_up(cluster, "shop-a", 1_000_000)
+    key = workspace_api_key(WORKSPACES[0])
+    head = (
+        f"POST /v1/services/orders/x HTTP/1.1\r\nHost: {router.host}\r\n"
+        f"Authorization: Bearer {key}"
+    )
+    with Crowd(router, head.encode(), SHAPES[shape], CROWD) as crowd:
+        crowd.wait_finished()
+        # Its connection comes after those of the crowd.
+        assert responds_ok(router.url + "/healthz")
+        answer = crowd.ordinary_call("/v1/services/orders/y", key)
+        sockets = count_sockets(router)
+    peak = peak_memory_of(router)
+    print(f"{shape}: {peak / 1e6:.1f} MB at the peak, {sockets} sockets")
+    assert router.popen.poll() is None
+    assert answer == 200
+    assert peak < MOST_BYTES
+    assert sockets <= 2 * (REQUESTS + MORE_CONNECTIONS) + OTHER_SOCKETS
