Hand streams over when a router stops, and tell of them while no other can conclude

Cause: while a service has one version, a router told nobody at which version its streams began, as others conclude it; but a router concludes nothing in its first 20 s. Change: a router that stops tells holders of all running streams that it knows, again when the known routers change, and of each that still begins. A router also tells of its streams while all others are known for less than the time of a stream.

--- a/src/hawthornstage/actors/servers/stream_versions.py
+++ b/src/hawthornstage/actors/servers/stream_versions.py
@@ -8,6 +8,7 @@
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.stream_versions import (
+    RouterAges,
     StreamNotes,
     VersionHistory,
     holders_to_ask,
@@ -18,6 +19,7 @@
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.stream_versions import (
     FindStreamVersion,
+    HandOverStreams,
     RequestStreamVersion,
     StreamVersionNoted,
     StreamVersionReply,
@@ -43,13 +45,15 @@
         self.history = VersionHistory()
         self.notes = StreamNotes()
         self.others: tuple[str, ...] = ()
+        self.ages = RouterAges()
+        self.stopping = False
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
             case StreamVersionNoted() as note:
                 self.notes.add(note.service, note.call_id, note.version, now, own=True)
-                if not self.history.is_uniform(note.service, now):
+                if not self.can_be_concluded(note.service, now):
                     self.tell_holders(note)
             case Ask(message=StreamVersionNoted() as note, reply_to=reply_to):
                 self.notes.add(note.service, note.call_id, note.version, now, own=False)
@@ -62,7 +66,10 @@
             case RegisteredServers():
                 self.update_servers(message, now)
             case KnownRouters(urls):
-                self.others = tuple(urls)
+                self.update_others(tuple(urls), now)
+            case HandOverStreams():
+                self.stopping = True
+                self.hand_over(now)
 
     def update_servers(self, registered: RegisteredServers, now: float) -> None:
         """Record the servers' versions; tell of running streams once they differ."""
@@ -82,6 +89,30 @@
             for note in streams:
                 self.tell_holders(note)
 
+    def can_be_concluded(self, service: str, now: float) -> bool:
+        """Whether other routers can conclude the version of a stream that begins."""
+        if self.stopping or self.ages.are_all_young(now):
+            return False
+        return self.history.is_uniform(service, now)
+
+    def update_others(self, others: tuple[str, ...], now: float) -> None:
+        """Replace the other routers; tell of running streams if none is old enough."""
+        were_young = self.ages.are_all_young(now)
+        self.others = others
+        self.ages.update(others, now)
+        if self.stopping:
+            self.hand_over(now)
+        elif not were_young and self.ages.are_all_young(now):
+            for note in self.notes.running_streams(now, own_only=True):
+                self.tell_holders(note)
+
+    def hand_over(self, now: float) -> None:
+        """Tell other routers of all running streams that this one knows."""
+        streams = self.notes.running_streams(now)
+        self.events.emit("streams_handed_over", streams=len(streams))
+        for note in streams:
+            self.tell_holders(note)
+
     def tell_holders(self, note: StreamVersionNoted) -> None:
         """Tell other routers the version of a stream, without waiting for them.
 
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -631,6 +631,7 @@
             self.callers,
             self.tunnels,
             self.token_accounts,
+            self.stream_versions,
             self.members,
             **self.shared,
         )
--- a/src/hawthornstage/decisions/stream_versions.py
+++ b/src/hawthornstage/decisions/stream_versions.py
@@ -139,6 +139,22 @@
             for version in note.versions
         ]
 
+    def running_streams(
+        self, now: float, *, own_only: bool = False
+    ) -> list[StreamVersionNoted]:
+        """Return the streams that callers may still continue.
+
+        Args:
+            now: Monotonic time.
+            own_only: Whether only those that began at this router count.
+        """
+        return [
+            StreamVersionNoted(call_id, service, version)
+            for (service, call_id), note in self.notes.items()
+            if now - note.noted_at < STREAM_LIFETIME_S and (note.own or not own_only)
+            for version in note.versions
+        ]
+
 
 @dataclass(frozen=True)
 class VersionFound:
@@ -152,6 +168,28 @@
     """No router that replied knows the version of the stream."""
 
 
+@dataclass
+class RouterAges:
+    """How long the other routers have been known.
+
+    A router concludes no version in the time of a stream after its start. So while all
+    others are young, a stream goes on only if they were told its version.
+
+    Args:
+        joined_at: Time at which each of them was first known.
+    """
+
+    joined_at: dict[str, float] = field(default_factory=dict)
+
+    def update(self, others: Iterable[str], now: float) -> None:
+        """Replace the other routers."""
+        self.joined_at = {name: self.joined_at.get(name, now) for name in others}
+
+    def are_all_young(self, now: float) -> bool:
+        """Whether none of the others can conclude the version of a stream."""
+        return all(now - at < STREAM_LIFETIME_S for at in self.joined_at.values())
+
+
 def resolve_version(
     own: StreamVersionReply, replies: Iterable[StreamVersionReply], *, alone: bool
 ) -> VersionFound | VersionUnknown:
--- a/src/hawthornstage/fleet_shutdown.py
+++ b/src/hawthornstage/fleet_shutdown.py
@@ -14,6 +14,7 @@
 from hawthornstage.actors.store_watch import sleep
 from hawthornstage.actors.token_accounts import ReturnAllTokens, StopDrawingAhead
 from hawthornstage.clock import Clock
+from hawthornstage.messages.stream_versions import HandOverStreams
 from hawthornstage.observe.events import EventLog
 
 # Time after SIGTERM until new connections are refused, in seconds: the load balancer
@@ -39,6 +40,7 @@
         callers: Accepts callers' connections.
         tunnels: Carries calls of other routers.
         token_accounts: Task that owns the token accounts.
+        stream_versions: Task that owns the versions that began streams.
         members: Task that owns this router's entry in the store.
         clock: The runtime's clock.
         events: The event log.
@@ -48,6 +50,7 @@
     callers: CallerListener
     tunnels: TunnelsTask
     token_accounts: pykka.ActorRef
+    stream_versions: pykka.ActorRef
     members: pykka.ActorRef
     clock: Clock
     events: EventLog
@@ -76,6 +79,7 @@
         self.stopping.close_after_response()
         self.tunnels.refuse_new()
         self.token_accounts.tell(StopDrawingAhead())
+        self.stream_versions.tell(HandOverStreams())
         sleep(self.clock, DRAIN_NOTICE_S)
         self.callers.close(CLOSE_LISTENER_TIMEOUT_S)
         self.stopping.close_idle()
--- a/src/hawthornstage/messages/stream_versions.py
+++ b/src/hawthornstage/messages/stream_versions.py
@@ -52,6 +52,15 @@
     complete: bool
 
 
+@dataclass(frozen=True)
+class HandOverStreams:
+    """Tells this router's own task that the router stops: others are to know its notes.
+
+    Streams go on at other routers then, and these may be too young to conclude at which
+    version.
+    """
+
+
 @dataclass(frozen=True)
 class FindStreamVersion:
     """Asks this router's own task about a stream; the reply is `StreamVersionSources`.
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -40,6 +40,7 @@
 )
 from hawthornstage.messages.stream_versions import (
     FindStreamVersion,
+    HandOverStreams,
     RequestStreamVersion,
     StreamVersionNoted,
     StreamVersionReply,
@@ -237,6 +238,53 @@
     assert len(peers.messages) == HOLDERS_PER_STREAM
 
 
+def test_router_that_stops_hands_its_streams_over(
+    clock: ManualClock, events: EventLog
+) -> None:
+    task, peers = make_task(clock, events)
+    task.handle(registered(server("a", "v1")))
+    task.handle(Ask(StreamVersionNoted("old", "models", "v1"), Reply()))
+    clock.advance(STREAM_LIFETIME_S)
+    task.handle(Ask(StreamVersionNoted("told", "models", "v1"), Reply()))
+    task.handle(StreamVersionNoted("own", "models", "v1"))
+    assert peers.messages == []
+    task.handle(HandOverStreams())
+    assert told_ids(peers) == ["told", "told", "own", "own"]
+    peers.messages.clear()
+    # It still serves for a while, and others come back that were stopped before.
+    task.handle(StreamVersionNoted("later", "models", "v1"))
+    assert told_ids(peers) == ["later", "later"]
+    peers.messages.clear()
+    task.handle(KnownRouters({"e": "ws://e"}))
+    assert set(told_ids(peers)) == {"told", "own", "later"}
+    assert {each.node for each in peers.messages} == {"e"}
+
+
+def test_routers_are_told_of_streams_while_all_of_them_are_young(
+    clock: ManualClock, events: EventLog
+) -> None:
+    task, peers = make_task(clock, events)
+    task.handle(registered(server("a", "v1")))
+    clock.advance(STREAM_LIFETIME_S)
+    task.handle(KnownRouters({"b": "ws://b", "e": "ws://e"}))
+    task.handle(StreamVersionNoted("s1", "models", "v1"))
+    assert peers.messages == []
+    # The last one that could conclude the version is gone.
+    task.handle(KnownRouters({"e": "ws://e", "f": "ws://f"}))
+    assert told_ids(peers) == ["s1", "s1"]
+    task.handle(StreamVersionNoted("s2", "models", "v1"))
+    assert told_ids(peers)[2:] == ["s2", "s2"]
+    clock.advance(STREAM_LIFETIME_S)
+    peers.messages.clear()
+    task.handle(StreamVersionNoted("s3", "models", "v1"))
+    assert peers.messages == []
+
+
+def told_ids(peers: Inbox) -> list[str]:
+    """Return the ids of the streams that other routers were told of."""
+    return [each.message.call_id for each in peers.messages]
+
+
 def test_noted_version_is_told_to_who_asks(
     clock: ManualClock, events: EventLog
 ) -> None:
