Ask a server for its process unless the list of servers was just read

Change: the registry publishes when the list was last known to be right. A stream that goes on is sent to a server without asking which process it is only within 0.3 s of that.

--- a/src/hawthornstage/actors/servers/registry.py
+++ b/src/hawthornstage/actors/servers/registry.py
@@ -53,6 +53,8 @@
         events: The event log.
         share: Makes this watch's part in sharing, or None if it is not shared.
         slow_starts: Task that keeps which servers are cold, or None.
+        last_heard: Published, if given: monotonic time at which the registered servers
+            were last known to be right, in seconds.
     """
 
     def __init__(
@@ -66,10 +68,12 @@
         events: EventLog,
         share: MakeWatchShare | None = None,
         slow_starts: pykka.ActorRef | None = None,
+        last_heard: LatestValue[float] | None = None,
     ) -> None:
         super().__init__(ENTRIES_PREFIX, store, bounds, clock, events, share)
         self.subscribers = subscribers
         self.registered = registered
+        self.last_heard = last_heard
         self.routers = routers
         self.servers: dict[str, BackendServer] = {}
         self.drop_times: dict[str, float] = {}
@@ -87,6 +91,8 @@
         """Make one call to the store, then drop entries whose grace time is over."""
         answered = super().step()
         self.drop_lapsed()
+        if self.last_heard is not None:
+            self.last_heard.publish(self.heard_at)
         if self.current == self.unavailable:
             self.current = not self.unavailable
             self.publish()
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -175,6 +175,7 @@
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
+        self.servers_heard_at = LatestValue(float("-inf"))
         self.server_notices_in_force = LatestValue(ServerNotices())
         self.evacuations_in_force = LatestValue(Evacuations())
         self.server_links_known = LatestValue(ServerLinks())
@@ -494,6 +495,7 @@
             self.routers,
             *shared,
             slow_starts=self.server_notices,
+            last_heard=self.servers_heard_at,
         ).start()
         CrashLogsWatch(
             self.store("crash_logs"), self.crashing_parts, self.routers, *shared
@@ -615,6 +617,7 @@
                 reports=reports,
                 memory=memory,
                 registered=self.registered_servers,
+                servers_heard_at=self.servers_heard_at,
                 clock=self.clock,
                 metrics=self.metrics,
             ),
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -60,6 +60,10 @@
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
+# Age up to which the list of servers tells their versions, in seconds: the store may
+# have been silent since, and a server may have started again with another version.
+FRESH_SERVERS_S = 0.3
+
 
 @dataclass(frozen=True)
 class Forwarder:
@@ -78,6 +82,7 @@
         reports: Tells how each attempt went.
         memory: Memory of responses.
         registered: The servers that may get calls, read right before each send.
+        servers_heard_at: Monotonic time at which they were last known to be right.
         clock: Source of time and timeouts.
         metrics: Records errors of the wait estimate.
     """
@@ -94,6 +99,7 @@
     reports: AttemptReports
     memory: ConnectionMemory
     registered: LatestValue[RegisteredServers]
+    servers_heard_at: LatestValue[float]
     clock: Clock
     metrics: Metrics
 
@@ -353,7 +359,10 @@
     ) -> bool:
         """Whether the server certainly has the version that a stream needs, if any."""
         registered = self.registered.value
-        if needed_version(exchange, delivery) is None or registered.current:
+        if needed_version(exchange, delivery) is None:
+            return True
+        age_s = self.clock.monotonic() - self.servers_heard_at.value
+        if registered.current and age_s <= FRESH_SERVERS_S:
             return True
         if self.permits.why_not_accepting(choice.server, registered) is not None:
             return False
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import threading
 from contextlib import suppress
@@ -112,6 +113,7 @@
         self.addresses = addresses
         servers = {server_id(each): server_at(each) for each in addresses}
         self.registered = LatestValue(RegisteredServers(servers))
+        self.servers_heard_at = LatestValue(math.inf)
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
         self.notices = LatestValue(ServerNotices())
@@ -161,6 +163,7 @@
         ),
         memory=ConnectionMemory(tasks, clock),
         registered=tasks.registered,
+        servers_heard_at=tasks.servers_heard_at,
         clock=clock,
         metrics=metrics,
     )
--- a/tests/test_server_process.py
+++ b/tests/test_server_process.py
@@ -155,6 +155,18 @@
     assert server.seen[0].startswith(b"POST")
 
 
+def test_servers_are_asked_if_the_store_may_have_been_silent_since(
+    pair: CallerPair,
+) -> None:
+    other, same = ReportingServer(report(2)), ReportingServer(report(1))
+    tasks = Tasks([other.start(), same.start()])
+    # The clock of the call stands at 10 s; a watch without news may wait for seconds.
+    tasks.servers_heard_at.publish(9.0)
+    delivery = deliver_by(tasks, pair, "", True)
+    assert (len(other.calls), len(same.calls)) == (0, 1)
+    assert (delivery.events, delivery.attempts) == (1, 1)
+
+
 def test_report_without_a_start_is_of_a_server_that_names_none() -> None:
     assert decode_started_ms(b"{}") == 0
     assert decode_started_ms(report(7)) == 7
