Refuse a chat request for its first wrong message

Cause: the standalone router collected an error for each wrong element of a chat request, of some 1,500 bytes: a body of 600 kB of numbers took it to 553 MB and 1.4 s, one of 4 MB, the limit, to as much more. Change: validation ends at the first wrong message, and at the first wrong part of one.

--- a/src/hawthornstage/border/chat.py
+++ b/src/hawthornstage/border/chat.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import json
-from typing import Any
+from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -25,7 +25,7 @@
 
     model_config = ConfigDict(extra="allow")
     role: str
-    content: str | list[dict[str, Any]] | None = None
+    content: str | Annotated[list[dict[str, Any]], Field(fail_fast=True)] | None = None
 
 
 class StreamOptionsModel(BaseModel):
@@ -40,7 +40,9 @@
 
     model_config = ConfigDict(extra="allow")
     model: str | None = None
-    messages: list[MessageModel] = Field(min_length=1)
+    # An error takes far more memory than the element that causes it.
+    # An error takes far more memory than the element that causes it: one is enough.
+    messages: list[MessageModel] = Field(min_length=1, fail_fast=True)
     stream: bool = False
     stream_options: StreamOptionsModel | None = None
     max_tokens: int | None = Field(default=None, gt=0)
--- a/tests/test_hostile_values.py
+++ b/tests/test_hostile_values.py
@@ -14,6 +14,7 @@
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.task import Ask, Task
+from hawthornstage.border.chat import InvalidCallError, parse_chat
 from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.server_selection import (
     MAX_PROMPT_PARTS,
@@ -199,6 +200,21 @@
     assert writer.queued_length == 0
 
 
+@pytest.mark.parametrize(
+    "messages",
+    [
+        b"[" + b"1," * 50_000 + b"1]",
+        b'[{"role":"user","content":[' + b"1," * 50_000 + b"1]}]",
+        b"[" * 50_000,
+    ],
+    ids=["numbers", "parts that are numbers", "nested"],
+)
+def test_chat_of_wrong_messages_is_refused_for_the_first(messages: bytes) -> None:
+    with pytest.raises(InvalidCallError) as refused:
+        parse_chat(b'{"messages":' + messages + b"}")
+    assert len(str(refused.value)) < 2 * MAX_FIELD_LENGTH
+
+
 class Fragile(Task):
     """Fails at messages that say so."""
 
