Log requests that are read in turns

Cause: nothing told of a client whose requests cost more to read than their free part. Change: one routine line for each such request, with the caller's address.

--- a/src/hawthornstage/actors/reading_turns.py
+++ b/src/hawthornstage/actors/reading_turns.py
@@ -10,12 +10,14 @@
 from hawthornstage.decisions.reading_turns import TURN_S, TurnOrder
 from hawthornstage.messages.reading_turns import (
     GrantTurn,
+    Reader,
     ReadingEnded,
     RequestTurn,
     TurnEnded,
     TurnGranted,
     TurnRecipient,
 )
+from hawthornstage.observe.events import EventLog
 
 
 class ReadingTurnsTask(Task):
@@ -24,12 +26,14 @@
     Args:
         timers: Sends the message that ends a rest.
         clock: The runtime's clock.
+        events: The event log.
     """
 
-    def __init__(self, timers: Timers, *, clock: Clock) -> None:
+    def __init__(self, timers: Timers, *, clock: Clock, events: EventLog) -> None:
         super().__init__()
         self.timers = timers
         self.clock = clock
+        self.events = events
         self.order = TurnOrder()
         self.recipients: dict[int, TurnRecipient] = {}
         self.scheduled = False
@@ -38,6 +42,7 @@
         now = self.clock.monotonic()
         match message:
             case RequestTurn(reader, recipient):
+                self.log_first(reader)
                 self.recipients[reader.number] = recipient
                 self.order.request(reader, now)
             case TurnEnded(reader):
@@ -49,6 +54,17 @@
                 self.scheduled = False
         self.grant(now)
 
+    def log_first(self, reader: Reader) -> None:
+        """Log that a request exceeds its free part, once for each request."""
+        if reader.number not in self.order.known:
+            self.events.emit(
+                "request_read_in_turns",
+                routine=True,
+                caller=reader.caller,
+                used_ms=int(reader.used_s * 1000),
+                waiting=len(self.order.waiting),
+            )
+
     def grant(self, now: float) -> None:
         """Grant the next turn if it is due, or schedule it.
 
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -457,7 +457,7 @@
         shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
         limits = self.settings.limits
         memory = ConnectionMemoryTask.start(limits.body_memory_bytes, **shared)
-        turns = ReadingTurnsTask.start(self.timers, clock=self.clock)
+        turns = ReadingTurnsTask.start(self.timers, **shared)
         connections = limits.max_requests + OVERLOAD_CONNECTIONS
         intake = CallerIntake(
             memory=ConnectionMemory(memory, self.clock),
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -281,7 +281,7 @@
         self.connection_memory = ConnectionMemoryTask.start(
             derive_limits(self.settings.limits).pool_bytes, **self.shared
         )
-        self.reading_turns = ReadingTurnsTask.start(self.timers, clock=self.clock)
+        self.reading_turns = ReadingTurnsTask.start(self.timers, **self.shared)
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
         self.shared_watches = SharedWatches.start(
             node, self.watch_readers, **self.shared
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -82,7 +82,7 @@
     shared: dict[str, Any] = {"clock": Clock(), "events": EventLog("a", Clock())}
     intake = CallerIntake(
         memory=ConnectionMemory(unused, Clock()),
-        turns=ReadingTurns(ReadingTurnsTask.start(timers, clock=Clock()), Clock()),
+        turns=ReadingTurns(ReadingTurnsTask.start(timers, **shared), Clock()),
         host=HostLimits(max_connections=MAX_CONNECTIONS),
         limits=lambda: read_limits(None),
         start_delays=StartDelays(),
--- a/tests/test_reading_turns.py
+++ b/tests/test_reading_turns.py
@@ -36,6 +36,7 @@
 from hawthornstage.mailbox import Mailbox
 from hawthornstage.messages.connection_memory import GiveWay
 from hawthornstage.messages.reading_turns import Reader, ReadingEnded, TurnGranted
+from hawthornstage.observe.events import EventLog
 from tests.connection_pair import REQUEST, SOON, CallerPair, Observer
 
 CHUNKED = REQUEST + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -206,7 +207,8 @@
     """Return the running task that gives turns."""
     timers = Timers(Clock())
     timers.start()
-    task = ReadingTurnsTask.start(timers, clock=Clock())
+    events = EventLog("a", Clock())
+    task = ReadingTurnsTask.start(timers, clock=Clock(), events=events)
     yield task
     task.stop()
 
