Need a turn also for a request that came with the one before

Cause: a turn was asked for only before a read from the socket, so a client that sends many requests that are refused at once had 16 KB of them served for each turn, on all its connections at a time. Change: reading begins with a turn if the free part is used up, whatever is buffered. A test in tests/test_reading_turns.py.

--- a/src/hawthornstage/border/request_reader.py
+++ b/src/hawthornstage/border/request_reader.py
@@ -200,10 +200,10 @@
     def read(self) -> ReceiveResult:
         """Return the request, or why there is none."""
         try:
-            while True:
+            outcome = self.wait_to_begin()
+            while outcome is None:
                 outcome = self.read_next()
-                if outcome is not None:
-                    return outcome
+            return outcome
         except h11.RemoteProtocolError as error:
             return MalformedRequest(error.error_status_hint, str(error))
         except ChunkError as error:
@@ -211,6 +211,16 @@
         except OSError:
             return ConnectionClosed()
 
+    def wait_to_begin(self) -> ReceiveResult | None:
+        """Wait for a turn if one is needed to read what has come with the last request.
+
+        Returns:
+            How the request ends, or None to read it.
+        """
+        if not self.begun or self.observer.may_read():
+            return None
+        return self.wait_for_turn(self.observer.wait(idle=False))
+
     def read_next(self) -> ReceiveResult | None:
         """Read the next part; return how the request ends, or None to go on.
 
--- a/tests/test_reading_turns.py
+++ b/tests/test_reading_turns.py
@@ -248,6 +248,23 @@
     assert paced.observer.turns
 
 
+def test_request_that_came_with_the_one_before_needs_a_turn_too(
+    pair: CallerPair,
+) -> None:
+    whole = REQUEST + b"Content-Length: 2\r\n\r\nhi"
+    pair.caller.sendall(whole * 3)
+    for _ in range(2):
+        assert isinstance(pair.receive(), RawRequest)
+        pair.connection.send_head(200, (("content-length", "0"),), close=False)
+        pair.connection.send_end()
+        assert pair.connection.prepare_next_request()
+        assert not pair.connection.idle
+        pair.observer.paced = True
+    assert pair.observer.turns == 1
+    pair.observer.grants = False
+    assert isinstance(pair.receive(read_timeout_s=0.05), RequestTimeout)
+
+
 def test_connection_that_waits_for_its_turn_gives_way(paced: CallerPair) -> None:
     paced.observer.grants = False
     paced.observer.interrupt.put(GiveWay())
