--- a/tests/test_standalone_clients.py
+++ b/tests/test_standalone_clients.py
@@ -58,6 +58,6 @@
     peak = peak_memory_of(router)
     print(f"{shape}: {peak / 1e6:.1f} MB at the peak, {sockets} sockets")
     assert router.popen.poll() is None
-    assert answer == 200
+    assert answer == 201
     assert peak < MOST_BYTES
     assert sockets <= 2 * (REQUESTS + MORE_CONNECTIONS) + OTHER_SOCKETS
