tools: choose the port of a test router's metrics before the others are used

Cause: the system chose that port while the router's other ports were planned but not bound yet, and now and then it chose one of them (once in 1,239 tests of a whole run: test_unknown_keys_and_routes_run_nowhere, OSError 98 for the port of the tunnels). KNOWN-RED lists routers that were not ready within 20 s; this may be its cause. Change: a fifth port is planned. Result: tests/test_fleet.py and tests/test_failed_links.py pass.

--- a/tools/cut_router.py
+++ b/tools/cut_router.py
@@ -1,7 +1,8 @@
 """Runs a router on the users' platform whose links to some ports can be cut.
 
-`python -m tools.cut_router FILE` is `src/fleet_router.py`, but for connections to the
-ports that FILE lists while it exists: they are refused, or time out in silence.
+`python -m tools.cut_router FILE PORT` is `src/fleet_router.py` with its metrics at PORT,
+but for connections to the ports that FILE lists while it exists: they are refused, or
+time out in silence.
 """
 
 from __future__ import annotations
@@ -69,4 +70,4 @@
 
 if __name__ == "__main__":
     LinkCut(Path(sys.argv.pop(1))).install()
-    raise SystemExit(run_fleet_router(metrics_port=0))
+    raise SystemExit(run_fleet_router(metrics_port=int(sys.argv.pop(1))))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -134,6 +134,7 @@
         self.version = 1
         self.host = unique_loopback_host()
         self.processes: dict[str, Process] = {}
+        self.metrics_ports: dict[str, int] = {}
         self.stack = ExitStack()
         self.pool = urllib3.PoolManager(retries=False, maxsize=64)
 
@@ -151,8 +152,10 @@
         self.publish_desired_state(
             desired_state(self.version, self.budget, limits=self.caller_limits)
         )
-        ports = free_ports(self.host, 4 * len(self.names))
+        ports = free_ports(self.host, 5 * len(self.names))
         for name in self.names:
+            # One that the system chose later might be one of the others.
+            self.metrics_ports[name] = ports.pop()
             self.write_settings(name, [ports.pop() for _ in range(4)])
             self.start_router(name)
         for name in self.names:
@@ -185,7 +188,7 @@
     ) -> None:
         """Register a backend server in the store, and start it if necessary."""
         if name not in self.processes:
-            self.add_stand_in(name, "backend", "--name", name)
+            self.add_stand_in(name, "backend", "--name", name, "--born", str(born))
         entry = {
             "service": service,
             "address": f"127.0.0.1:{self.processes[name].port}",
@@ -296,7 +299,13 @@
         listen = json.loads(settings.read_text())["listen"]
         log = self.stack.enter_context((self.folder / f"{name}.log").open("a"))
         popen = subprocess.Popen(
-            [sys.executable, "-m", "tools.cut_router", str(self.cut_path(name))],
+            [
+                sys.executable,
+                "-m",
+                "tools.cut_router",
+                str(self.cut_path(name)),
+                str(self.metrics_ports[name]),
+            ],
             cwd=ROOT,
             env={**os.environ, "HAWTHORNSTAGE_SETTINGS": str(settings)},
             stdout=log,
