standins: a backend server reports which start of it it is

Cause: a stream now goes on only at a server that confirms its process, as servers on the platform do (GET /-/report), and the stand-in ran that request as a call: streams were refused in test_stream_stays_at_one_version_when_its_caller_takes_it_up_elsewhere. Change: the stand-in answers it with the start that its entry names.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,7 +2,7 @@
 
 It responds to a call with `done:` and the call's body, streams events if the call has
 the header X-Token-Counts, and refuses calls that target another server. A call whose
-body is `deadly` ends the process.
+body is `deadly` ends the process. Its report tells which start of the server it is.
 `POST /standin/behave` sets `full` (refuses all calls), `event_s` (interval between
 events, in seconds), `calls_per_s` (the limit that its responses name, or None),
 `break_after` (a stream that begins here ends in the middle of the event after so many,
@@ -42,10 +42,12 @@
 
     Args:
         name: The instance id that calls must target.
+        born: When it started, in milliseconds since the Unix epoch.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, born: int) -> None:
         self.name = name
+        self.born = born
         self.full = False
         self.event_s = 0.0
         self.calls_per_s: float | None = None
@@ -73,6 +75,8 @@
         if environ.get("HTTP_X_TARGET_INSTANCE", self.name) != self.name:
             start("421 Misdirected Request", [("X-Instance-Id", self.name)])
             return []
+        if environ["PATH_INFO"] == "/-/report":
+            return send_json(start, {"stage": "both", "born": self.born})
         if self.is_down():
             raise ConnectionAbortedError("this server has failed")
         closed = self.closed_for_s is not None
@@ -181,8 +185,9 @@
     """Run the stand-in."""
     options = option_parser("Stand-in for a backend server of the platform.")
     options.add_argument("--name", required=True)
+    options.add_argument("--born", type=int, default=1)
     arguments = options.parse_args()
-    serve(Backend(arguments.name), arguments.port)
+    serve(Backend(arguments.name, arguments.born), arguments.port)
 
 
 if __name__ == "__main__":
