Name the memory of a response by its call's bounded id alone

Cause: it was named by the router's unique id, and counted once more there: test_large_response_without_memory_is_given_up_and_gives_it_back failed. Change: the bounded id; the account still tells holders apart by a number of its own. Result: the test passes.

--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -323,7 +323,7 @@
                 self.crashing_parts.tell(AnswerBegan(exchange.shared_ids))
             return self.note_stream_version(exchange, choice.server, delivery)
 
-        with self.memory.hold(exchange.unique_id) as memory:
+        with self.memory.hold(bounded_id(call.id)) as memory:
             relay = ResponseRelay(
                 exchange, connection, delivery, retryable, memory, on_answer_began
             )
