--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -9,7 +9,7 @@
 from hawthornstage.actors.admission import AdmissionTask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.caller_workers import StartDelays
-from hawthornstage.actors.callers import CallerIntake, StopSignal
+from hawthornstage.actors.callers import StopSignal
 from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
@@ -21,8 +21,6 @@
 from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
 from hawthornstage.actors.forwarded_calls import (
     ForwardedCalls,
-    ForwardPipe,
-    read_limits,
 )
 from hawthornstage.actors.health import HealthTask
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
@@ -59,6 +57,7 @@
 )
 from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.clock import Clock
+from hawthornstage.compose_pipe import make_intake, make_pipe
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.decisions.connection_limits import derive_limits
 from hawthornstage.decisions.crashing_parts import BlockedParts
@@ -66,17 +65,7 @@
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.watch_sharing import SHARING_PATH, WatchReaders
-from hawthornstage.filters.admit import AdmitCall
-from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
-from hawthornstage.filters.forward import BlockCrashingCalls, Identify, ReserveTokens
-from hawthornstage.filters.forward_attempt import Forwarder
-from hawthornstage.filters.forward_choice import ServerChoice
-from hawthornstage.filters.permits import Permits
-from hawthornstage.filters.reading_turns import ReadingTurns
-from hawthornstage.filters.server_dialer import ServerDialer
-from hawthornstage.filters.server_process import ConfirmProcess
-from hawthornstage.filters.stream_version import ResolveStreamVersion
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.admission import AdmissionPolicy
@@ -296,8 +285,8 @@
         memory = ConnectionMemory(self.connection_memory, self.clock)
         self.callers = CallerListener(
             self.settings.callers,
-            self.make_intake(memory),
-            ForwardedCalls(self.make_pipe(memory), self.stopping),
+            make_intake(self, memory),
+            ForwardedCalls(make_pipe(self, memory), self.stopping),
             self.stopping,
         )
         self.callers.start()
@@ -539,94 +528,6 @@
             path, load_host_settings, self.live_settings, changed, self.events
         ).start()
 
-    def make_intake(self, memory: ConnectionMemory) -> CallerIntake:
-        """Create what callers' connections share while they read requests.
-
-        Args:
-            memory: Memory of their requests, and of responses.
-        """
-        return CallerIntake(
-            memory=memory,
-            turns=ReadingTurns(self.reading_turns, self.clock),
-            host=self.settings.limits,
-            limits=lambda: read_limits(self.desired.value),
-            start_delays=self.start_delays,
-            **self.shared,
-        )
-
-    def make_pipe(self, memory: ConnectionMemory) -> ForwardPipe:
-        """Create the pipe of filters for forwarded calls.
-
-        Args:
-            memory: Memory of responses, and of requests.
-        """
-        admit = AdmitCall(
-            self.admission, self.admission_policy, self.clock, self.metrics
-        )
-        block = BlockCrashingCalls(self.blocked_calls, self.blocked_parts, self.clock)
-        reserve = ReserveTokens(self.token_accounts, self.clock, self.events)
-        permits = Permits(
-            self.server_notices,
-            self.peers,
-            self.server_notices_in_force,
-            self.evacuations_in_force,
-            self.clock,
-        )
-        stream_version = ResolveStreamVersion(
-            self.stream_versions, self.peers, self.clock, self.events
-        )
-        choice = ServerChoice(
-            self.server_selection,
-            permits,
-            self.clock,
-            self.metrics,
-            lambda: self.live_settings.value.regions,
-        )
-        dialer = ServerDialer(
-            self.server_links_known,
-            self.server_links,
-            self.peers,
-            self.clock,
-            self.events,
-            self.metrics,
-        )
-        reports = AttemptReports(
-            self.server_selection,
-            self.server_failures,
-            self.lost_servers,
-            choice,
-            permits,
-            dialer,
-            self.events,
-            self.metrics,
-        )
-        return ForwardPipe(
-            identify=Identify(self.desired),
-            filters=(admit, block, stream_version, reserve),
-            reserve=reserve,
-            forwarder=Forwarder(
-                serving=self.server_selection,
-                crashing_parts=self.crashing_parts,
-                stream_versions=self.stream_versions,
-                choice=choice,
-                admit=admit,
-                block=block,
-                permits=permits,
-                dialer=dialer,
-                process=ConfirmProcess(self.clock, self.events),
-                reports=reports,
-                memory=memory,
-                registered=self.registered_servers,
-                servers_heard_at=self.servers_heard_at,
-                clock=self.clock,
-                metrics=self.metrics,
-            ),
-            accepting=self.accepting,
-            clock=self.clock,
-            events=self.events,
-            metrics=self.metrics,
-        )
-
     def shut_down(self) -> None:
         """Stop accepting calls, finish those in progress and return the tokens held."""
         shutdown = FleetShutdown(
