Read targets of any form, and bodies that are there already, in one way each

Cause: a target that names a host wrongly raised ValueError in the application's environment, and read_body still had branches for bodies that arrive while they are read. Change: split_target takes any text; read_body checks the length only.

--- a/src/hawthornstage/border/caller_api.py
+++ b/src/hawthornstage/border/caller_api.py
@@ -190,31 +190,15 @@
 
 
 def read_body(environ: dict[str, Any], max_body_bytes: int) -> bytes | Failure:
-    """Read a request's body, of at most `max_body_bytes` bytes.
+    """Return a request's body, which has been received whole.
+
+    Args:
+        environ: The WSGI environment; see `make_environ`.
+        max_body_bytes: Largest body, in bytes.
 
     Returns:
         The body, or why it was rejected.
     """
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length and not length.isdigit():
-        return Failure(
-            ErrorKind.BAD_REQUEST, f"Content-Length: expected a number, got {length!r}"
-        )
-    if length and int(length) > max_body_bytes:
-        return Failure(ErrorKind.BODY_TOO_LARGE, f"the limit is {max_body_bytes} bytes")
-    try:
-        if length:
-            body = environ["wsgi.input"].read(int(length))
-        elif environ.get("HTTP_TRANSFER_ENCODING"):
-            body = environ["wsgi.input"].read(max_body_bytes + 1)
-        else:
-            body = b""
-    except Exception as error:
-        return Failure(ErrorKind.BAD_REQUEST, f"cannot read the body: {error}")
-    if len(body) > max_body_bytes:
+    if int(environ["CONTENT_LENGTH"]) > max_body_bytes:
         return Failure(ErrorKind.BODY_TOO_LARGE, f"the limit is {max_body_bytes} bytes")
-    if length and len(body) < int(length):
-        return Failure(
-            ErrorKind.BAD_REQUEST, f"the body ended after {len(body)} of {length} bytes"
-        )
-    return body
+    return environ["wsgi.input"].read()
--- a/src/hawthornstage/border/wsgi.py
+++ b/src/hawthornstage/border/wsgi.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from http.client import responses
 from typing import Any
-from urllib.parse import unquote_to_bytes, urlsplit
+from urllib.parse import unquote_to_bytes
 
 from hawthornstage.border.request_reader import RawRequest
 
@@ -59,12 +59,12 @@
     The body has been decoded, so it has a length however it was sent. Of a header that
     came several times the values are joined by commas.
     """
-    target = urlsplit(raw.target)
+    path, query = split_target(raw.target)
     environ: dict[str, Any] = {
         "REQUEST_METHOD": raw.method,
         "SCRIPT_NAME": "",
-        "PATH_INFO": decode_path(target.path),
-        "QUERY_STRING": target.query,
+        "PATH_INFO": decode_path(path),
+        "QUERY_STRING": query,
         "SERVER_PROTOCOL": "HTTP/1.1",
         "CONTENT_LENGTH": str(len(raw.body)),
         "wsgi.version": (1, 0),
@@ -88,6 +88,15 @@
     return environ
 
 
+def split_target(target: str) -> tuple[str, str]:
+    """Return the path and the query of a request's target, whatever its form."""
+    if not target.startswith("/"):
+        # It names the scheme and the host before the path.
+        target = "/" + target.partition("://")[2].partition("/")[2]
+    path, _, query = target.partition("?")
+    return path, query
+
+
 def decode_path(path: str) -> str:
     """Return a path without percent encoding, as text of its bytes."""
     parts = (unquote_to_bytes(part) for part in ENCODED_SLASH.split(path))
