--- a/src/hawthornstage/actors/caller_connections.py
+++ b/src/hawthornstage/actors/caller_connections.py
@@ -13,6 +13,7 @@
     WaitingConnection,
     choose_to_close,
 )
+from hawthornstage.decisions.reading_turns import head_cost_s, read_cost_s
 from hawthornstage.filters.connection_memory import HeldMemory
 from hawthornstage.filters.reading_turns import ReadingPace
 from hawthornstage.messages.connection_memory import GiveWay
@@ -172,7 +173,6 @@
         self.memory = memory
         self.pace = pace
         self.waiting: Waiting | None = None
-        pace.begin()
 
     def wait(self, *, idle: bool) -> Interrupt:
         """Note that the connection's task waits; see `ReadObserver`."""
@@ -193,6 +193,14 @@
         interrupt = self.waiting.interrupt if self.waiting else None
         return self.memory.grow(size, self.caller, interrupt)
 
+    def note_read(self, size: int, lines: int) -> None:
+        """Count the processor time of a read; see `ReadObserver`."""
+        self.pace.charge(read_cost_s(size, lines))
+
+    def note_head(self, headers: int) -> None:
+        """Count the processor time of a head; see `ReadObserver`."""
+        self.pace.charge(head_cost_s(headers))
+
     @property
     def has_turn(self) -> bool:
         """Whether the connection has a turn; see `ReadObserver`."""
--- a/src/hawthornstage/actors/forwarded_calls.py
+++ b/src/hawthornstage/actors/forwarded_calls.py
@@ -18,6 +18,7 @@
     ReadLimits,
 )
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.reading_turns import REFUSAL_S
 from hawthornstage.errors import ErrorKind, Failure, response_for
 from hawthornstage.filters.forward import (
     ForwardFilter,
@@ -117,7 +118,9 @@
             caller.announce_close()
         delivery = Delivery()
         failure = self.forward(call, caller, delivery)
-        if failure is None or failure.kind not in CALLER_FAULTS:
+        if failure is not None and failure.kind in CALLER_FAULTS:
+            pace.charge(REFUSAL_S)
+        else:
             pace.reset()
         if failure is not None:
             send_failure(caller, call.id, failure, close=self.sends_callers_away)
--- a/src/hawthornstage/actors/reading_turns.py
+++ b/src/hawthornstage/actors/reading_turns.py
@@ -7,7 +7,7 @@
 from hawthornstage.actors.task import Task
 from hawthornstage.actors.timers import Timers
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.reading_turns import TURN_S, TurnOrder
+from hawthornstage.decisions.reading_turns import MAX_TURN_S, TURN_S, TurnOrder
 from hawthornstage.messages.reading_turns import (
     GrantTurn,
     Reader,
@@ -73,7 +73,7 @@
         """
         chosen = self.order.next_turn(now)
         if chosen is not None:
-            self.recipients.pop(chosen).put(TurnGranted(TURN_S))
+            self.recipients.pop(chosen).put(TurnGranted(TURN_S, MAX_TURN_S))
         due_in_s = self.order.due_in_s(now)
         if due_in_s is not None and not self.scheduled:
             self.scheduled = True
--- a/src/hawthornstage/actors/wsgi_calls.py
+++ b/src/hawthornstage/actors/wsgi_calls.py
@@ -11,6 +11,7 @@
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.border.wsgi import StartResponse, make_environ
+from hawthornstage.decisions.reading_turns import REFUSAL_S
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.reading_turns import ReadingPace
 
@@ -87,7 +88,9 @@
             if not response.head_sent:
                 send_failure(caller, "", Failure(ErrorKind.INTERNAL), close=True)
             return False
-        if response.status not in CALLER_FAULT_STATUSES:
+        if response.status in CALLER_FAULT_STATUSES:
+            pace.charge(REFUSAL_S)
+        else:
             pace.reset()
         return True
 
--- a/src/hawthornstage/border/request_reader.py
+++ b/src/hawthornstage/border/request_reader.py
@@ -21,7 +21,6 @@
     wait_ready,
 )
 from hawthornstage.clock import Clock
-from hawthornstage.messages.connection_memory import GiveWay
 from hawthornstage.messages.forward import Headers
 from hawthornstage.messages.reading_turns import TurnGranted, TurnRecipient
 
@@ -128,6 +127,12 @@
     def grow(self, size: int) -> bool:
         """Return whether the body may take `size` bytes."""
 
+    def note_read(self, size: int, lines: int) -> None:
+        """Note that a read returned `size` bytes with so many line ends."""
+
+    def note_head(self, headers: int) -> None:
+        """Note that a head with a number of headers was parsed."""
+
     @property
     def has_turn(self) -> bool:
         """Whether the task has a turn, which it must end before it waits."""
@@ -286,15 +291,17 @@
             (self.socket, FAILED),
         ]
         ready = wait_ready(watched, latest - self.clock.monotonic())
-        messages = interrupt.take()
-        if GiveWay() in messages:
-            return RequestRecalled() if self.begun else IdleTimeout()
-        for message in messages:
-            self.observer.begin_turn(message)
-            if self.head is not None:
-                self.extend_deadline()
-            return None
-        return ConnectionClosed() if ready else self.time_out()
+        match interrupt.take():
+            case []:
+                return ConnectionClosed() if ready else self.time_out()
+            case [TurnGranted() as granted]:
+                self.observer.begin_turn(granted)
+                if self.head is not None:
+                    self.extend_deadline()
+                return None
+            case _:
+                # Others need what the connection holds, whether it has a turn or not.
+                return RequestRecalled() if self.begun else IdleTimeout()
 
     def time_out(self) -> ReceiveResult:
         """Return that the caller has sent nothing in time."""
@@ -306,6 +313,7 @@
             return ConnectionClosed()
         if not self.begun:
             self.begin()
+        self.observer.note_read(len(data), data.count(b"\n"))
         if self.chunks is not None:
             return self.decode(self.chunks, data)
         self.parser.receive_data(data)
@@ -314,10 +322,11 @@
     def begin_body(self, head: h11.Request) -> ReceiveResult | None:
         """Prepare to read the body, unless it is announced as too large."""
         self.head = head
+        self.observer.note_head(len(head.headers))
         # Each part of the body has its own timeout; the caller's deadline applies too.
         self.extend_deadline()
         if is_chunked(head.headers):
-            # One of very many tiny chunks costs time, but no memory.
+            # Very many tiny chunks cost no memory, and their time is spent in turns.
             self.chunks = ChunkedDecoder(refuse_small=False)
             return self.decode(self.chunks, self.parser.trailing_data[0])
         if announced_bytes(head) > self.limits.body_bytes:
--- a/src/hawthornstage/clock.py
+++ b/src/hawthornstage/clock.py
@@ -17,10 +17,6 @@
         """Return seconds since the Unix epoch."""
         return time.time()
 
-    def thread_time(self) -> float:
-        """Return the processor time that the calling thread has used, in seconds."""
-        return time.thread_time()
-
     def wait(self, condition: threading.Condition, timeout: float | None) -> bool:
         """Wait on a condition whose lock is held, for at most `timeout` seconds.
 
@@ -41,7 +37,6 @@
 
     def __init__(self, *, start: float = 1_000.0) -> None:
         self.now = start
-        self.used = 0.0
         self.waiting: set[threading.Condition] = set()
         self.lock = threading.Lock()
 
@@ -51,9 +46,6 @@
     def wall(self) -> float:
         return self.now
 
-    def thread_time(self) -> float:
-        return self.used
-
     def wait(self, condition: threading.Condition, timeout: float | None) -> bool:
         if timeout is None:
             return condition.wait()
--- a/src/hawthornstage/filters/reading_turns.py
+++ b/src/hawthornstage/filters/reading_turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from hawthornstage.actors.task import Recipient
@@ -23,12 +24,12 @@
 
     Args:
         task: Task that gives the turns.
-        clock: Source of the thread's processor time.
+        clock: The clock that bounds a turn.
         number: Identifies the connection.
         caller: Address of the caller.
-        counted_from_s: The thread's processor time at which the count began, or None
-            before it.
+        used_s: Processor time that its request has taken to read, in seconds.
         allowed_s: Processor time up to which the connection may read, in seconds.
+        allowed_until: Monotonic time up to which it may read, in seconds.
         has_turn: Whether it has a turn.
         known: Whether the task knows the connection.
     """
@@ -37,24 +38,21 @@
     clock: Clock
     number: int
     caller: str
-    counted_from_s: float | None = None
+    used_s: float = 0.0
     allowed_s: float = FREE_S
+    allowed_until: float = math.inf
     has_turn: bool = False
     known: bool = False
 
-    def begin(self) -> None:
-        """Count the processor time from now on, unless it is counted already."""
-        if self.counted_from_s is None:
-            self.counted_from_s = self.clock.thread_time()
-
-    @property
-    def used_s(self) -> float:
-        """Processor time since `begin`, in seconds."""
-        return self.clock.thread_time() - (self.counted_from_s or 0.0)
+    def charge(self, cost_s: float) -> None:
+        """Count processor time, in seconds."""
+        self.used_s += cost_s
 
     def may_read(self) -> bool:
         """Whether the connection may read on without a further turn."""
-        return self.used_s < self.allowed_s
+        if self.used_s >= self.allowed_s:
+            return False
+        return not self.has_turn or self.clock.monotonic() < self.allowed_until
 
     def request_turn(self, recipient: TurnRecipient) -> None:
         """Ask for a turn, and end the one that the connection may have.
@@ -70,6 +68,7 @@
         """Read on with a turn."""
         self.has_turn = True
         self.allowed_s = self.used_s + granted.processor_s
+        self.allowed_until = self.clock.monotonic() + granted.longest_s
 
     def end_turn(self) -> None:
         """Leave the turn to others; does nothing without one."""
@@ -87,7 +86,7 @@
 
     def reset(self) -> None:
         """Give the next request a free part of its own."""
-        self.counted_from_s = None
+        self.used_s = 0.0
         self.allowed_s = FREE_S
 
     def as_reader(self) -> Reader:
@@ -101,7 +100,7 @@
 
     Args:
         task: Task that gives the turns.
-        clock: Source of processor time.
+        clock: The clock that bounds turns.
     """
 
     task: Recipient
--- a/src/hawthornstage/messages/reading_turns.py
+++ b/src/hawthornstage/messages/reading_turns.py
@@ -13,7 +13,7 @@
     Args:
         number: Identifies the connection.
         caller: Address of the caller.
-        used_s: Processor time that reading has taken, in seconds.
+        used_s: Processor time that reading has taken, as it is reckoned, in seconds.
     """
 
     number: int
@@ -27,9 +27,11 @@
 
     Args:
         processor_s: Processor time after which it must ask again, in seconds.
+        longest_s: The same on the clock.
     """
 
     processor_s: float
+    longest_s: float
 
 
 class TurnRecipient(Protocol):
