--- a/tools/cut_router.py
+++ b/tools/cut_router.py
@@ -1,8 +1,8 @@
 """Runs a router on the users' platform whose links to some ports can be cut.
 
-`python -m tools.cut_router FILE PORT` is `src/fleet_router.py` with its metrics at PORT,
-but for connections to the ports that FILE lists while it exists: they are refused, or
-time out in silence.
+`python -m tools.cut_router FILE PORT` is `src/fleet_router.py`, with its metrics at a
+port, but for connections to the ports that FILE lists while it exists: they are
+refused, or time out in silence.
 """
 
 from __future__ import annotations
