Rest once for what a connection used outside of turns

Cause: a connection whose requests are refused keeps what it has used, and all of it was rested for with each of its requests: 0.1 s each, in which no long request was read. Change: a request for a turn tells what is new. A turn that nobody took leaves no delay to rest for. Result: tests/test_reading_turns.py.

--- a/src/hawthornstage/actors/reading_turns.py
+++ b/src/hawthornstage/actors/reading_turns.py
@@ -41,15 +41,15 @@
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
-            case RequestTurn(reader, recipient):
+            case RequestTurn(reader, outside_s, recipient):
                 self.log_first(reader)
                 self.recipients[reader.number] = recipient
-                self.order.request(reader, now)
+                self.order.request(reader, outside_s, now)
             case TurnEnded(reader):
                 self.order.end_turn(reader, now)
             case ReadingEnded(number):
                 self.recipients.pop(number, None)
-                self.order.end_reading(number)
+                self.order.end_reading(number, now)
             case GrantTurn():
                 self.scheduled = False
         self.grant(now)
--- a/src/hawthornstage/decisions/reading_turns.py
+++ b/src/hawthornstage/decisions/reading_turns.py
@@ -3,10 +3,10 @@
 A request can cost far more processor time to read than to serve: bodies in tiny chunks
 and heads in tiny pieces do. The time is reckoned from what all requests consist of:
 reads, bytes and lines. Each request is read freely up to a little of it, which ordinary
-ones don't reach. Beyond it, connections take turns, one at a time:
-first those of the caller whose connections have used the least, and among these the
-one that has used the least. A long body therefore waits for shorter ones, whenever it
-came, and many connections of one caller count as one.
+ones don't reach. Beyond it, connections take turns, one at a time: first those of the
+caller whose connections have used the least, and among these the one that has used the
+least. A long body therefore waits for shorter ones, whenever it came, and many
+connections of one caller count as one.
 
 After each turn there is a rest, in which everything else runs: at least as long as the
 turn took, and longer while the process is busy, which shows in turns that begin late. A
@@ -96,16 +96,15 @@
     late_s: float = 0.0
     positions: count[int] = field(default_factory=count)
 
-    def request(self, reader: Reader, now: float) -> None:
+    def request(self, reader: Reader, outside_s: float, now: float) -> None:
         """Add a connection to those that wait.
 
-        The time that it has used outside of turns is rested for as well.
-
         Args:
             reader: The connection.
+            outside_s: What it has used outside of turns, which is rested for as well.
             now: Monotonic time.
         """
-        outside_s = self.update(reader)
+        self.update(reader)
         self.rest(outside_s * REST_FACTOR, now)
         position = next(self.positions)
         self.waiting[reader.number] = WaitingReader(reader, position, now)
@@ -144,8 +143,13 @@
             took_s = max(used_s, now - self.began_at)
             self.rest(took_s * REST_FACTOR + self.late_s * LATE_FACTOR, now)
 
-    def end_reading(self, number: int) -> None:
-        """Forget a connection whose request has been read, or has ended."""
+    def end_reading(self, number: int, now: float) -> None:
+        """Forget a connection whose request has been read, or has ended.
+
+        Args:
+            number: Identifies the connection.
+            now: Monotonic time.
+        """
         self.waiting.pop(number, None)
         reader = self.known.pop(number, None)
         if reader is not None:
@@ -154,6 +158,7 @@
                 del self.used_by_caller[reader.caller]
         if self.running == number:
             self.running = None
+            self.rest(0.0, now)
 
     def due_in_s(self, now: float) -> float | None:
         """Return the time until the next turn, or None if it depends on others."""
--- a/src/hawthornstage/filters/reading_turns.py
+++ b/src/hawthornstage/filters/reading_turns.py
@@ -28,6 +28,7 @@
         number: Identifies the connection.
         caller: Address of the caller.
         used_s: Processor time that its request has taken to read, in seconds.
+        told_s: What of it the task has been told of, in seconds.
         allowed_s: Processor time up to which the connection may read, in seconds.
         allowed_until: Monotonic time up to which it may read, in seconds.
         has_turn: Whether it has a turn.
@@ -39,6 +40,7 @@
     number: int
     caller: str
     used_s: float = 0.0
+    told_s: float = 0.0
     allowed_s: float = FREE_S
     allowed_until: float = math.inf
     has_turn: bool = False
@@ -62,7 +64,8 @@
         """
         self.end_turn()
         self.known = True
-        self.task.tell(RequestTurn(self.as_reader(), recipient))
+        outside_s, self.told_s = self.used_s - self.told_s, self.used_s
+        self.task.tell(RequestTurn(self.as_reader(), outside_s, recipient))
 
     def begin_turn(self, granted: TurnGranted) -> None:
         """Read on with a turn."""
@@ -75,6 +78,7 @@
         if self.has_turn:
             self.has_turn = False
             self.allowed_s = 0.0
+            self.told_s = self.used_s
             self.task.tell(TurnEnded(self.as_reader()))
 
     def end_reading(self) -> None:
@@ -86,7 +90,7 @@
 
     def reset(self) -> None:
         """Give the next request a free part of its own."""
-        self.used_s = 0.0
+        self.used_s = self.told_s = 0.0
         self.allowed_s = FREE_S
 
     def as_reader(self) -> Reader:
--- a/src/hawthornstage/messages/reading_turns.py
+++ b/src/hawthornstage/messages/reading_turns.py
@@ -47,10 +47,13 @@
 
     Args:
         reader: The connection.
+        outside_s: Processor time that it has used outside of turns and has not told of
+            before, in seconds.
         recipient: Gets `TurnGranted`.
     """
 
     reader: Reader
+    outside_s: float
     recipient: TurnRecipient
 
 
--- a/tests/test_reading_turns.py
+++ b/tests/test_reading_turns.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Iterator
 from contextlib import closing
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -51,9 +52,9 @@
     """Stands for a task, and keeps what it is told."""
 
     def __init__(self) -> None:
-        self.messages: list[object] = []
+        self.messages: list[Any] = []
 
-    def tell(self, message: object) -> None:
+    def tell(self, message: Any) -> None:
         """Keep a message."""
         self.messages.append(message)
 
@@ -97,27 +98,27 @@
 
 def test_the_one_that_has_used_the_least_is_next(order: TurnOrder) -> None:
     for number, used_s in enumerate((0.5, 0.1, 0.3)):
-        order.request(Reader(number, f"caller-{number}", used_s), 1.0)
+        order.request(Reader(number, f"caller-{number}", used_s), 0.0, 1.0)
     assert order.next_turn(2.0) == 1
     assert order.next_turn(2.0) is None
     order.end_turn(Reader(1, "caller-1", 0.6), 2.0)
     assert order.next_turn(3.0) == 2
-    order.end_reading(2)
+    order.end_reading(2, 3.0)
     assert order.next_turn(4.0) == 0
 
 
 def test_many_connections_of_one_caller_count_as_one(order: TurnOrder) -> None:
     for number in range(20):
-        order.request(Reader(number, "crowd", 0.1), 1.0)
-    order.request(Reader(20, "alone", 1.5), 1.0)
+        order.request(Reader(number, "crowd", 0.1), 0.0, 1.0)
+    order.request(Reader(20, "alone", 1.5), 0.0, 1.0)
     assert order.next_turn(2.0) == 20
 
 
 def test_callers_are_forgotten_with_their_connections(order: TurnOrder) -> None:
     for number in range(3):
-        order.request(Reader(number, f"caller-{number}", 0.1), 1.0)
+        order.request(Reader(number, f"caller-{number}", 0.1), 0.0, 1.0)
     for number in range(3):
-        order.end_reading(number)
+        order.end_reading(number, 1.0)
     assert not order.known and not order.waiting and not order.used_by_caller
     assert order.next_turn(9.0) is None
 
@@ -125,25 +126,25 @@
 def test_rest_is_as_long_as_the_turn_and_longer_if_it_began_late(
     order: TurnOrder,
 ) -> None:
-    order.request(Reader(1, "a", 0.0), 1.0)
+    order.request(Reader(1, "a", 0.0), 0.0, 1.0)
     assert order.next_turn(1.0) == 1
     order.end_turn(Reader(1, "a", 0.004), 1.002)
-    order.request(Reader(1, "a", 0.004), 1.002)
+    order.request(Reader(1, "a", 0.004), 0.0, 1.002)
     assert order.due_in_s(1.002) == pytest.approx(0.004)
     assert order.next_turn(1.005) is None
     # It is granted 10 ms late, as other threads had the processor.
     assert order.next_turn(1.016) == 1
     order.end_turn(Reader(1, "a", 0.008), 1.018)
-    order.request(Reader(1, "a", 0.008), 1.018)
+    order.request(Reader(1, "a", 0.008), 0.0, 1.018)
     assert order.due_in_s(1.018) == pytest.approx(0.004 + 4 * 0.01)
 
 
 def test_rest_is_as_long_as_the_turn_took_on_the_clock(order: TurnOrder) -> None:
-    order.request(Reader(1, "a", 0.0), 1.0)
+    order.request(Reader(1, "a", 0.0), 0.0, 1.0)
     assert order.next_turn(1.0) == 1
     # It was reckoned with 2 ms and took 50.
     order.end_turn(Reader(1, "a", 0.002), 1.05)
-    order.request(Reader(1, "a", 0.002), 1.05)
+    order.request(Reader(1, "a", 0.002), 0.0, 1.05)
     assert order.due_in_s(1.05) == pytest.approx(0.05)
 
 
@@ -169,7 +170,7 @@
 
 
 def test_what_is_used_outside_of_turns_is_rested_for(order: TurnOrder) -> None:
-    order.request(Reader(1, "a", 0.05), 1.0)
+    order.request(Reader(1, "a", 9.0), 0.05, 1.0)
     assert order.due_in_s(1.0) == pytest.approx(0.05)
 
 
@@ -191,20 +192,20 @@
         now += spent_s
         reader = Reader(number, f"caller-{number % 2}", used[number])
         if action == "request" and order.running != number:
-            order.request(reader, now)
+            order.request(reader, 0.0, now)
         if action == "end" and order.running is not None:
             used[order.running] += spent_s
             number = order.running
             order.end_turn(Reader(number, f"caller-{number % 2}", used[number]), now)
         if action == "leave":
-            order.end_reading(number)
+            order.end_reading(number, now)
             used[number] = 0.0
         before = order.running
         granted = order.next_turn(now)
         assert granted is None or before is None
     for _ in range(6):
         if order.running is not None:
-            order.end_reading(order.running)
+            order.end_reading(order.running, now)
         if order.waiting:
             now += MAX_REST_S
             assert order.next_turn(now) is not None
@@ -231,6 +232,12 @@
     pace.end_reading()
     assert not pace.has_turn
     assert inbox.messages[-1] == ReadingEnded(1)
+    # What is told once is not told again with the next request.
+    told_s = pace.used_s
+    pace.charge(0.001)
+    pace.request_turn(Mailbox(clock))
+    assert inbox.messages[-1].outside_s == pytest.approx(pace.used_s - told_s)
+    pace.end_reading()
     # The next one has no free part of its own unless the request was served.
     assert not pace.may_read()
     pace.reset()
