Bound what many headers and many parts of a prompt take

Cause: memory of a connection is reckoned with three copies of its head's text, but 3,000 short headers, or 4,000 parts of a prompt, take some 1 MB as objects for as long as the call lasts. Change: each header after the 32nd counts as 512 bytes of the pool for bodies; a prompt has at most 128 parts, with more the call gets 400, not run. The users' prompts have a few.

--- a/src/hawthornstage/border/request_reader.py
+++ b/src/hawthornstage/border/request_reader.py
@@ -24,6 +24,10 @@
 from hawthornstage.messages.forward import Headers
 from hawthornstage.messages.reading_turns import TurnGranted, TurnRecipient
 
+# Headers of a head that the memory of a connection is reckoned with, and what each
+# further one takes, in bytes: many short ones take far more than their text.
+USUAL_HEADERS = 32
+HEADER_BYTES = 512
 # Longest time in which a request arrives, in seconds, unless it is set.
 REQUEST_TIMEOUT_S = 60.0
 
@@ -125,7 +129,7 @@
         """
 
     def grow(self, size: int) -> bool:
-        """Return whether the body may take `size` bytes."""
+        """Return whether the request may take `size` bytes."""
 
     def note_read(self, size: int, lines: int) -> None:
         """Note that a read returned `size` bytes with so many line ends."""
@@ -185,6 +189,8 @@
         self.head: h11.Request | None = None
         self.chunks: ChunkedDecoder | None = None
         self.body = io.BytesIO()
+        # Memory of the head beyond the usual, in bytes.
+        self.head_bytes = 0
         self.deadline = self.clock.monotonic() + limits.first_byte_timeout_s
         # Time by which the whole request must have arrived.
         self.ends_at = math.inf
@@ -323,6 +329,9 @@
         """Prepare to read the body, unless it is announced as too large."""
         self.head = head
         self.observer.note_head(len(head.headers))
+        self.head_bytes = max(0, len(head.headers) - USUAL_HEADERS) * HEADER_BYTES
+        if self.head_bytes and not self.observer.grow(self.head_bytes):
+            return RequestRecalled()
         # Each part of the body has its own timeout; the caller's deadline applies too.
         self.extend_deadline()
         if is_chunked(head.headers):
@@ -346,7 +355,7 @@
         size = self.body.tell() + len(data)
         if size > self.limits.body_bytes:
             return self.too_large()
-        if not self.observer.grow(size):
+        if not self.observer.grow(self.head_bytes + size):
             return RequestRecalled()
         self.body.write(data)
         self.extend_deadline()
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -21,7 +21,7 @@
 DEFAULT_MAX_CONNECTIONS = 100
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class PromptPart:
     """One part of a prompt; parts with equal ids have equal text."""
 
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -22,6 +22,9 @@
 TIME_BUDGET = "x-time-budget"
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_COUNTS = "x-token-counts"
+# Most parts of a prompt: each takes far more memory than its text, for as long as the
+# call lasts.
+MAX_PARTS = 128
 # Most digits of a number of tokens.
 MAX_TOKEN_DIGITS = 10
 # Parts of the prompt as ID:TOKENS, separated by commas.
@@ -162,13 +165,17 @@
     """Return the prompt that the headers declare, or None.
 
     Raises:
-        ValueError: A token count is not a number from 0 up to some billions.
+        ValueError: A token count is not a number from 0 up to some billions, or there
+            are too many parts.
     """
     if TOKEN_COUNTS not in headers:
         return None
     tokens, _, max_output = headers[TOKEN_COUNTS].partition(",")
     parts: list[PromptPart] = []
-    for entry in filter(None, headers.get(PROMPT_PARTS, "").split(",")):
+    entries = [each for each in headers.get(PROMPT_PARTS, "").split(",") if each]
+    if len(entries) > MAX_PARTS:
+        raise ValueError(f"a prompt has {len(entries)} parts, {MAX_PARTS} are allowed")
+    for entry in entries:
         name, _, count = entry.strip().rpartition(":")
         parts.append(PromptPart(bounded_id(name), parse_tokens(count)))
     return Prompt(parse_tokens(tokens), parse_tokens(max_output), tuple(parts))
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -9,6 +9,7 @@
     IdleTimeout,
     MalformedRequest,
     RawRequest,
+    RequestRecalled,
     RequestTimeout,
 )
 from tests.connection_pair import (
@@ -66,6 +67,20 @@
     assert received.status == 413
 
 
+def test_very_many_headers_take_memory_like_a_body(pair: CallerPair) -> None:
+    many = b"".join(b"a%d:b\r\n" % number for number in range(300))
+    pair.observer.memory_bytes = 100_000
+    pair.caller.sendall(REQUEST + many + b"\r\n")
+    assert isinstance(pair.receive(), RequestRecalled)
+
+
+def test_usual_headers_take_none(pair: CallerPair) -> None:
+    usual = b"".join(b"a%d:b\r\n" % number for number in range(20))
+    pair.observer.memory_bytes = 0
+    pair.caller.sendall(REQUEST + usual + b"\r\n")
+    assert isinstance(pair.receive(), RawRequest)
+
+
 def test_slow_idle_and_closed_connections_are_told_apart(pair: CallerPair) -> None:
     assert isinstance(pair.receive(first_byte_timeout_s=0.01), IdleTimeout)
     pair.caller.sendall(b"POST /let")
