Know other routers by their processes, not by their names

Cause: a peer was known by its name and URL, neither of which changes with its process. A router that was back before its entry lapsed was not published anew, so what had been told to the process before it was told to nobody again.

Change: a router's address names its process, in a part of the path that earlier builds ignore; they still see that the address changes, and new builds read addresses without a process. Both sides of a connection announce their addresses, so that a new process is known while the store is silent or its reads are old; `RouterDirectory` decides which of the two is later. A router that was lost is tried again for 15 s although there is nothing to send, until its next process is met. A link to the process that is known now is kept.

--- a/src/hawthornstage/actors/fleet_members.py
+++ b/src/hawthornstage/actors/fleet_members.py
@@ -7,9 +7,15 @@
 
 import pykka
 
-from hawthornstage.actors.peers.messages import PeersChanged
-from hawthornstage.actors.task import Recipient, Task
+from hawthornstage.actors.peers.messages import PeerMet, PeersChanged
+from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.router_processes import (
+    ENTRY_DELAY_S,
+    RouterDirectory,
+    RouterEntry,
+    changed_processes,
+)
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.store import (
@@ -30,8 +36,6 @@
 MEMBERS_PREFIX = "hawthornstage/routers/"
 # Lease of an entry, in seconds: a router that does not renew it is removed.
 LEASE_S = 30.0
-# Time after which reads show an entry that was written, in seconds.
-ENTRY_SETTLING_S = 12.0
 # Time after a restoration of the store within which all routers register again, in
 # seconds.
 REREGISTRATION_S = 12.0
@@ -54,11 +58,11 @@
 
 
 class FleetMembers(Task):
-    """Owns this router's entry and the addresses of the other routers.
+    """Owns this router's entry and the addresses of the other routers' processes.
 
     Args:
         node: This router's name.
-        url: Its address for other routers.
+        url: Its address for other routers, which names its process.
         store: A client used by this task only.
         peers: Gets the addresses of the other routers.
         routers: Where the number of routers is published.
@@ -95,6 +99,8 @@
         self.lease: int | None = None
         # Time at which the entry was written, or None while it is not known to be.
         self.registered_at: float | None = None
+        self.directory = RouterDirectory()
+        # The addresses that were published, or None before the first read.
         self.urls: dict[str, str] | None = None
         self.settled = False
         self.ticks = 0
@@ -103,6 +109,8 @@
         match message:
             case MembershipTick():
                 self.tick()
+            case Ask(message=PeerMet(node, url)):
+                self.meet(node, url)
             case StoreRestored():
                 self.register_again()
             case Deregister():
@@ -127,6 +135,7 @@
         """
         self.restored_at = self.clock.monotonic()
         self.lease = self.registered_at = None
+        self.directory.forget_revisions()
         self.restore_secret()
         self.register()
 
@@ -182,7 +191,7 @@
         """
         if self.registered_at is None or url == self.url:
             return
-        if self.clock.monotonic() - self.registered_at < ENTRY_SETTLING_S:
+        if self.clock.monotonic() - self.registered_at < ENTRY_DELAY_S:
             # The entries that were read may be older.
             return
         self.events.emit("registration_missing", url=url or "")
@@ -194,21 +203,48 @@
         if not isinstance(outcome, Listing):
             return
         found = {
-            item.key.removeprefix(MEMBERS_PREFIX): item.value.decode("ascii", "replace")
+            item.key.removeprefix(MEMBERS_PREFIX): RouterEntry(
+                item.value.decode("ascii", "replace"), item.revision
+            )
             for item in outcome.items
         }
-        self.check_entry(found.pop(self.node, None))
-        if self.clock.monotonic() - self.restored_at < REREGISTRATION_S:
-            # The others have yet to register again.
-            found = {**(self.urls or {}), **found}
-        if found != self.urls:
-            self.urls = found
-            self.routers.publish(len(found) + 1)
-            self.events.emit("routers_known", count=len(found) + 1)
-            self.peers.tell(PeersChanged(found))
-        elif self.settled:
-            return
-        else:
+        own = found.pop(self.node, None)
+        self.check_entry(own.url if own else None)
+        now = self.clock.monotonic()
+        # After a restoration, the others have yet to register again.
+        complete = now - self.restored_at >= REREGISTRATION_S
+        self.directory.read(found, complete=complete)
+        urls = self.directory.urls(now)
+        if urls != self.urls:
+            self.publish(urls)
+        elif not self.settled:
             self.settled = True
+            self.tell_subscribers(urls)
+
+    def meet(self, node: str, url: str) -> None:
+        """Note the process that a connection leads to, and publish it if it is new.
+
+        Before the first read this router can't tell how many others there are.
+        """
+        now = self.clock.monotonic()
+        self.directory.meet(node, url, now)
+        urls = self.directory.urls(now)
+        if self.urls is not None and urls != self.urls:
+            self.events.emit("router_met", router=node, url=url)
+            self.publish(urls)
+
+    def publish(self, urls: dict[str, str]) -> None:
+        """Publish the other routers' processes."""
+        started = changed_processes(self.urls or {}, urls)
+        self.urls = urls
+        self.routers.publish(len(urls) + 1)
+        self.events.emit(
+            "routers_known", count=len(urls) + 1, started=",".join(sorted(started)[:8])
+        )
+        self.peers.tell(PeersChanged(urls))
+        self.tell_subscribers(urls)
+
+    def tell_subscribers(self, urls: dict[str, str]) -> None:
+        """Tell the other tasks which routers are known."""
         for subscriber in self.subscribers:
-            subscriber.tell(KnownRouters(found, self.settled))
+            subscriber.tell(KnownRouters(urls, self.settled))
--- a/src/hawthornstage/actors/peers/incoming_connections.py
+++ b/src/hawthornstage/actors/peers/incoming_connections.py
@@ -4,10 +4,11 @@
 
 import selectors
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-from hawthornstage.actors.peers.messages import SendReply
+from hawthornstage.actors.peers.messages import PeerMet, SendReply
 from hawthornstage.actors.peers.sockets import PeerSockets
 from hawthornstage.actors.task import MessageDispatcher, Recipient
 from hawthornstage.border.frames import Frame, FrameError, decode_frame, encode_frame
@@ -76,6 +77,8 @@
         task: That task; gets the replies to send.
         listener: The listening socket.
         sockets: The sockets that the task waits for.
+        tell_met: Called with `PeerMet` once a router has connected.
+        own_url: This router's address, which it announces.
         secrets: Shared secrets accepted from other routers.
         dispatcher: Delivers each message to the tasks registered for its class.
         clock: The runtime's clock.
@@ -88,7 +91,9 @@
         task: Recipient,
         listener: socket.socket,
         sockets: PeerSockets,
+        tell_met: Callable[[PeerMet], None],
         *,
+        own_url: str,
         secrets: tuple[str, ...],
         dispatcher: MessageDispatcher,
         clock: Clock,
@@ -98,6 +103,8 @@
         self.task = task
         self.listener = listener
         self.sockets = sockets
+        self.tell_met = tell_met
+        self.own_url = own_url
         self.secrets = secrets
         self.dispatcher = dispatcher
         self.clock = clock
@@ -117,7 +124,7 @@
             accepted.close()
             return
         now = self.clock.monotonic()
-        connection = accept_peer(accepted, self.secrets, now)
+        connection = accept_peer(accepted, self.secrets, now, self.own_url)
         incoming = self.connections[connection] = IncomingConnection(connection, now)
         self.watch(incoming)
 
@@ -126,6 +133,7 @@
         connection = incoming.connection
         if connection not in self.connections:
             return
+        was_open = connection.is_open
         try:
             if ready & selectors.EVENT_WRITE:
                 connection.flush()
@@ -141,6 +149,8 @@
         except PeerConnectionError as error:
             self.drop(incoming, str(error))
             return
+        if not was_open and connection.is_open:
+            self.tell_met(PeerMet(connection.peer, connection.peer_url))
         self.watch(incoming)
 
     def handle_frame(self, incoming: IncomingConnection, payload: bytes) -> None:
--- a/src/hawthornstage/actors/peers/messages.py
+++ b/src/hawthornstage/actors/peers/messages.py
@@ -32,6 +32,19 @@
     urls: Mapping[str, str]
 
 
+@dataclass(frozen=True)
+class PeerMet:
+    """Tells which process of another router a connection leads to.
+
+    Args:
+        node: The router's name.
+        url: The address that its process has announced.
+    """
+
+    node: str
+    url: str
+
+
 @dataclass(frozen=True)
 class SendReply:
     """Sends the reply to a frame over the connection that the frame arrived on.
--- a/src/hawthornstage/actors/peers/outgoing_links.py
+++ b/src/hawthornstage/actors/peers/outgoing_links.py
@@ -4,10 +4,10 @@
 
 import itertools
 import selectors
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from hawthornstage.actors.peers.messages import Send
+from hawthornstage.actors.peers.messages import PeerMet, Send
 from hawthornstage.actors.peers.sockets import PeerSockets
 from hawthornstage.border.frames import Frame, FrameError, decode_frame, encode_frame
 from hawthornstage.border.peer_connection import (
@@ -18,6 +18,7 @@
 )
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.peer_links import LinkUse, idle_links, link_to_replace
+from hawthornstage.decisions.router_processes import is_same_endpoint
 from hawthornstage.mailbox import DISCARD_REPLY, ReplyTo
 from hawthornstage.messages.members import PeerUnreachable
 from hawthornstage.observe.events import EventLog
@@ -31,6 +32,9 @@
 REPLY_TIMEOUT_S = 5.0
 # Delay before reconnecting after a failure, in seconds.
 RECONNECT_PAUSE_S = 0.5
+# Time for which a lost router is tried again although there is nothing to send to it,
+# in seconds: its next process is known as soon as it accepts connections.
+SEARCH_S = 15.0
 
 
 @dataclass(frozen=True)
@@ -52,17 +56,31 @@
 
     Args:
         name: The other router's name.
+        url: The address that was connected to.
         connection: The connection.
         used_at: Monotonic time of the last message, in seconds.
         numbers: Numbers of the frames.
         pending: Replies that have not arrived, by number of the frame.
+        opened: Whether the handshake has been completed.
     """
 
     name: str
+    url: str
     connection: PeerConnection
     used_at: float
     numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
     pending: dict[int, PendingReply] = field(default_factory=dict)
+    opened: bool = False
+
+    def leads_to(self, url: str | None) -> bool:
+        """Whether the process at an address is the one that this link leads to.
+
+        Until the other side has announced its process, it is the one there now.
+        """
+        if url is None:
+            return False
+        announced = self.connection.peer_url
+        return announced == url if announced else is_same_endpoint(self.url, url)
 
 
 class OutgoingLinks:
@@ -73,6 +91,7 @@
     Args:
         identity: This router's identity.
         sockets: The sockets that the task waits for.
+        tell_met: Called with `PeerMet` once a router has accepted a connection.
         clock: The runtime's clock.
         events: The event log, whose hybrid logical clock also stamps the frames.
         metrics: Counts bytes.
@@ -82,6 +101,7 @@
         self,
         identity: PeerIdentity,
         sockets: PeerSockets,
+        tell_met: Callable[[PeerMet], None],
         *,
         clock: Clock,
         events: EventLog,
@@ -89,11 +109,14 @@
     ) -> None:
         self.identity = identity
         self.sockets = sockets
+        self.tell_met = tell_met
         self.clock = clock
         self.events = events
         self.metrics = metrics
         self.urls: dict[str, str] = {}
         self.retry_times: dict[str, float] = {}
+        # Time until which lost routers are searched for.
+        self.searched_until: dict[str, float] = {}
         self.links: dict[str, PeerLink] = {}
 
     def send(self, message: Send) -> None:
@@ -125,7 +148,7 @@
         except PeerConnectionError:
             self.retry_times[node] = now + RECONNECT_PAUSE_S
             raise
-        link = self.links[node] = PeerLink(node, connection, now)
+        link = self.links[node] = PeerLink(node, url, connection, now)
         self.sockets.watch(link.connection, link)
         return link
 
@@ -175,7 +198,6 @@
         """Read replies and send queued bytes on a link."""
         if self.links.get(link.name) is not link:
             return
-        was_open = link.connection.is_open
         try:
             if ready & selectors.EVENT_WRITE:
                 link.connection.flush()
@@ -189,10 +211,17 @@
         except PeerConnectionError as error:
             self.drop_link(link, str(error))
             return
-        if not was_open and link.connection.is_open:
-            self.events.emit("peer_connected", peer=link.name)
+        if not link.opened and link.connection.is_open:
+            self.record_open(link)
         self.sockets.watch(link.connection, link)
 
+    def record_open(self, link: PeerLink) -> None:
+        """Record that a link's handshake is complete."""
+        link.opened = True
+        self.searched_until.pop(link.name, None)
+        self.events.emit("peer_connected", peer=link.name)
+        self.tell_met(PeerMet(link.name, link.connection.peer_url))
+
     def handle_reply(self, link: PeerLink, payload: bytes) -> None:
         """Deliver a reply to the sender that waits for it.
 
@@ -208,9 +237,12 @@
 
     def drop_link(self, link: PeerLink, reason: str) -> None:
         """Close a failed link, and connect again only after a pause."""
-        self.events.emit("peer_lost", peer=link.name, reason=reason)
-        pause_ends_at = self.clock.monotonic() + RECONNECT_PAUSE_S
-        self.retry_times[link.name] = pause_ends_at
+        now = self.clock.monotonic()
+        self.retry_times[link.name] = now + RECONNECT_PAUSE_S
+        if link.opened:
+            self.searched_until[link.name] = now + SEARCH_S
+        if link.opened or link.name not in self.searched_until:
+            self.events.emit("peer_lost", peer=link.name, reason=reason)
         self.close_link(link, reason)
 
     def close_link(self, link: PeerLink, reason: str) -> None:
@@ -221,17 +253,35 @@
             each.reply_to.put(PeerUnreachable(link.name, reason))
 
     def update_addresses(self, urls: Mapping[str, str]) -> None:
-        """Replace the addresses, and close links to routers removed or moved."""
+        """Replace the addresses, and close links to routers removed or replaced."""
         for name, link in list(self.links.items()):
-            if urls.get(name) != self.urls.get(name):
-                self.close_link(link, "the router has left or moved")
+            if not link.leads_to(urls.get(name)):
+                self.close_link(link, "the router has left or another process runs")
         self.retry_times = {
             name: at
             for name, at in self.retry_times.items()
             if name in urls and urls[name] == self.urls.get(name)
         }
+        self.searched_until = {
+            name: at for name, at in self.searched_until.items() if name in urls
+        }
         self.urls = dict(urls)
 
+    def search(self, now: float) -> None:
+        """Connect to lost routers, to find out which process runs there now."""
+        for node, until in list(self.searched_until.items()):
+            if now >= until:
+                del self.searched_until[node]
+            elif now >= self.retry_times.get(node, now):
+                self.try_link(node)
+
+    def try_link(self, node: str) -> None:
+        """Connect to a router unless it is connected; a failure is tried again."""
+        try:
+            self.link_to(node)
+        except PeerConnectionError:
+            return
+
     def check_link(self, link: PeerLink, now: float) -> None:
         """Drop a link that is not usable in time or silent; expire its replies."""
         connection = link.connection
@@ -262,6 +312,7 @@
             self.check_link(link, now)
         for name in idle_links(self.link_uses(), now):
             self.close_link(self.links[name], "idle")
+        self.search(now)
 
     def close_all(self) -> None:
         """Close all links."""
--- a/src/hawthornstage/actors/peers/task.py
+++ b/src/hawthornstage/actors/peers/task.py
@@ -11,6 +11,7 @@
     IncomingConnections,
 )
 from hawthornstage.actors.peers.messages import (
+    PeerMet,
     PeersChanged,
     Send,
     SendReply,
@@ -22,6 +23,7 @@
 from hawthornstage.actors.task import MessageDispatcher
 from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.clock import Clock
+from hawthornstage.mailbox import DISCARD_REPLY
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
@@ -40,7 +42,8 @@
         identity: This router's identity.
         address: The address to listen on; port 0 lets the system choose.
         secrets: Shared secrets accepted from other routers.
-        dispatcher: Delivers each message to the tasks registered for its class.
+        dispatcher: Delivers each message to the tasks registered for its class, and
+            `PeerMet` for each connection whose other side announces its address.
         clock: The runtime's clock.
         events: The event log, whose hybrid logical clock also stamps the frames.
         metrics: Counts bytes and connections.
@@ -66,12 +69,19 @@
             (address.host, address.port), backlog=BACKLOG
         )
         self.outgoing = OutgoingLinks(
-            identity, self.sockets, clock=clock, events=events, metrics=metrics
+            identity,
+            self.sockets,
+            self.tell_met,
+            clock=clock,
+            events=events,
+            metrics=metrics,
         )
         self.incoming = IncomingConnections(
             self,
             self.listener,
             self.sockets,
+            self.tell_met,
+            own_url=identity.url,
             secrets=secrets,
             dispatcher=dispatcher,
             clock=clock,
@@ -102,6 +112,11 @@
             case StopPeers():
                 self.stopped = True
 
+    def tell_met(self, met: PeerMet) -> None:
+        """Tell which process a connection leads to, if a task wants to know."""
+        if met.url and met.node != self.node:
+            self.dispatcher.deliver(met, DISCARD_REPLY)
+
     def handle_ready(self, owner: Any, ready: int) -> None:
         """Serve a socket that is ready, on behalf of what owns it."""
         match owner:
--- a/src/hawthornstage/border/peer_connection.py
+++ b/src/hawthornstage/border/peer_connection.py
@@ -22,6 +22,10 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Most bytes that wait to be sent on one connection.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
+# Header in which each side of a connection names its address, which tells its process.
+ADDRESS_HEADER = "X-Address"
+# Longest address of a router that is taken over, in characters.
+MAX_ADDRESS_LENGTH = 200
 
 
 class PeerConnectionError(Exception):
@@ -35,10 +39,12 @@
     Args:
         node: Its name.
         secret: The shared secret that authenticates it.
+        url: The address that names its process; empty if it announces none.
     """
 
     node: str
     secret: str
+    url: str = ""
 
 
 class PeerConnection:
@@ -48,6 +54,7 @@
         connection: The socket, which may still be connecting.
         protocol: The WebSocket protocol of this side.
         secrets: Accepted shared secrets; needed on the server side only.
+        own_url: The address that this side announces; needed on the server side only.
         now: Monotonic time, in seconds.
     """
 
@@ -57,12 +64,16 @@
         protocol: ClientProtocol | ServerProtocol,
         *,
         secrets: tuple[str, ...] = (),
+        own_url: str = "",
         now: float,
     ) -> None:
         self.socket = connection
         self.protocol = protocol
         self.secrets = secrets
+        self.own_url = own_url
         self.peer = ""
+        # The address that the other side announces, once its handshake has arrived.
+        self.peer_url = ""
         self.rejected = False
         self.created_at = now
         self.received_at = now
@@ -118,6 +129,7 @@
             case Request():
                 self.answer_handshake(event)
             case Response():
+                self.peer_url = announced_address(event)
                 self.send_waiting()
             case Frame(opcode=Opcode.BINARY, fin=True, data=data):
                 return bytes(data)
@@ -137,6 +149,9 @@
             for each in self.secrets
         ):
             response = self.protocol.accept(request)
+            self.peer_url = announced_address(request)
+            if self.own_url:
+                response.headers[ADDRESS_HEADER] = self.own_url
         else:
             self.rejected = True
             response = self.protocol.reject(HTTPStatus.UNAUTHORIZED, "unknown secret\n")
@@ -238,6 +253,8 @@
     request = protocol.connect()
     request.headers["Authorization"] = f"Bearer {identity.secret}"
     request.headers["X-Node"] = identity.node
+    if identity.url:
+        request.headers[ADDRESS_HEADER] = identity.url
     protocol.send_request(request)
     peer = PeerConnection(connection, protocol, now=now)
     peer.queue_protocol_data()
@@ -245,7 +262,7 @@
 
 
 def accept_peer(
-    connection: socket.socket, secrets: tuple[str, ...], now: float
+    connection: socket.socket, secrets: tuple[str, ...], now: float, own_url: str = ""
 ) -> PeerConnection:
     """Return the connection of a router that has connected to this one.
 
@@ -253,8 +270,18 @@
         connection: The accepted socket.
         secrets: Accepted shared secrets.
         now: Monotonic time, in seconds.
+        own_url: The address that this router announces; empty if it announces none.
     """
     connection.setblocking(False)
     set_socket_options(connection)
     protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
-    return PeerConnection(connection, protocol, secrets=secrets, now=now)
+    return PeerConnection(
+        connection, protocol, secrets=secrets, own_url=own_url, now=now
+    )
+
+
+def announced_address(handshake: Request | Response) -> str:
+    """Return the address that a handshake announces; earlier builds announce none."""
+    address = handshake.headers.get(ADDRESS_HEADER, "")
+    valid = address.startswith("ws://") and len(address) <= MAX_ADDRESS_LENGTH
+    return address if valid else ""
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import threading
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,7 @@
 )
 from hawthornstage.actors.health import HealthTask
 from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
+from hawthornstage.actors.peers.messages import PeerMet
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
 from hawthornstage.actors.reading_turns import ReadingTurnsTask
@@ -62,9 +64,10 @@
 from hawthornstage.decisions.connection_limits import derive_limits
 from hawthornstage.decisions.crashing_parts import BlockedParts
 from hawthornstage.decisions.retry_share import RetryLimits, RetryShare
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.server_failures import BlockedCalls
 from hawthornstage.decisions.server_selection import ServerSelector
-from hawthornstage.decisions.watch_sharing import SHARING_PATH, WatchReaders
+from hawthornstage.decisions.watch_sharing import WatchReaders
 from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
@@ -133,6 +136,8 @@
 STORE_CALLS_LOG_INTERVAL_S = 10.0
 SLOW_START_CHECK_INTERVAL_S = 0.25
 HEALTH_CHECK_INTERVAL_S = 2.5
+# Random bytes that tell the processes of one router apart.
+PROCESS_BYTES = 6
 # Number of routers assumed to share the fleet's retries and budgets until the store
 # has listed them.
 INITIAL_ROUTER_COUNT = 16
@@ -155,6 +160,9 @@
         clock: Clock | None = None,
     ) -> None:
         self.settings = settings
+        self.url = process_address(
+            settings.peers.host, settings.peers.port, secrets.token_hex(PROCESS_BYTES)
+        )
         self.live_settings = LatestValue(settings)
         self.clock = clock or Clock()
         # Nothing reads the events of this router but the log.
@@ -215,7 +223,7 @@
         """
         node = self.settings.node
         self.peers = Peers(
-            PeerIdentity(node, secret),
+            PeerIdentity(node, secret, self.url),
             self.settings.peers,
             secrets=(secret,),
             dispatcher=self.dispatcher,
@@ -375,10 +383,9 @@
         Args:
             secret: The routers' shared secret.
         """
-        peers = self.settings.peers
         self.members = FleetMembers.start(
             self.settings.node,
-            f"ws://{peers.host}:{peers.port}{SHARING_PATH}",
+            self.url,
             store=self.store("members"),
             peers=self.peers,
             routers=self.routers,
@@ -433,6 +440,7 @@
                 RequestPermit,
             ),
         )
+        register(self.members, (PeerMet,))
         register(self.tunnels, (RequestTunnel,))
         register(self.evacuations, (EvacuationsAnnounced,))
         register(self.shared_watches, (RequestChanges,))
--- a/src/hawthornstage/messages/fleet.py
+++ b/src/hawthornstage/messages/fleet.py
@@ -86,7 +86,8 @@
     """The other known routers.
 
     Args:
-        urls: Their addresses, by name.
+        urls: The addresses of their processes, by name: a router that starts again has
+            another one, and knows nothing of what it was told before.
         settled: Whether two reads in a row found the same routers. While a fleet
             starts, few of them are known.
     """
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,12 +14,13 @@
     MAX_FRAMES_PER_S,
     MAX_INCOMING_IDLE_S,
 )
-from hawthornstage.actors.peers.messages import PeersChanged, Send
+from hawthornstage.actors.peers.messages import PeerMet, PeersChanged, Send
 from hawthornstage.actors.peers.outgoing_links import (
     HANDSHAKE_TIMEOUT_S,
     MAX_PENDING,
     RECONNECT_PAUSE_S,
     REPLY_TIMEOUT_S,
+    SEARCH_S,
 )
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.task import Ask, MessageDispatcher
@@ -27,6 +28,7 @@
 from hawthornstage.border.peer_connection import PeerIdentity, connect_to_peer
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.peer_links import MAX_IDLE_S
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.messages.budget_messages import Acknowledged
 from hawthornstage.messages.events import Stamp
 from hawthornstage.messages.fleet import (
@@ -87,15 +89,25 @@
         self.peers: dict[str, Peers] = {}
         self.responders: dict[str, Responder] = {}
 
-    def add(self, node: str, *, secret: str = SECRET) -> Peers:
-        """Start the peers task of a router."""
+    def add(
+        self, node: str, *, secret: str = SECRET, port: int = 0, process: str = ""
+    ) -> Peers:
+        """Start the peers task of a router.
+
+        Args:
+            node: Its name.
+            secret: The shared secret that it presents and accepts.
+            port: Its port; 0 lets the system choose.
+            process: The process that it announces, as builds without it do if empty.
+        """
         responder = self.responders[node] = Responder()
         dispatcher = MessageDispatcher()
-        kinds = (ServerFailedDuringCall, RequestDesiredState)
+        kinds = (ServerFailedDuringCall, RequestDesiredState, PeerMet)
         dispatcher.register(responder, kinds)  # type: ignore[arg-type]
+        url = process_address("127.0.0.1", port, process) if process else ""
         peers = self.peers[node] = Peers(
-            PeerIdentity(node, secret),
-            SocketAddress("127.0.0.1", 0),
+            PeerIdentity(node, secret, url),
+            SocketAddress("127.0.0.1", port),
             secrets=(secret,),
             dispatcher=dispatcher,
             clock=self.clock,
@@ -348,3 +360,92 @@
     again = fleet.send("a", "b", FAILURE)
     fleet.wait_until(lambda: again.values)
     assert fleet.responders["b"].messages == [FAILURE]
+
+
+class Restarts:
+    """Router `c`, which starts again at its port, among routers that know its name."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        fleet.add("a", process="a1")
+        self.port = fleet.add("c", process="c1").port
+        fleet.peers["c"].close_all()
+        self.start("c1")
+
+    def start(self, process: str) -> str:
+        """Start the next process of `c`; return its address."""
+        self.fleet.add("c", port=self.port, process=process)
+        return process_address("127.0.0.1", self.port, process)
+
+    def stop(self) -> None:
+        """End the process of `c`."""
+        self.fleet.peers.pop("c").close_all()
+
+    def told(self, node: str) -> list[PeerMet]:
+        """Return which processes a router was told of."""
+        messages = self.fleet.responders[node].messages
+        return [each for each in messages if isinstance(each, PeerMet)]
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass, a quarter of a second at a time."""
+        for _ in range(int(seconds * 4)):
+            self.fleet.advance(0.25)
+            for _ in range(20):
+                self.fleet.step()
+
+
+@pytest.fixture
+def restarts(clock: ManualClock) -> Iterator[Restarts]:
+    """Return router `c`, connected to by `a`."""
+    started = Fleet(clock)
+    with started.stack:
+        yield Restarts(started)
+
+
+def test_both_sides_of_a_connection_learn_which_process_the_other_one_is(
+    restarts: Restarts,
+) -> None:
+    reply = restarts.fleet.send("a", "c", FAILURE)
+    restarts.fleet.wait_until(lambda: reply.values)
+    assert restarts.told("a") == [
+        PeerMet("c", process_address("127.0.0.1", restarts.port, "c1"))
+    ]
+    assert restarts.told("c") == [PeerMet("a", process_address("127.0.0.1", 0, "a1"))]
+
+
+def test_router_that_is_lost_is_searched_for_until_it_is_back(
+    restarts: Restarts,
+) -> None:
+    """Guards: a router that is back under its name is not noticed until it is used."""
+    reply = restarts.fleet.send("a", "c", FAILURE)
+    restarts.fleet.wait_until(lambda: reply.values)
+    restarts.stop()
+    restarts.pass_time(SEARCH_S / 2)
+    url = restarts.start("c2")
+    restarts.pass_time(2.0)
+    assert restarts.told("a")[1:] == [PeerMet("c", url)]
+    # Nobody looks for a router that stays away.
+    restarts.stop()
+    restarts.pass_time(SEARCH_S + 1.0)
+    restarts.start("c3")
+    restarts.pass_time(2.0)
+    assert len(restarts.told("a")) == 2
+
+
+def test_connection_to_the_new_process_is_kept_when_it_becomes_known(
+    restarts: Restarts,
+) -> None:
+    restarts.stop()
+    url = restarts.start("c2")
+    fleet = restarts.fleet
+    first = fleet.send("a", "c", FAILURE)
+    fleet.wait_until(lambda: first.values)
+    link = fleet.peers["a"].outgoing.links["c"]
+    fleet.peers["a"].tell(PeersChanged({"c": url}))
+    again = fleet.send("a", "c", FAILURE)
+    fleet.wait_until(lambda: again.values)
+    assert fleet.peers["a"].outgoing.links["c"] is link
+    fleet.peers["a"].tell(
+        PeersChanged({"c": process_address("127.0.0.1", restarts.port, "c3")})
+    )
+    fleet.wait_until(lambda: not fleet.peers["a"].outgoing.links)
