Tell streams again to holders that are back under their names

Cause, from the code and the routers' replies: notes were told to processes that were about to end; a stopping router handed them over only when the names of the others changed; and `RouterAges` took new processes for old ones, so that nothing was told while the others were too young to conclude a version. It also counted routers that nobody asks: of six routers, an old one kept the others from being told although a caller's router asks three.

Change: `decisions/stream_holders.py` keeps the processes of the other routers. After each change, whoever holds the note of a running stream tells those of its two holders that lack it, unless one of them is old enough to conclude the version.

--- a/src/hawthornstage/actors/servers/stream_versions.py
+++ b/src/hawthornstage/actors/servers/stream_versions.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from typing import Any
 
 from hawthornstage.actors.peers.messages import Send
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.stream_holders import (
+    OtherRouters,
+    holders_to_ask,
+    holders_to_tell,
+)
 from hawthornstage.decisions.stream_versions import (
-    RouterAges,
+    StreamKey,
     StreamNotes,
     VersionHistory,
-    holders_to_ask,
-    holders_to_tell,
 )
+from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.budget_messages import Acknowledged
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.server_selection import RegisteredServers
@@ -44,33 +50,41 @@
         self.events = events
         self.history = VersionHistory()
         self.notes = StreamNotes()
-        self.others: tuple[str, ...] = ()
-        self.ages = RouterAges()
+        self.others = OtherRouters()
         self.stopping = False
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
             case StreamVersionNoted() as note:
-                self.notes.add(note.service, note.call_id, note.version, now, own=True)
-                if not self.can_be_concluded(note.service, now):
-                    self.tell_holders(note)
+                key, holders = self.note(note, now, own=True)
+                if not self.can_be_concluded(note.service, holders, now):
+                    self.tell_holders(key, holders)
             case Ask(message=StreamVersionNoted() as note, reply_to=reply_to):
-                self.notes.add(note.service, note.call_id, note.version, now, own=False)
+                self.note(note, now, own=False)
                 reply_to.put(Acknowledged())
             case Ask(message=RequestStreamVersion() as request, reply_to=reply_to):
                 reply_to.put(self.known(request, now))
             case Ask(message=FindStreamVersion(request), reply_to=reply_to):
-                holders = holders_to_ask(request.call_id, self.others)
+                holders = holders_to_ask(request.call_id, self.others.processes)
                 reply_to.put(StreamVersionSources(self.known(request, now), holders))
             case RegisteredServers():
                 self.update_servers(message, now)
             case KnownRouters(urls):
-                self.update_others(tuple(urls), now)
+                self.update_others(urls, now)
             case HandOverStreams():
                 self.stopping = True
                 self.hand_over(now)
 
+    def note(
+        self, noted: StreamVersionNoted, now: float, *, own: bool
+    ) -> tuple[StreamKey, tuple[str, ...]]:
+        """Record the version of a stream; return it and the others that hold it."""
+        key = (noted.service, bounded_id(noted.call_id))
+        holders = holders_to_tell(noted.call_id, self.others.processes)
+        self.notes.add(*key, noted.version, now, own=own, holders=holders)
+        return key, holders
+
     def update_servers(self, registered: RegisteredServers, now: float) -> None:
         """Record the servers' versions; tell of running streams once they differ."""
         services = {server.service for server in registered.servers.values()}
@@ -86,41 +100,71 @@
                 versions=",".join(self.history.recent(service, now)),
                 streams=len(streams),
             )
-            for note in streams:
-                self.tell_holders(note)
+            for key in streams:
+                self.tell_holders(key, self.notes.notes[key].holders)
 
-    def can_be_concluded(self, service: str, now: float) -> bool:
-        """Whether other routers can conclude the version of a stream that begins."""
-        if self.stopping or self.ages.are_all_young(now):
+    def can_be_concluded(
+        self, service: str, holders: tuple[str, ...], now: float
+    ) -> bool:
+        """Whether a stream's holders can conclude its version without being told."""
+        if self.stopping or not self.others.can_conclude(holders, now):
             return False
         return self.history.is_uniform(service, now)
 
-    def update_others(self, others: tuple[str, ...], now: float) -> None:
-        """Replace the other routers; tell of running streams if none is old enough."""
-        were_young = self.ages.are_all_young(now)
-        self.others = others
-        self.ages.update(others, now)
-        if self.stopping:
-            self.hand_over(now)
-        elif not were_young and self.ages.are_all_young(now):
-            for note in self.notes.running_streams(now, own_only=True):
-                self.tell_holders(note)
+    def update_others(self, urls: Mapping[str, str], now: float) -> None:
+        """Replace the other routers; tell those of running streams that lack them."""
+        streams = self.notes.running_streams(now)
+        concluded = {
+            key: self.can_be_concluded(key[0], self.notes.notes[key].holders, now)
+            for key in streams
+        }
+        self.others = self.others.updated(urls, now)
+        told = 0
+        for key in streams:
+            told += self.update_holders(key, now, were_told=not concluded[key])
+        if told:
+            self.events.emit("streams_told_again", streams=told)
+
+    def update_holders(self, key: StreamKey, now: float, *, were_told: bool) -> bool:
+        """Update the holders of a stream, and tell those that lack its version.
+
+        Args:
+            key: The stream.
+            now: Monotonic time in seconds.
+            were_told: Whether the holders until now were told.
+
+        Returns:
+            Whether any had to be told.
+        """
+        service, call_id = key
+        note = self.notes.notes[key]
+        holders = self.others.holders_after(call_id, note.holders)
+        self.notes.notes[key] = replace(note, holders=holders)
+        if self.can_be_concluded(service, holders, now):
+            return False
+        if were_told:
+            holders = self.others.lacking(holders, note.holders)
+        self.tell_holders(key, holders)
+        return bool(holders)
 
     def hand_over(self, now: float) -> None:
         """Tell other routers of all running streams that this one knows."""
         streams = self.notes.running_streams(now)
         self.events.emit("streams_handed_over", streams=len(streams))
-        for note in streams:
-            self.tell_holders(note)
+        for key in streams:
+            self.tell_holders(key, self.notes.notes[key].holders)
 
-    def tell_holders(self, note: StreamVersionNoted) -> None:
+    def tell_holders(self, key: StreamKey, holders: Iterable[str]) -> None:
         """Tell other routers the version of a stream, without waiting for them.
 
         A stream whose holders do not get this is not continued, rather than continued
         at a wrong version.
         """
-        for node in holders_to_tell(note.call_id, self.others):
-            self.peers.tell(Send(node, note))
+        service, call_id = key
+        for node in holders:
+            for version in sorted(self.notes.notes[key].versions):
+                note = StreamVersionNoted(call_id, service, version)
+                self.peers.tell(Send(node, note))
 
     def known(self, request: RequestStreamVersion, now: float) -> StreamVersionReply:
         """Return what this router knows of a stream's version."""
--- a/src/hawthornstage/decisions/stream_versions.py
+++ b/src/hawthornstage/decisions/stream_versions.py
@@ -2,8 +2,9 @@
 
 Servers of several versions may serve side by side, and only the version that began a
 stream can continue it. The router that passes on a stream's first event tells a few
-others, chosen by rendezvous hashing, as long as a service has or recently had servers
-of several versions. A router that continues a stream asks them. It may also conclude
+others (`stream_holders`), as long as a service has or recently had servers of several
+versions, or these others started not long ago. A router that continues a stream asks
+them. It may also conclude
 the version if there has been only one; otherwise it does not guess.
 
 Times are seconds of the monotonic clock.
@@ -15,24 +16,15 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from hawthornstage.decisions.membership import rendezvous_order
+from hawthornstage.decisions.stream_holders import STREAM_LIFETIME_S
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.bounded_text import bounded_id
-from hawthornstage.messages.stream_versions import (
-    StreamVersionNoted,
-    StreamVersionReply,
-)
+from hawthornstage.messages.stream_versions import StreamVersionReply
 
-# Longest time from a stream's first event until a caller continues it, in seconds.
-STREAM_LIFETIME_S = 20.0
 # Time for which the version of a stream is remembered, in seconds.
 NOTE_LIFETIME_S = 60.0
 # Most streams whose versions are remembered.
 MAX_NOTES = 20_000
-# Routers that are told the version of a stream, and that are asked for it: one more, as
-# the router that told them may have been among the first itself.
-HOLDERS_PER_STREAM = 2
-HOLDERS_ASKED = 3
 
 
 @dataclass
@@ -82,6 +74,10 @@
         return self.is_complete(now) and len(self.recent(service, now)) == 1
 
 
+# A stream: its service, and the bounded id of the call that brought its first event.
+StreamKey = tuple[str, str]
+
+
 @dataclass(frozen=True)
 class StreamNote:
     """What is known of one stream.
@@ -90,11 +86,13 @@
         versions: The versions that it was said to have begun at.
         own: Whether this router passed on its first event.
         noted_at: Time of the latest note.
+        holders: Other routers that are to know it.
     """
 
     versions: frozenset[str]
     own: bool
     noted_at: float
+    holders: tuple[str, ...] = ()
 
 
 @dataclass
@@ -105,16 +103,32 @@
         notes: The notes, oldest first. Long ids stand by their hash.
     """
 
-    notes: dict[tuple[str, str], StreamNote] = field(default_factory=dict)
+    notes: dict[StreamKey, StreamNote] = field(default_factory=dict)
 
     def add(
-        self, service: str, call_id: str, version: str, now: float, *, own: bool
+        self,
+        service: str,
+        call_id: str,
+        version: str,
+        now: float,
+        *,
+        own: bool,
+        holders: tuple[str, ...] = (),
     ) -> None:
-        """Record the version of a stream, beside one that contradicts it."""
+        """Record the version of a stream, beside one that contradicts it.
+
+        Args:
+            service: The service.
+            call_id: Id of the call that brought the first event.
+            version: The version.
+            now: Monotonic time.
+            own: Whether this router passed on the first event.
+            holders: Other routers that are to know it.
+        """
         key = (service, bounded_id(call_id))
         known = self.notes.pop(key, StreamNote(frozenset(), False, now))
         versions = known.versions | {version}
-        self.notes[key] = StreamNote(versions, own or known.own, now)
+        self.notes[key] = StreamNote(versions, own or known.own, now, holders)
         self.drop_expired(now)
 
     def drop_expired(self, now: float) -> None:
@@ -130,29 +144,18 @@
         note = self.notes.get((service, bounded_id(call_id)))
         return tuple(sorted(note.versions)) if note else ()
 
-    def own_streams(self, service: str) -> list[StreamVersionNoted]:
+    def own_streams(self, service: str) -> list[StreamKey]:
         """Return the streams of a service that began at this router."""
         return [
-            StreamVersionNoted(call_id, service, version)
-            for (name, call_id), note in self.notes.items()
-            if name == service and note.own
-            for version in note.versions
+            key for key, note in self.notes.items() if key[0] == service and note.own
         ]
 
-    def running_streams(
-        self, now: float, *, own_only: bool = False
-    ) -> list[StreamVersionNoted]:
-        """Return the streams that callers may still continue.
-
-        Args:
-            now: Monotonic time.
-            own_only: Whether only those that began at this router count.
-        """
+    def running_streams(self, now: float) -> list[StreamKey]:
+        """Return the streams that callers may still continue."""
         return [
-            StreamVersionNoted(call_id, service, version)
-            for (service, call_id), note in self.notes.items()
-            if now - note.noted_at < STREAM_LIFETIME_S and (note.own or not own_only)
-            for version in note.versions
+            key
+            for key, note in self.notes.items()
+            if now - note.noted_at < STREAM_LIFETIME_S
         ]
 
 
@@ -168,28 +171,6 @@
     """No router that replied knows the version of the stream."""
 
 
-@dataclass
-class RouterAges:
-    """How long the other routers have been known.
-
-    A router concludes no version in the time of a stream after its start. So while all
-    others are young, a stream goes on only if they were told its version.
-
-    Args:
-        joined_at: Time at which each of them was first known.
-    """
-
-    joined_at: dict[str, float] = field(default_factory=dict)
-
-    def update(self, others: Iterable[str], now: float) -> None:
-        """Replace the other routers."""
-        self.joined_at = {name: self.joined_at.get(name, now) for name in others}
-
-    def are_all_young(self, now: float) -> bool:
-        """Whether none of the others can conclude the version of a stream."""
-        return all(now - at < STREAM_LIFETIME_S for at in self.joined_at.values())
-
-
 def resolve_version(
     own: StreamVersionReply, replies: Iterable[StreamVersionReply], *, alone: bool
 ) -> VersionFound | VersionUnknown:
@@ -229,16 +210,6 @@
     return VersionFound(version)
 
 
-def holders_to_tell(call_id: str, others: Iterable[str]) -> tuple[str, ...]:
-    """Return the other routers that are told the version of a stream."""
-    return tuple(rendezvous_order(bounded_id(call_id), others)[:HOLDERS_PER_STREAM])
-
-
-def holders_to_ask(call_id: str, others: Iterable[str]) -> tuple[str, ...]:
-    """Return the other routers that are asked for the version of a stream."""
-    return tuple(rendezvous_order(bounded_id(call_id), others)[:HOLDERS_ASKED])
-
-
 def recent_versions(versions: Mapping[str, float], now: float) -> dict[str, float]:
     """Return the versions that were registered within the life of a stream."""
     return {
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -11,17 +11,20 @@
 from hawthornstage.actors.servers.stream_versions import StreamVersionsTask
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.server_selection import ServerSelector
-from hawthornstage.decisions.stream_versions import (
+from hawthornstage.decisions.stream_holders import (
     HOLDERS_PER_STREAM,
-    NOTE_LIFETIME_S,
     STREAM_LIFETIME_S,
+    holders_to_ask,
+    holders_to_tell,
+)
+from hawthornstage.decisions.stream_versions import (
+    NOTE_LIFETIME_S,
     StreamNotes,
     VersionFound,
     VersionHistory,
     VersionUnknown,
-    holders_to_ask,
-    holders_to_tell,
     resolve_version,
 )
 from hawthornstage.errors import ErrorKind, Failure
@@ -414,3 +417,121 @@
     start = b'{"service": "s", "address": "10.0.0.1:80", "state": "ready"'
     entry = decode_entry("servers/i-1", start + b', "version": ' + value + b"}")
     assert isinstance(entry, str)
+
+
+def address(node: str, process: str) -> str:
+    """Return the address of one process of a router."""
+    return process_address(node, 81, process)
+
+
+# Three other routers, the first of which has started again.
+SETTLED = {node: address(node, "first") for node in "bcd"}
+RESTARTED = {**SETTLED, "b": address("b", "second")}
+
+
+def restarted(*names: str) -> dict[str, str]:
+    """Return the other routers after some of them have started again."""
+    return {**SETTLED, **{name: address(name, "second") for name in names}}
+
+
+def calls_held_by(name: str, count: int = 3) -> list[str]:
+    """Return ids of calls among whose holders is a router."""
+    ids = [f"call-{number}" for number in range(100)]
+    return [each for each in ids if name in holders_to_tell(each, SETTLED)][:count]
+
+
+def told_nodes(peers: Inbox, call_id: str) -> list[str]:
+    """Return the routers that were told of a stream, and forget what was sent."""
+    sent, peers.messages = peers.messages, []
+    return sorted(each.node for each in sent if each.message.call_id == call_id)
+
+
+def make_settled_task(clock: ManualClock, events: EventLog) -> tuple[Any, Inbox]:
+    """Return a task whose history is complete, among routers that are old."""
+    peers = Inbox()
+    task: Any = StreamVersionsTask(peers, clock=clock, events=events)
+    task.handle(KnownRouters(SETTLED))
+    task.handle(registered(server("a", "v1")))
+    clock.advance(STREAM_LIFETIME_S)
+    return task, peers
+
+
+def test_streams_are_told_once_their_holders_have_started_again(
+    clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: streams are lost with a router whose holders are back under their names.
+
+    They are too young to conclude a version, and were told nothing while they were old.
+    """
+    task, peers = make_settled_task(clock, events)
+    (call_id,) = calls_held_by("b", 1)
+    first, second = holders_to_tell(call_id, SETTLED)
+    task.handle(StreamVersionNoted(call_id, "models", "v1"))
+    assert told_nodes(peers, call_id) == []
+    task.handle(KnownRouters(restarted(first)))
+    # The other one is old enough to conclude the version.
+    assert told_nodes(peers, call_id) == []
+    task.handle(KnownRouters(restarted(first, second)))
+    assert told_nodes(peers, call_id) == sorted((first, second))
+    # Streams that begin now are told at once.
+    task.handle(StreamVersionNoted(call_id, "models", "v1"))
+    assert told_nodes(peers, call_id) == sorted((first, second))
+
+
+def test_holder_that_starts_again_is_told_again_of_what_it_has_lost(
+    clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: a note is lost with its holder, though who knows it lives on."""
+    task, peers = make_settled_task(clock, events)
+    task.handle(registered(server("a", "v1"), server("b", "v2")))
+    own, told = calls_held_by("b", 2)
+    task.handle(StreamVersionNoted(own, "models", "v1"))
+    task.handle(Ask(StreamVersionNoted(told, "models", "v2"), Reply()))
+    peers.messages.clear()
+    task.handle(KnownRouters(RESTARTED))
+    assert {(each.node, each.message.call_id) for each in peers.messages} == {
+        ("b", own),
+        ("b", told),
+    }
+    assert {each.message.version for each in peers.messages} == {"v1", "v2"}
+
+
+def test_router_that_takes_the_place_of_a_holder_is_told(
+    clock: ManualClock, events: EventLog
+) -> None:
+    task, peers = make_settled_task(clock, events)
+    task.handle(registered(server("a", "v1"), server("b", "v2")))
+    (call_id,) = calls_held_by("b", 1)
+    task.handle(StreamVersionNoted(call_id, "models", "v1"))
+    told = told_nodes(peers, call_id)
+    task.handle(KnownRouters({n: url for n, url in SETTLED.items() if n != "b"}))
+    assert told_nodes(peers, call_id) == sorted({"c", "d"} - set(told))
+
+
+def test_stopping_router_tells_each_holder_that_starts_again(
+    clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: streams were handed over to processes that were about to end."""
+    task, peers = make_settled_task(clock, events)
+    (call_id,) = calls_held_by("b", 1)
+    task.handle(StreamVersionNoted(call_id, "models", "v1"))
+    task.handle(HandOverStreams())
+    holders = list(holders_to_tell(call_id, SETTLED))
+    assert told_nodes(peers, call_id) == sorted(holders)
+    known: list[str] = []
+    for name in holders:
+        known.append(name)
+        task.handle(KnownRouters(restarted(*known)))
+        assert told_nodes(peers, call_id) == [name]
+
+
+def test_old_router_that_is_not_asked_does_not_count(
+    clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: of six routers the only old one is none of the three that are asked."""
+    task, peers = make_settled_task(clock, events)
+    (call_id,) = calls_held_by("b", 1)
+    holders = holders_to_tell(call_id, SETTLED)
+    task.handle(KnownRouters(restarted(*holders)))
+    task.handle(StreamVersionNoted(call_id, "models", "v1"))
+    assert told_nodes(peers, call_id) == sorted(holders)
