Record the versions of services, so that routers that start together know them

What callers saw: 503 stream_not_resumable for all streams taken up after the routers were killed 0.3 s or 1 s apart, and for a third of them among six routers.

Cause: a router concludes no version in the first 20 s after its start, as it has not seen what was registered before. When all others are as young, the only ones who knew are gone.

Change: three routers record each version of a service once it is registered; a router that starts reads the records once, after its first list of servers. One version in both is the only one that a running stream may have begun at. Safe in doubt: an unread or missing record concludes nothing.

--- a/src/hawthornstage/actors/servers/stream_versions.py
+++ b/src/hawthornstage/actors/servers/stream_versions.py
@@ -26,6 +26,7 @@
 from hawthornstage.messages.stream_versions import (
     FindStreamVersion,
     HandOverStreams,
+    RecordedVersions,
     RequestStreamVersion,
     StreamVersionNoted,
     StreamVersionReply,
@@ -70,6 +71,8 @@
                 reply_to.put(StreamVersionSources(self.known(request, now), holders))
             case RegisteredServers():
                 self.update_servers(message, now)
+            case RecordedVersions(versions):
+                self.history.recorded = versions
             case KnownRouters(urls):
                 self.update_others(urls, now)
             case HandOverStreams():
@@ -171,5 +174,5 @@
         return StreamVersionReply(
             noted=self.notes.find(request.service, request.call_id),
             recent=self.history.recent(request.service, now),
-            complete=self.history.is_complete(now),
+            complete=self.history.is_complete(request.service, now),
         )
--- a/src/hawthornstage/border/stored_values.py
+++ b/src/hawthornstage/border/stored_values.py
@@ -10,11 +10,13 @@
 from hawthornstage.decisions.epoch_counts import EpochCounts
 from hawthornstage.messages.crashing_parts import CrashLog
 from hawthornstage.messages.draws import RouterRecord
+from hawthornstage.messages.stream_versions import ServiceVersion
 
 COUNT_ADAPTER = TypeAdapter(int)
 RECORD_ADAPTER = TypeAdapter(RouterRecord)
 CRASH_LOG_ADAPTER = TypeAdapter(CrashLog)
 EPOCH_COUNTS_ADAPTER = TypeAdapter(EpochCounts)
+SERVICE_VERSION_ADAPTER = TypeAdapter(ServiceVersion)
 
 
 class StoredValueError(Exception):
@@ -78,6 +80,20 @@
     return _decode(EPOCH_COUNTS_ADAPTER, data)
 
 
+def encode_service_version(version: ServiceVersion) -> bytes:
+    """Encode a version of a service's software."""
+    return cbor2.dumps(SERVICE_VERSION_ADAPTER.dump_python(version, mode="python"))
+
+
+def decode_service_version(data: bytes) -> ServiceVersion:
+    """Decode a version of a service's software.
+
+    Raises:
+        StoredValueError: The bytes are not a valid version.
+    """
+    return _decode(SERVICE_VERSION_ADAPTER, data)
+
+
 def _decode(adapter: TypeAdapter[Any], data: bytes) -> Any:
     try:
         return adapter.validate_python(cbor2.loads(data))
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -40,6 +40,10 @@
 from hawthornstage.actors.servers.selection import ServerSelectionTask
 from hawthornstage.actors.servers.stream_versions import StreamVersionsTask
 from hawthornstage.actors.servers.tunnels import TunnelsTask
+from hawthornstage.actors.servers.version_records import (
+    CheckVersionRecords,
+    VersionRecordsTask,
+)
 from hawthornstage.actors.settings_watch import SettingsWatch
 from hawthornstage.actors.shared_secret import (
     SHARED_SECRET_STORE_KEY,
@@ -133,6 +137,7 @@
 EPOCH_CHECK_INTERVAL_S = 0.5
 LINK_PROBE_INTERVAL_S = 0.5
 EVACUATIONS_CHECK_INTERVAL_S = 2.0
+VERSION_RECORDS_CHECK_INTERVAL_S = 2.0
 STORE_CALLS_LOG_INTERVAL_S = 10.0
 SLOW_START_CHECK_INTERVAL_S = 0.25
 HEALTH_CHECK_INTERVAL_S = 2.5
@@ -280,13 +285,20 @@
         )
         self.reading_turns = ReadingTurnsTask.start(self.timers, **self.shared)
         self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
+        self.version_records = VersionRecordsTask.start(
+            node, self.store("versions"), self.stream_versions, **self.shared
+        )
         self.shared_watches = SharedWatches.start(
             node, self.watch_readers, **self.shared
         )
         self.start_members(secret)
         self.start_health_checks()
         self.store_epoch.subscribe(
-            self.members, self.ledger, self.crash_log_writer, self.crashing_parts
+            self.members,
+            self.ledger,
+            self.crash_log_writer,
+            self.crashing_parts,
+            self.version_records,
         )
         self.register_messages()
         self.schedule_periodic_work()
@@ -399,6 +411,7 @@
                 self.server_links,
                 self.evacuations,
                 self.shared_watches,
+                self.version_records,
             ),
             secret=Put(SHARED_SECRET_STORE_KEY, secret.encode()),
             **self.shared,
@@ -459,6 +472,11 @@
         )
         every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
         every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
+        every(
+            VERSION_RECORDS_CHECK_INTERVAL_S,
+            self.version_records,
+            CheckVersionRecords(),
+        )
         every(EVACUATIONS_CHECK_INTERVAL_S, self.evacuations, CheckEvacuations())
         every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
         every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
@@ -485,6 +503,7 @@
             (
                 self.server_selection,
                 self.stream_versions,
+                self.version_records,
                 self.server_links,
                 self.lost_servers,
             ),
--- a/src/hawthornstage/decisions/stream_versions.py
+++ b/src/hawthornstage/decisions/stream_versions.py
@@ -35,10 +35,12 @@
         known_since: Time of the first list of servers, or None before it.
         last_seen: Last time that a version was registered, by service and version;
             infinite while it is.
+        recorded: Versions that other routers had seen before, by service.
     """
 
     known_since: float | None = None
     last_seen: dict[str, dict[str, float]] = field(default_factory=dict)
+    recorded: Mapping[str, frozenset[str]] = field(default_factory=dict)
 
     def update(self, servers: Iterable[BackendServer], now: float) -> None:
         """Replace the registered servers."""
@@ -62,16 +64,24 @@
 
     def recent(self, service: str, now: float) -> tuple[str, ...]:
         """Return the versions that a service's servers have or recently had."""
-        return tuple(sorted(recent_versions(self.last_seen.get(service, {}), now)))
+        seen = recent_versions(self.last_seen.get(service, {}), now).keys()
+        if not self.is_old(now):
+            seen |= self.recorded.get(service, frozenset())
+        return tuple(sorted(seen))
 
-    def is_complete(self, now: float) -> bool:
-        """Whether all versions are known that a stream may have begun at."""
+    def is_old(self, now: float) -> bool:
+        """Whether this router has known the servers for the time of a stream."""
         since = self.known_since
         return since is not None and now - since >= STREAM_LIFETIME_S
 
+    def is_complete(self, service: str, now: float) -> bool:
+        """Whether all versions are known that a stream may have begun at."""
+        is_known = self.known_since is not None
+        return self.is_old(now) or (is_known and service in self.recorded)
+
     def is_uniform(self, service: str, now: float) -> bool:
         """Whether a service is known to have recently had only one version."""
-        return self.is_complete(now) and len(self.recent(service, now)) == 1
+        return self.is_complete(service, now) and len(self.recent(service, now)) == 1
 
 
 # A stream: its service, and the bounded id of the call that brought its first event.
--- a/src/hawthornstage/messages/stream_versions.py
+++ b/src/hawthornstage/messages/stream_versions.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 
@@ -52,6 +53,25 @@
     complete: bool
 
 
+@dataclass(frozen=True, order=True)
+class ServiceVersion:
+    """A version of the software that servers of a service have or had."""
+
+    service: str
+    version: str
+
+
+@dataclass(frozen=True)
+class RecordedVersions:
+    """The versions that routers had recorded in the store when this one started.
+
+    Args:
+        versions: All recently registered versions, by service.
+    """
+
+    versions: Mapping[str, frozenset[str]]
+
+
 @dataclass(frozen=True)
 class HandOverStreams:
     """Tells this router's own task that the router stops: others are to know its notes.
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -180,7 +180,7 @@
     history.update([server("b", "v2")], 100.0)
     assert history.recent("models", 100.0 + STREAM_LIFETIME_S - 0.1) == BOTH
     assert history.is_uniform("models", 100.0 + STREAM_LIFETIME_S)
-    assert not VersionHistory().is_complete(1_000.0)
+    assert not VersionHistory().is_complete("models", 1_000.0)
 
 
 def test_notes_are_bounded_and_forgotten() -> None:
