Tell a neighbour that is back under its name what servers have said

What callers would see: a router that was restarted sends more than a server's limit, or fills a fragile one, until the server has told it itself; a server that said it leaves gets calls from it.

Cause: limits and fragile servers were announced when they changed only, and leaving servers to neighbours with new names only. A router that starts again had been told before.

Change: neighbours are compared by their processes, and a new one is told all that holds.

Result: the new test failed before (nothing sent) and passes; no test changed.

--- a/src/hawthornstage/actors/servers/issuing.py
+++ b/src/hawthornstage/actors/servers/issuing.py
@@ -135,7 +135,7 @@
         if issuer is None:
             return PermitDenied(NO_ISSUER_RETRY_S)
         request = RequestCallLease(
-            FragileAnnounced(wanted.incarnation, known.value, now - known.observed_at),
+            self.fragile_news(wanted.incarnation, now),
             wanted.slots,
             wanted.lease_id,
             wanted.time_left_s,
@@ -183,6 +183,11 @@
         age_s = now - known.observed_at
         return LimitAnnounced(incarnation, known.value, age_s, slow_start_news)
 
+    def fragile_news(self, incarnation: str, now: float) -> FragileAnnounced:
+        """Return what this router tells others of a fragile server, as it is known."""
+        known = self.fragile.known[incarnation]
+        return FragileAnnounced(incarnation, known.value, now - known.observed_at)
+
 
 def issuer_key(incarnation: str, cold_rate: float | None) -> str:
     """Return the name by which the issuers of a server are chosen.
--- a/src/hawthornstage/actors/servers/notices.py
+++ b/src/hawthornstage/actors/servers/notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import pykka
@@ -12,7 +12,8 @@
 from hawthornstage.actors.servers.slow_starts import SlowStarts
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.decisions.peer_links import neighbour_processes
+from hawthornstage.decisions.router_processes import changed_processes
 from hawthornstage.decisions.server_limits import (
     MAX_VALUES,
     KnownValue,
@@ -93,7 +94,8 @@
         self.issuing = Issuing(
             node, self.limits, self.fragile, self.slow_starts, clock, events
         )
-        self.neighbours: tuple[str, ...] = ()
+        # Addresses of the neighbours' processes, by name.
+        self.neighbours: dict[str, str] = {}
         self.announced_at: dict[str, float] = {}
 
     def handle(self, message: Any) -> None:
@@ -154,7 +156,7 @@
                 self.issuing.issuers.avoid(node, now)
             case KnownRouters(urls):
                 self.issuing.issuers.update_routers(urls, now)
-                self.update_neighbours(neighbours(self.node, urls), now)
+                self.update_neighbours(urls, now)
 
     def hear(self, limit: LimitAnnounced, now: float) -> None:
         """Record a limit that another router told of."""
@@ -217,8 +219,7 @@
         if tolerated.value is None:
             self.issuing.leases.pop(incarnation, None)
         for node in self.neighbours:
-            announced = FragileAnnounced(incarnation, tolerated.value, age_s)
-            self.peers.tell(Send(node, announced))
+            self.peers.tell(Send(node, self.issuing.fragile_news(incarnation, now)))
 
     def note_leaving(self, incarnation: str, now: float) -> None:
         """Record that a server leaves; publish and announce it if that is news."""
@@ -232,15 +233,32 @@
         for node in self.neighbours:
             self.peers.tell(Send(node, LeavingAnnounced(incarnation)))
 
-    def update_neighbours(self, names: tuple[str, ...], now: float) -> None:
-        """Replace the neighbours; new ones are told which servers leave."""
-        added = [name for name in names if name not in self.neighbours]
-        self.neighbours = names
-        for incarnation, since in self.leaving.items():
-            if now - since >= LEAVING_NEWS_S:
-                continue
-            for node in added:
-                self.peers.tell(Send(node, LeavingAnnounced(incarnation)))
+    def update_neighbours(self, urls: Mapping[str, str], now: float) -> None:
+        """Replace the neighbours; processes that are new to it are told what holds."""
+        before = self.neighbours
+        self.neighbours = neighbour_processes(self.node, urls)
+        for node in sorted(changed_processes(before, self.neighbours)):
+            for message in self.news(now):
+                self.peers.tell(Send(node, message))
+
+    def news(
+        self, now: float
+    ) -> list[LeavingAnnounced | LimitAnnounced | FragileAnnounced]:
+        """Return what servers have said and a router that starts cannot know."""
+        leaving = [
+            LeavingAnnounced(incarnation)
+            for incarnation, since in self.leaving.items()
+            if now - since < LEAVING_NEWS_S
+        ]
+        limits = [
+            self.issuing.announcement(incarnation, now)
+            for incarnation in self.limits.in_force()
+        ]
+        fragile = [
+            self.issuing.fragile_news(incarnation, now)
+            for incarnation in self.fragile.in_force()
+        ]
+        return [*leaving, *limits, *fragile]
 
     def note_closed(self, incarnation: str, closed_for_s: float, now: float) -> None:
         """Record that a server wants no calls of this router for some time."""
--- a/src/hawthornstage/decisions/peer_links.py
+++ b/src/hawthornstage/decisions/peer_links.py
@@ -53,6 +53,16 @@
     return tuple(chosen)
 
 
+def neighbour_processes(node: str, urls: Mapping[str, str]) -> dict[str, str]:
+    """Return the addresses of a router's neighbours, nearest on the ring first.
+
+    Args:
+        node: The router.
+        urls: Addresses of the other routers' processes, by name.
+    """
+    return {name: urls[name] for name in neighbours(node, urls)}
+
+
 def ring_position(node: str) -> bytes:
     """Return the hash by which a router is placed on the ring."""
     return hashlib.blake2b(node.encode(), digest_size=8).digest()
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -9,9 +9,12 @@
 
 from hawthornstage.actors.peers.messages import Send
 from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.server_acceptance import NotAccepting, why_not_accepting
+from hawthornstage.messages.call_leases import FragileAnnounced
 from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.messages.server_limits import LimitAnnounced
 from hawthornstage.messages.server_notices import (
     LeavingAnnounced,
     NoticeObserved,
@@ -205,3 +208,26 @@
     task.handle(NoticeObserved("i-1@1", ServerNotice(closed_for_s=0.5)))
     assert not task.notices.value.accepts_calls("i-1@1", clock.now + 1.9)
     assert task.notices.value.accepts_calls("i-1@1", clock.now + 2.0)
+
+
+def test_neighbour_that_is_back_under_its_name_learns_what_servers_have_said(
+    clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: limits and fragile servers are unknown to a router that starts again.
+
+    They were announced when they changed, to the process before it.
+    """
+    task, peers = make_task(clock, events, "b")
+    task.handle(NoticeObserved("i-1@1", ServerNotice(leaving=True)))
+    task.handle(NoticeObserved("i-2@1", ServerNotice(2.0)))
+    task.handle(NoticeObserved("i-3@1", ServerNotice(tolerated_refusals=4)))
+    peers.messages.clear()
+    task.handle(KnownRouters({"b": ""}))
+    assert peers.messages == []
+    clock.advance(1.0)
+    task.handle(KnownRouters({"b": process_address("b", 81, "second")}))
+    assert peers.messages == [
+        Send("b", LeavingAnnounced("i-1@1")),
+        Send("b", LimitAnnounced("i-2@1", 2.0, 1.0)),
+        Send("b", FragileAnnounced("i-3@1", 4, 1.0)),
+    ]
