Tell a neighbour that is back under its name which calls are blocked

What callers would see: a call that crashes servers, blocked everywhere, gets through at a router that has just been restarted, and crashes more of them.

Cause: a block was told when it began, to the process before.

Result: the new test failed before for each size of the fleet and passes.

--- a/src/hawthornstage/actors/servers/failures.py
+++ b/src/hawthornstage/actors/servers/failures.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from hawthornstage.actors.peers.messages import Send
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
-from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.decisions.peer_links import neighbour_processes
+from hawthornstage.decisions.router_processes import changed_processes
 from hawthornstage.decisions.server_failures import (
     BlockedCalls,
     ServerFailures,
@@ -59,7 +61,8 @@
         self.events = events
         self.failures = ServerFailures()
         self.routers: tuple[str, ...] = (node,)
-        self.neighbours: tuple[str, ...] = ()
+        # Addresses of the neighbours' processes, by name.
+        self.neighbours: dict[str, str] = {}
 
     def handle(self, message: Any) -> None:
         now = self.clock.monotonic()
@@ -74,18 +77,15 @@
             case Ask(message=ServerFailedDuringCall() as failure, reply_to=reply_to):
                 self.record_failure(failure, now)
                 reply_to.put(Acknowledged())
-            case Ask(message=CallBlocked(fingerprint), reply_to=reply_to):
-                known = self.failures.is_blocked(fingerprint, now)
-                if not (known or self.failures.is_answered(fingerprint, now)):
-                    self.failures.block(fingerprint, now)
-                    self.announce_block(fingerprint, now)
+            case Ask(message=CallBlocked() as blocked, reply_to=reply_to):
+                self.hear_block(blocked, now)
                 reply_to.put(Acknowledged())
             case CallAnswered(fingerprint):
                 if self.failures.record_answer(fingerprint, now):
                     self.blocked.publish(self.failures.blocked_calls(now))
             case KnownRouters(urls):
                 self.routers = (self.node, *urls)
-                self.neighbours = neighbours(self.node, urls)
+                self.update_neighbours(urls, now)
 
     def record_failure(self, failure: ServerFailedDuringCall, now: float) -> None:
         """Count a server failure, and tell the others if it blocks the call."""
@@ -97,8 +97,32 @@
             )
             self.announce_block(failure.fingerprint, now)
 
+    def hear_block(self, blocked: CallBlocked, now: float) -> None:
+        """Block a call that another router told of, unless it is known here."""
+        fingerprint = blocked.fingerprint
+        if self.failures.is_blocked(fingerprint, now):
+            return
+        self.failures.block(fingerprint, now, max(0.0, blocked.age_s or 0.0))
+        if self.failures.is_blocked(fingerprint, now):
+            self.announce_block(fingerprint, now)
+
     def announce_block(self, fingerprint: str, now: float) -> None:
         """Publish a blocked call and tell the neighbours, which tell theirs."""
         self.blocked.publish(self.failures.blocked_calls(now))
-        for node in self.neighbours:
-            self.peers.tell(Send(node, CallBlocked(fingerprint)))
+        self.tell_blocked(self.neighbours, fingerprint, now)
+
+    def update_neighbours(self, urls: Mapping[str, str], now: float) -> None:
+        """Replace the neighbours; processes that are new are told the blocked calls."""
+        before = self.neighbours
+        self.neighbours = neighbour_processes(self.node, urls)
+        started = sorted(changed_processes(before, self.neighbours))
+        if not started:
+            return
+        for fingerprint in self.failures.blocked_calls(now).blocked_until:
+            self.tell_blocked(started, fingerprint, now)
+
+    def tell_blocked(self, nodes: Iterable[str], fingerprint: str, now: float) -> None:
+        """Tell routers of a blocked call."""
+        age_s = now - self.failures.last_failure(fingerprint)
+        for node in nodes:
+            self.peers.tell(Send(node, CallBlocked(fingerprint, age_s or None)))
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -93,7 +93,7 @@
 # Order of the values in a row that encodes one gossip entry.
 GOSSIP_COLUMNS = tuple(each.name for each in fields(members.GossipEntry))
 # Fields that are left out where they are empty, as older builds do.
-OPTIONAL_FIELDS = frozenset({"region", "regions", "slow_start"})
+OPTIONAL_FIELDS = frozenset({"age_s", "region", "regions", "slow_start"})
 
 
 class FrameError(Exception):
--- a/src/hawthornstage/decisions/server_failures.py
+++ b/src/hawthornstage/decisions/server_failures.py
@@ -65,10 +65,19 @@
         while len(self.failure_times) > MAX_TRACKED_CALLS:
             self.failure_times.popitem(last=False)
 
-    def block(self, fingerprint: str, now: float) -> None:
-        """Block a call because another router has counted enough failures."""
+    def block(self, fingerprint: str, now: float, age_s: float = 0.0) -> None:
+        """Block a call because another router has counted enough failures.
+
+        Args:
+            fingerprint: Hash of the call.
+            now: Time of the news.
+            age_s: Time since the last failure, in seconds.
+        """
+        if self.is_answered(fingerprint, now):
+            return
+        failed_at = max([now - age_s, *self.failure_times.get(fingerprint, [])])
         for _ in range(MAX_SERVER_FAILURES):
-            self.record_failure(fingerprint, now)
+            self.record_failure(fingerprint, failed_at)
 
     def record_answer(self, fingerprint: str, now: float) -> bool:
         """Record that a call was answered, and drop its failures.
@@ -92,6 +101,10 @@
             }
         )
 
+    def last_failure(self, fingerprint: str) -> float:
+        """Return the time of a call's last failure, which must be known."""
+        return self.failure_times[fingerprint][-1]
+
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Whether a call must not be sent to any server."""
         failure_times = self.failure_times.get(fingerprint, [])
--- a/src/hawthornstage/messages/fleet.py
+++ b/src/hawthornstage/messages/fleet.py
@@ -68,9 +68,16 @@
 
 @dataclass(frozen=True)
 class CallBlocked:
-    """Too many servers failed during a call; no router may send it any more."""
+    """Too many servers failed during a call; no router may send it any more.
+
+    Args:
+        fingerprint: Hash of the call.
+        age_s: Time since the last of these failures, in seconds; None for none, as
+            earlier builds send it.
+    """
 
     fingerprint: str
+    age_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/test_blocked_calls.py
+++ b/tests/test_blocked_calls.py
@@ -9,11 +9,13 @@
 from hawthornstage.actors.servers.failures import CallAnswered, ServerFailuresTask
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.server_failures import (
     ANSWER_TTL_S,
     FAILURE_TTL_S,
     MAX_SERVER_FAILURES,
     BlockedCalls,
+    ServerFailures,
 )
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters, ServerFailedDuringCall
@@ -39,6 +41,16 @@
             others = {other: "" for other in self.names if other != name}
             task.handle(KnownRouters(others))
 
+    def restart(self, name: str) -> None:
+        """Start a router again under its name, which the others notice."""
+        self.tasks[name].failures = ServerFailures()
+        self.blocked[name].publish(BlockedCalls())
+        for other in self.names:
+            if other != name:
+                others = {each: "" for each in self.names if each != other}
+                url = process_address(name, 81, "second")
+                self.tasks[other].handle(KnownRouters({**others, name: url}))
+
     def fail(self, router: str, server: str) -> None:
         """Let a server fail during the call on a router."""
         self.tasks[router].handle(ServerFailedDuringCall("call", server))
@@ -116,3 +128,23 @@
     for number in range(MAX_SERVER_FAILURES):
         fleet.fail("edge-0", f"engine-{number}")
     assert fleet.allowing() == []
+
+
+@pytest.mark.parametrize("size", [2, 8, 24, 195])
+def test_call_is_blocked_at_a_router_that_is_back_under_its_name(
+    size: int, clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: a restarted router sends a call that crashes servers, which all know."""
+    fleet = Fleet(size, clock, events)
+    for number in range(MAX_SERVER_FAILURES):
+        fleet.fail("edge-0", f"engine-{number}")
+    fleet.deliver()
+    clock.advance(FAILURE_TTL_S / 2)
+    fleet.restart("edge-1")
+    fleet.deliver()
+    assert fleet.allowing() == []
+    # It is blocked there no longer than elsewhere, however often routers start again.
+    clock.advance(FAILURE_TTL_S / 2)
+    assert fleet.allowing() == fleet.names
+    fleet.restart("edge-1")
+    assert fleet.deliver() == 0
