Tell a neighbour that is back under its name of evacuations at once

What callers would see: a router that has just been restarted sends to servers of an evacuated failure domain for up to ten seconds, if the store does not tell it.

Cause: an evacuation was told when it began, to the process before, and then to one neighbour in turn each 2 s.

Change: a new process among the neighbours is told at once, if there is something to tell.

--- a/src/hawthornstage/actors/evacuations.py
+++ b/src/hawthornstage/actors/evacuations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,7 +12,8 @@
 from hawthornstage.actors.task import Ask, Recipient, Task
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.evacuations import EvacuationBook
-from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.decisions.peer_links import neighbour_processes
+from hawthornstage.decisions.router_processes import changed_processes
 from hawthornstage.decisions.watch_sharing import sharing_routers
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
@@ -78,7 +79,8 @@
         self.clock = clock
         self.events = events
         self.book = EvacuationBook()
-        self.neighbours: tuple[str, ...] = ()
+        # Addresses of the neighbours' processes, by name.
+        self.neighbours: dict[str, str] = {}
         self.turns = 0
 
     def handle(self, message: Any) -> None:
@@ -99,8 +101,20 @@
                 self.apply(self.book.end_lapsed(now), "lapsed", now)
                 self.tell_next(now)
             case KnownRouters(urls):
-                # Earlier builds close a connection that brings an unknown message.
-                self.neighbours = neighbours(self.node, sharing_routers(urls))
+                self.update_neighbours(urls, now)
+
+    def update_neighbours(self, urls: Mapping[str, str], now: float) -> None:
+        """Replace the neighbours, and tell processes that are new among them.
+
+        Earlier builds close a connection that brings an unknown message.
+        """
+        sharing = {name: urls[name] for name in sharing_routers(urls)}
+        before = self.neighbours
+        self.neighbours = neighbour_processes(self.node, sharing)
+        if not self.book.news(now):
+            return
+        for node in sorted(changed_processes(before, self.neighbours)):
+            self.tell(node, now)
 
     def decode(
         self, changes: tuple[Item | Removal, ...], epoch: int
@@ -184,7 +198,8 @@
         """Tell one neighbour in turn, if there is something to tell."""
         if self.neighbours and self.book.news(now):
             self.turns += 1
-            self.tell(self.neighbours[self.turns % len(self.neighbours)], now)
+            names = list(self.neighbours)
+            self.tell(names[self.turns % len(names)], now)
 
     def tell(self, node: str, now: float) -> None:
         """Tell a router what is known; its reply is what it knows."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -19,6 +19,7 @@
     REWRITE_S,
     EvacuationBook,
 )
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.store_news import DETECTION_S
 from hawthornstage.decisions.watch_sharing import SHARING_PATH
@@ -398,6 +399,17 @@
             task.handle(KnownRouters(others))
             task.handle(ItemsListed((), 1, 1))
 
+    def restart(self, name: str) -> None:
+        """Start a router again under its name, which the others notice."""
+        peers: Any = self.inboxes[name]
+        self.tasks[name] = make_task(name, peers, self.clock, self.tasks[name].events)
+        url = process_address("h", 1, "second")
+        for other in self.names:
+            known = {each: ADDRESS for each in self.names if each != other}
+            if other != name:
+                known[name] = url
+            self.tasks[other].handle(KnownRouters(known))
+
     def deliver(self) -> int:
         """Deliver messages until none is left; return how many were sent."""
         count = 0
@@ -451,6 +463,20 @@
     assert routers.pass_time(60) == 0
 
 
+@pytest.mark.parametrize("size", [2, 8, 24, 195])
+def test_router_that_is_back_under_its_name_learns_of_evacuations_at_once(
+    size: int, clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: a restarted router sends to an evacuated domain until its turn comes."""
+    routers = Routers(size, clock, events)
+    read = ItemsChanged((item(KEY_A, 2),), 1, 2)
+    routers.tasks["edge-0"].handle(read)
+    routers.deliver()
+    routers.restart("edge-1")
+    routers.deliver()
+    assert routers.knowing("a") == set(routers.names)
+
+
 @pytest.mark.parametrize("size", [2, 24, 195])
 def test_routers_without_the_store_learn_of_evacuations_at_once(
     size: int, clock: ManualClock, events: EventLog
