Send a heartbeat at once to a neighbour that is back under its name

What callers would see: a router that was restarted without reaching the store answers 503, as it knows no desired state, until a neighbour's turn brings it the version.

Cause: a version was told when it was adopted, to the process before, and then to one neighbour in turn each second.

Change: a new process among the neighbours gets a heartbeat at once.

Result: the new test failed before for each size of the fleet and passes.

--- a/src/hawthornstage/actors/desired_states.py
+++ b/src/hawthornstage/actors/desired_states.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -19,7 +19,8 @@
 )
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.forwarding import is_newer
-from hawthornstage.decisions.peer_links import neighbours
+from hawthornstage.decisions.peer_links import neighbour_processes
+from hawthornstage.decisions.router_processes import changed_processes
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.desired import DesiredState
@@ -123,7 +124,8 @@
         self.events = events
         self.document = b""
         self.compressed = b""
-        self.neighbours: tuple[str, ...] = ()
+        # Addresses of the neighbours' processes, by name.
+        self.neighbours: dict[str, str] = {}
         self.heartbeats = 0
         self.newer: NewerVersion | None = None
 
@@ -146,12 +148,20 @@
                 self.handle_heartbeat(message)
             case SendVersion() if self.neighbours:
                 self.heartbeats += 1
-                turn = self.heartbeats % len(self.neighbours)
-                self.send_heartbeat(self.neighbours[turn])
+                names = list(self.neighbours)
+                self.send_heartbeat(names[self.heartbeats % len(names)])
             case FetchNewerVersion():
                 self.fetch_newer()
             case KnownRouters(urls):
-                self.neighbours = neighbours(self.node, urls)
+                self.update_neighbours(urls)
+
+    def update_neighbours(self, urls: Mapping[str, str]) -> None:
+        """Replace the neighbours; processes that are new get a heartbeat at once."""
+        before = self.neighbours
+        self.neighbours = neighbour_processes(self.node, urls)
+        if self.in_use.value is not None:
+            for node in sorted(changed_processes(before, self.neighbours)):
+                self.send_heartbeat(node)
 
     def heartbeat(self) -> DesiredStateHeartbeat:
         """Return this router's heartbeat, which carries its desired state's version."""
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -20,6 +20,7 @@
 from hawthornstage.border.compression import MAX_DOCUMENT_BYTES, compress
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.peer_links import MAX_NEIGHBOURS
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import (
     CompressedStateOffered,
@@ -69,6 +70,24 @@
             task.handle(KnownRouters({n: "" for n in self.names if n != name}))
         self.fetched: list[str] = []
 
+    def restart(self, name: str) -> None:
+        """Start a router again under its name, which the others notice."""
+        peers: Any = self.inboxes[name]
+        task = self.tasks[name]
+        self.tasks[name] = DesiredStateTask(
+            name,
+            LatestValue(None),
+            peers=peers,
+            subscribers=(),
+            clock=self.clock,
+            events=task.events,
+        )
+        for other in self.names:
+            known = {each: "" for each in self.names if each != other}
+            if other != name:
+                known[name] = process_address(name, 81, "second")
+            self.tasks[other].handle(KnownRouters(known))
+
     def from_store(self, name: str, version: int) -> None:
         """Let the store deliver a version to a router."""
         self.tasks[name].handle(DesiredStateReceived(document(version), "store"))
@@ -114,6 +133,21 @@
     assert fleet.fetched == []
 
 
+@pytest.mark.parametrize("size", [2, 8, 24, 195])
+def test_router_that_is_back_under_its_name_gets_the_version_at_once(
+    size: int, clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: a restarted router without the store waits until its turn comes."""
+    fleet = Fleet(size, clock, events)
+    for name in fleet.names:
+        fleet.from_store(name, 5)
+    fleet.deliver()
+    fleet.restart("edge-1")
+    fleet.deliver()
+    fleet.pass_time(STORE_HEAD_START_S + 0.25)
+    assert fleet.versions() == {5}
+
+
 @pytest.mark.parametrize("size", [2, 24, 195])
 def test_routers_without_the_store_get_the_version_soon(
     size: int, clock: ManualClock, events: EventLog
