tests: a peer starts again under its name, for the tasks that bear it already

Cause: the subscribers of KnownRouters were gone through one by one; shared watches, links to servers, token accounts and the ledger had no test of a peer that restarts. Change: a test each.

--- a/tests/test_failed_links.py
+++ b/tests/test_failed_links.py
@@ -9,7 +9,9 @@
 import pytest
 
 from hawthornstage.actors.peers.messages import Send
-from hawthornstage.clock import Clock
+from hawthornstage.actors.servers.links import ServerLinksTask
+from hawthornstage.clock import Clock, ManualClock
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.server_links import (
     HELPER_PAUSE_S,
     HELPERS,
@@ -20,8 +22,15 @@
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.forward import Delivery, PlacementBasis
-from hawthornstage.messages.server_links import LinkFault, ServerLinks
+from hawthornstage.messages.server_links import (
+    HelperFailed,
+    HelperRegion,
+    LinkFailed,
+    LinkFault,
+    ServerLinks,
+)
 from hawthornstage.messages.server_selection import ServerChosen
 from hawthornstage.messages.tunnels import (
     TunnelRefusal,
@@ -45,6 +54,7 @@
     make_forwarder,
     server_at,
 )
+from tests.draws_world import Inbox
 from tests.test_tunnels import server
 from tools.cluster import wait_until
 from tools.fleet import (
@@ -224,3 +234,22 @@
             failed_before=failed_before,
         )
     assert len(sent) == asked
+
+
+def test_helper_that_is_back_under_its_name_is_asked_again(
+    clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: what is held against a helper would outlive its process."""
+    links = LatestValue(ServerLinks())
+    prober: Any = Inbox()
+    task: Any = ServerLinksTask("a", links, prober, clock=clock, events=events)
+    task.handle(KnownRouters({"b": process_address("b", 81, "first")}))
+    task.handle(HelperRegion("b", "north"))
+    task.handle(LinkFailed(server("i-1"), LinkFault.REFUSED))
+    task.handle(HelperFailed("b", None))
+    assert helpers_to_ask(links.value, "c", "i-1@1", 1, clock.now) == ()
+    clock.advance(HELPER_PAUSE_S)
+    task.handle(KnownRouters({"b": process_address("b", 81, "second")}))
+    assert helpers_to_ask(links.value, "c", "i-1@1", 1, clock.now) == ("b",)
+    # Its host is the same, and so is its region.
+    assert links.value.helper_regions == {"b": "north"}
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -11,6 +11,7 @@
 from hawthornstage.actors.shared_watches import PrefixLost, SharedWatches, WatchShare
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.store_news import SEND_MARGIN_S
 from hawthornstage.decisions.watch_sharing import (
     AVOIDANCE_S,
@@ -421,3 +422,20 @@
     bound_s: float,
 ) -> None:
     assert reader_wait(bound_s) + READER_PAUSE_S < reply_timeout(bound_s) < bound_s
+
+
+def test_change_is_in_force_in_time_although_readers_start_again_under_their_names(
+    world: World, events: EventLog
+) -> None:
+    """Guards: a reader that starts again has lost the changes and requests it held."""
+    world.other.step()
+    removed_at = world.remove_server()
+    urls = {name: f"ws://{name}{SHARING_PATH}" for name in world.names}
+    for name in world.readers:
+        world.add_router(name, events)
+        urls[name] = process_address(name, 81, "second")
+        other_name = next(n for n, w in world.watches.items() if w is world.other)
+        world.tasks[other_name].handle(KnownRouters(urls))
+    gone_at = world.run_until_removed(world.other)
+    assert gone_at <= removed_at + BOUNDS.drain_s - SEND_MARGIN_S
+    assert set(world.other.servers) == {"b"}
--- a/tests/test_token_holders.py
+++ b/tests/test_token_holders.py
@@ -7,6 +7,7 @@
 from hawthornstage.actors.task import Ask
 from hawthornstage.actors.token_accounts import HOLDER_TIMEOUT_S
 from hawthornstage.decisions.draws import add_drawn
+from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.token_holders import (
     HOLDERS_PER_WORKSPACE,
     MAX_HOLDERS_ASKED,
@@ -224,3 +225,28 @@
     host.pump()
     assert reply.value is not None
     assert reply.value.tokens == 700
+
+
+def test_holder_that_is_back_under_its_name_holds_tokens_and_hears_of_counts(
+    world: DrawsWorld,
+) -> None:
+    """Guards: counts were told to the process before, and its tokens are gone."""
+    host = asker(world)
+    name = host.token_accounts.holders.other_holders(WORKSPACE)[0]
+    world.restart(name, 1.0)
+    urls = {**dict.fromkeys(NAMES, ""), name: process_address(name, 81, "second")}
+    for each in world.hosts.values():
+        others = {n: url for n, url in urls.items() if n != each.node}
+        for task in (each.token_accounts, each.ledger):
+            task.handle(KnownRouters(others))
+    for each in world.hosts.values():
+        world.clock.advance(0.5)
+        each.check()
+    stored = world.store.counts()[WORKSPACE]
+    assert world.hosts[name].ledger.drawn[WORKSPACE] == stored
+    reply = Reply()
+    host.token_accounts.handle(Ask(RequestReservation(WORKSPACE, 700), reply))
+    assert questions(host)[0][0] in directory(host.node).other_holders(WORKSPACE)
+    deliver(world, host)
+    assert reply.value == TokensReserved(700)
+    assert world.at_risk <= world.budget
