--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -314,6 +314,22 @@
         port = int(listen["front"].rpartition(":")[2])
         self.processes[name] = Process(name, popen, port, self.host)
 
+    def restart_router(self, name: str, *, grace_s: float) -> None:
+        """Stop a router and start it again when it has ended.
+
+        Args:
+            name: Name of the router.
+            grace_s: Time from SIGTERM to SIGKILL, in seconds; 0 for SIGKILL at once.
+        """
+        process = self.processes[name]
+        try:
+            if grace_s:
+                process.terminate(grace_s)
+        except subprocess.TimeoutExpired:
+            pass
+        process.kill()
+        self.start_router(name)
+
     def is_ready(self, name: str) -> bool:
         """Return whether a router's readiness check succeeds."""
         listen = json.loads(self.settings_path(name).read_text())["listen"]
@@ -352,6 +368,7 @@
         key: str = API_KEY,
         resumes: tuple[str, int] | None = None,
         most_events: int | None = None,
+        budget_ms: int = 8_000,
     ) -> FleetCallResult:
         """Send a call to a router on a new connection.
 
@@ -365,11 +382,12 @@
             resumes: Id of the call that began the stream, and the number of its last
                 event that was received; None for a new stream.
             most_events: Disconnects after so many events, or None.
+            budget_ms: Time that the caller waits, in milliseconds.
         """
         headers = {
             "Host": HOST,
             "X-Request-Id": request_id,
-            "X-Time-Budget": "8000",
+            "X-Time-Budget": str(budget_ms),
             "Authorization": f"Bearer {key}",
             "Connection": "close",
         }
