Parse one chat at a time, and keep only its bytes

What clients could do: 96 valid chats of 512 KB took a standalone router to 164 MB, where its limits promise 84; the account of bodies counts their bytes only.

Cause: a chat was parsed twice at once, into models and into a document that stayed until the call's end, on as many threads as there were requests.

Change: a task parses one chat at a time and refuses one of more than 65,536 JSON elements (max_chat_elements); the engine gets the caller's bytes but for the fields that the router sets. As engines may read a repeated name otherwise, one is refused.

--- a/src/hawthornstage/border/settings.py
+++ b/src/hawthornstage/border/settings.py
@@ -111,6 +111,8 @@
             and between two requests, in seconds.
         body_memory_bytes: Memory of all large request bodies together, in bytes. A body
             never takes more than half of what is free of it.
+        max_chat_elements: Most JSON elements of a chat request: strings, and what
+            begins or separates values.
     """
 
     max_body_bytes: int = Field(default=4 * 1024 * 1024, gt=0)
@@ -118,6 +120,7 @@
     max_requests: int = Field(default=256, gt=0)
     request_timeout_s: float = Field(default=30.0, gt=0)
     body_memory_bytes: int = Field(default=64 * 1024 * 1024, gt=0)
+    max_chat_elements: int = Field(default=65_536, gt=0)
 
 
 class GrantSharing(StrEnum):
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -19,6 +19,7 @@
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.actors.callers import CallerIntake, StopSignal
+from hawthornstage.actors.chat_parser import ChatParser
 from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.documents import DocumentKind, Documents
 from hawthornstage.actors.grant_closer import GrantCloser, Sweep
@@ -405,9 +406,10 @@
             **shared,
         )
         claims = self.settings.claims
+        parser = ChatParser.start(self.settings.limits.max_chat_elements)
         return CallerApi(
             gate=self.gate,
-            accept=Accept(self.clock),
+            accept=Accept(parser, self.clock),
             filters=(
                 Authenticate(key_ring(self.settings.keys.callers)),
                 MatchRoute(self.tasks.tables, **shared),
--- a/src/hawthornstage/filters/accept.py
+++ b/src/hawthornstage/filters/accept.py
@@ -7,11 +7,15 @@
 import uuid
 from dataclasses import dataclass
 
-from hawthornstage.border.chat import InvalidCallError, parse_chat
+import pykka
+
+from hawthornstage.actors.ask import ask
+from hawthornstage.actors.chat_parser import ParseChat
 from hawthornstage.clock import Clock
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.messages.request import (
     Call,
+    ChatCall,
     Exchange,
     IncomingCall,
     Request,
@@ -23,6 +27,8 @@
 # Purpose of chat calls without an X-Purpose header.
 DEFAULT_PURPOSE = "chat"
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
+# Longest wait until a chat is parsed, behind others, in seconds.
+PARSING_TIMEOUT_S = 10.0
 SERVICE_METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
 
 
@@ -85,9 +91,11 @@
     """Parses and validates a call.
 
     Args:
+        parser: Task that parses chat requests.
         clock: Source of time.
     """
 
+    parser: pykka.ActorRef
     clock: Clock
 
     def create_exchange(self, raw: IncomingCall) -> Exchange | Failure:
@@ -123,13 +131,21 @@
                     ErrorKind.BAD_REQUEST,
                     f"method {raw.method} is not allowed at {CHAT_PATH}, expected POST",
                 )
-            try:
-                call = parse_chat(raw.body)
-            except InvalidCallError as fault:
-                return Failure(ErrorKind.BAD_REQUEST, str(fault))
+            call = self.parse_chat(raw.body)
+            if isinstance(call, Failure):
+                return call
             return raw.headers.get("x-purpose", DEFAULT_PURPOSE), call
         return self.parse_service(raw)
 
+    def parse_chat(self, body: bytes) -> ChatCall | Failure:
+        """Return a parsed chat, or why it is refused."""
+        parsed = ask(
+            self.parser, ParseChat(body), self.clock, timeout=PARSING_TIMEOUT_S
+        )
+        if parsed is None:
+            return Failure(ErrorKind.OVERLOADED, "the request was not parsed in time")
+        return parsed
+
     def parse_service(self, raw: IncomingCall) -> tuple[str, Call] | Failure:
         """Return the purpose and the call of a request to a plain service."""
         if not raw.path.startswith(SERVICES_PATH):
--- a/src/hawthornstage/filters/dispatch.py
+++ b/src/hawthornstage/filters/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import Any
@@ -16,6 +15,7 @@
     ProtocolError,
 )
 
+from hawthornstage.border.chat import encode_engine_chat
 from hawthornstage.border.sse import EventTooLargeError, read_events
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.messages.request import (
@@ -166,13 +166,13 @@
     base = exchange.server.url.rstrip("/")
     match request.call:
         case ChatCall():
-            body = engine_body(request.call, exchange.pool)
-            body["priority"] = ENGINE_PRIORITY[exchange.route.priority]
+            fields = engine_fields(request.call, exchange.pool)
+            fields["priority"] = ENGINE_PRIORITY[exchange.route.priority]
             headers["Content-Type"] = "application/json"
             return {
                 "method": "POST",
                 "url": f"{base}/v1/chat/completions",
-                "body": json.dumps(body),
+                "body": encode_engine_chat(request.call, fields),
                 "headers": headers,
             }
         case ServiceCall(method, path, body, content_type):
@@ -185,18 +185,9 @@
             }
 
 
-def engine_body(call: ChatCall, pool: Pool) -> dict[str, Any]:
-    """Return the request body for an engine, with output limit and usage reporting."""
-    body = dict(call.body)
-    body.pop("max_completion_tokens", None)
-    body["model"] = pool.model
-    body["max_tokens"] = call.max_tokens or pool.max_tokens
-    if call.stream:
-        body["stream_options"] = {
-            "include_usage": True,
-            "continuous_usage_stats": True,
-        }
-    return body
+def engine_fields(call: ChatCall, pool: Pool) -> dict[str, Any]:
+    """Return the fields of a request to an engine that its pool decides."""
+    return {"model": pool.model, "max_tokens": call.max_tokens or pool.max_tokens}
 
 
 def failure_for_status(exchange: Exchange, status: int, body: bytes) -> Failure | None:
--- a/src/hawthornstage/messages/request.py
+++ b/src/hawthornstage/messages/request.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import Any
 
 from hawthornstage.messages.budget_messages import GrantRef
 from hawthornstage.messages.tables import Pool, Route, Server
@@ -15,7 +14,8 @@
     """A call for a model's completion.
 
     Args:
-        body: The JSON document to send to the engine.
+        members: What is passed on to the engine as it is: the members of the caller's
+            JSON object, joined, without those that the router sets.
         stream: Whether the caller requested server-sent events.
         usage_requested: Whether the caller requested a last event with the token
             count.
@@ -24,7 +24,7 @@
         prefix: Hash of the prompt's beginning, used for prefix affinity.
     """
 
-    body: dict[str, Any]
+    members: bytes
     stream: bool
     usage_requested: bool
     max_prompt_tokens: int
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -34,12 +34,14 @@
         parts: The parts of the body, the end excluded.
         end: What would end the body.
         whole: Whether all clients end their requests, and read no response.
+        awaits: Whether a client waits until its response begins.
     """
 
     framing: bytes
     parts: tuple[bytes, ...]
     end: bytes = b""
     whole: bool = False
+    awaits: bool = False
 
 
 def chunk(data: bytes) -> bytes:
@@ -119,6 +121,8 @@
             self.connections.append(connection)
             for each in self.request(number):
                 connection.sendall(each)
+            if self.shape.awaits:
+                connection.recv(1)
         except OSError:
             # The router has refused the request or closed the connection.
             pass
--- a/tests/test_hostile_values.py
+++ b/tests/test_hostile_values.py
@@ -5,6 +5,7 @@
 import io
 import json
 import threading
+import time
 import urllib.request
 from typing import Any
 
@@ -14,7 +15,12 @@
 
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.task import Ask, Task
-from hawthornstage.border.chat import InvalidCallError, parse_chat
+from hawthornstage.border.chat import (
+    InvalidCallError,
+    encode_engine_chat,
+    has_more_elements,
+    parse_chat,
+)
 from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.server_selection import (
     MAX_PROMPT_PARTS,
@@ -220,7 +226,7 @@
 )
 def test_chat_of_wrong_messages_is_refused_for_the_first(messages: bytes) -> None:
     with pytest.raises(InvalidCallError) as refused:
-        parse_chat(b'{"messages":' + messages + b"}")
+        parse_chat(b'{"messages":' + messages + b"}", 1_000_000)
     assert len(str(refused.value)) < 2 * MAX_FIELD_LENGTH
 
 
@@ -340,3 +346,83 @@
             return response.status
     except urllib.error.HTTPError as error:
         return error.code
+
+
+@pytest.mark.parametrize(
+    ("body", "elements"),
+    [
+        (b"", 0),
+        (b"1", 0),
+        (b"[]", 1),
+        (b'{"a": 1, "b": [2, {}]}', 7),
+        (b'"one, [two], {three}"', 1),
+        (rb'["a\"b", "c\\", ","]', 6),
+        (b'"no end, at all', 1),
+        (rb'"\"\"\"\"', 1),
+        (b'["a", "\xf0\x9f\x98\x80"]', 4),
+    ],
+)
+def test_elements_of_a_document_are_counted(body: bytes, elements: int) -> None:
+    assert not has_more_elements(body, elements)
+    assert elements == 0 or has_more_elements(body, elements - 1)
+
+
+@pytest.mark.parametrize("text", [b'"', rb"\"", b'"\\', b'["', b"," * 3])
+def test_elements_of_any_bytes_are_counted_in_one_pass(text: bytes) -> None:
+    body = b'"' + text * 400_000
+    began_at = time.process_time()
+    has_more_elements(body, 65_536)
+    # One pass takes hundredths of a second, a pass for each quote takes hours.
+    assert time.process_time() - began_at < SOON
+
+
+def test_chat_of_too_many_elements_is_refused_before_it_is_parsed() -> None:
+    body = b'{"messages":[{"role":"u"}],"x":[' + b"1," * 100 + b"1]}"
+    with pytest.raises(InvalidCallError, match="more than 100 JSON elements"):
+        parse_chat(body, 100)
+    assert parse_chat(body, 200).max_prompt_tokens == 32
+
+
+def test_engine_gets_the_callers_fields_and_those_of_the_router() -> None:
+    document = {
+        "model": "mine",
+        "messages": [{"role": "user", "content": "caf\u00e9 \U0001f600"}],
+        "max_completion_tokens": 5,
+        "stream": True,
+        "stream_options": {"include_usage": False},
+        "priority": 9,
+        "seed": 12345678901234567890,
+        "temperature": 0.25,
+        "stop": None,
+    }
+    call = parse_chat(json.dumps(document).encode(), 1_000)
+    sent = json.loads(encode_engine_chat(call, {"model": "m", "max_tokens": 5}))
+    usage = {"include_usage": True, "continuous_usage_stats": True}
+    kept = {k: document[k] for k in ("messages", "stream", "seed", "temperature")}
+    own = {"model": "m", "max_tokens": 5, "stream_options": usage}
+    assert sent == {**own, **kept, "stop": None}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"messages":[{"role":"u"}],"messages":[{"role":"u","content":"x"}]}',
+        b'{"messages":[{"role":"u","content":"x","content":"y"}]}',
+        rb'{"messages":[{"role":"u","x":[{"a":1,"\u0061":2}]}]}',
+    ],
+)
+def test_chat_that_engines_may_read_in_two_ways_is_refused(body: bytes) -> None:
+    with pytest.raises(InvalidCallError, match="twice"):
+        parse_chat(body, 100)
+
+
+@pytest.mark.parametrize("text", ['a "name": {[', "\\", '\\"', ",,", "\u00e9"])
+def test_texts_that_look_like_structure_are_passed_on_as_they_are(text: str) -> None:
+    document = {
+        text: {text: [text]},
+        "messages": [{"role": "u", "content": text}],
+        "max_tokens": 3,
+    }
+    call = parse_chat(json.dumps(document, indent=1).encode(), 100)
+    sent = json.loads(encode_engine_chat(call, {"max_tokens": 4}))
+    assert sent == {**document, "max_tokens": 4}
--- a/tests/test_standalone_clients.py
+++ b/tests/test_standalone_clients.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests.client_crowd import Crowd, count_sockets, make_shapes
+from tests.client_crowd import Crowd, Shape, count_sockets, make_shapes
 from tests.conftest import WORKSPACES, top_up
 from tests.fleet_load import peak_memory_of
 from tools.cluster import Cluster, responds_ok, workspace_api_key
@@ -61,3 +61,49 @@
     assert answer == 201
     assert peak < MOST_BYTES
     assert sockets <= 2 * (REQUESTS + MORE_CONNECTIONS) + OTHER_SOCKETS
+
+
+def chat_shape(message: bytes, separator: bytes = b",") -> Shape:
+    """Return a whole chat request whose messages repeat one up to the body limit."""
+    start, end = b'{"messages":[', b"]}"
+    count = (BODY_BYTES - len(start) - len(end)) // (len(message) + len(separator))
+    body = start + separator.join([message] * count) + end
+    framing = b"Content-Type: application/json\r\nContent-Length: %d" % len(body)
+    return Shape(framing, (body,), whole=True, awaits=True)
+
+
+# Chats that take many times their bytes when they are parsed.
+CHATS = {
+    "tiny messages": chat_shape(b'{"role":""}'),
+    "tiny parts": chat_shape(b'{"role":"u","content":[' + b"{}," * 4_000 + b"{}]}"),
+    "one wide character": chat_shape(
+        b'{"role":"u","content":"'
+        + b"x" * (BODY_BYTES - 64)
+        + b"\xf0\x9f\x98\x80"
+        + b'"}'
+    ),
+}
+
+
+@pytest.mark.parametrize("chat", CHATS)
+def test_crowd_of_chats_leaves_the_router_within_its_bounds_and_others_served(
+    chat: str, start_cluster: StartCluster
+) -> None:
+    """Guards: bodies count by their bytes, and take 63 times that when parsed."""
+    cluster = start_cluster(routers=1, domains=("a",), settings={"limits": LIMITS})
+    router = cluster.processes["r1"]
+    top_up(cluster, "shop-a", 1_000_000)
+    key = workspace_api_key(WORKSPACES[0])
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: {router.host}\r\n"
+        f"Authorization: Bearer {key}"
+    )
+    with Crowd(router, head.encode(), CHATS[chat], CROWD) as crowd:
+        crowd.wait_finished()
+        assert responds_ok(router.url + "/healthz")
+        answer = crowd.ordinary_call("/v1/services/orders/y", key)
+    peak = peak_memory_of(router)
+    print(f"{chat}: {peak / 1e6:.1f} MB at the peak")
+    assert router.popen.poll() is None
+    assert answer == 201
+    assert peak < MOST_BYTES
