--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -164,3 +164,37 @@
         except FileNotFoundError:
             continue
     return sum(each.startswith(("socket:", "pipe:", "anon_inode:")) for each in targets)
+
+
+def connect_for_each(
+    router: Process, request: bytes, *, clients: int, each: int
+) -> int:
+    """Send requests from some clients at once, each request on a new connection.
+
+    Args:
+        router: The router.
+        request: A whole request.
+        clients: Number of clients.
+        each: Requests of each client.
+
+    Returns:
+        The number of requests that were answered.
+    """
+    answered = []
+
+    def send() -> None:
+        for _ in range(each):
+            try:
+                address = (router.host, router.port)
+                with socket.create_connection(address, SEND_TIMEOUT_S) as connection:
+                    connection.sendall(request)
+                    answered.append(bool(connection.recv(1)))
+            except OSError:
+                continue
+
+    threads = [threading.Thread(target=send) for _ in range(clients)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sum(answered)
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -6,10 +6,17 @@
 from __future__ import annotations
 
 import socket
+import threading
 
 import pytest
 
-from tests.client_crowd import Crowd, chunk, count_sockets, make_shapes
+from tests.client_crowd import (
+    Crowd,
+    chunk,
+    connect_for_each,
+    count_sockets,
+    make_shapes,
+)
 from tests.conftest import StartFleet
 from tests.fleet_load import peak_memory
 from tools.cluster import wait_until
@@ -79,6 +86,38 @@
     assert sockets <= SMALLEST_HOST["max-fds"] - FILE_DESCRIPTORS
 
 
+# Whole requests that cost their client little.
+CHEAP = {
+    "no such key": (
+        f"POST {IDEMPOTENT_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: x\r\n"
+        "Authorization: Bearer none\r\nContent-Length: 1\r\n\r\nz"
+    ).encode(),
+    "no request": b"NONE\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("request_", CHEAP.values(), ids=CHEAP)
+def test_ordinary_call_is_served_beside_clients_that_connect_for_each_request(
+    request_: bytes, start_fleet: StartFleet
+) -> None:
+    """Guards: the free part of reading is given anew with each connection."""
+    fleet = start_fleet(routers=1, host_limits=SMALLEST_HOST)
+    router = fleet.processes["edge-1"]
+    flood = threading.Thread(
+        target=connect_for_each,
+        args=(router, request_),
+        kwargs={"clients": CROWD, "each": 40},
+    )
+    flood.start()
+    beside = fleet.call("edge-1", IDEMPOTENT_PATH, "beside", body=b"b")
+    flood.join()
+    after = fleet.call("edge-1", IDEMPOTENT_PATH, "after", body=b"b")
+    assert router.popen.poll() is None
+    assert (beside.status, after.status) == (200, 200)
+    assert peak_memory(fleet, "edge-1") < SMALLEST_HOST["memory-mb"] * 1_000_000
+    assert count_sockets(router) <= SMALLEST_HOST["max-fds"] - FILE_DESCRIPTORS
+
+
 @pytest.mark.parametrize("chunk_bytes", [1, 2])
 def test_whole_body_in_tiny_chunks_is_served_in_calm(
     start_fleet: StartFleet, chunk_bytes: int
--- a/tests/test_standalone_clients.py
+++ b/tests/test_standalone_clients.py
@@ -5,11 +5,18 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 
 import pytest
 
-from tests.client_crowd import Crowd, Shape, count_sockets, make_shapes
+from tests.client_crowd import (
+    Crowd,
+    Shape,
+    connect_for_each,
+    count_sockets,
+    make_shapes,
+)
 from tests.conftest import WORKSPACES, top_up
 from tests.fleet_load import peak_memory_of
 from tools.cluster import Cluster, responds_ok, workspace_api_key
@@ -107,3 +114,24 @@
     assert router.popen.poll() is None
     assert answer == 201
     assert peak < MOST_BYTES
+
+
+def test_ordinary_call_is_served_beside_clients_that_connect_for_each_request(
+    start_cluster: StartCluster,
+) -> None:
+    """Guards: the free part of reading is given anew with each connection."""
+    cluster = start_cluster(routers=1, domains=("a",), settings={"limits": LIMITS})
+    router = cluster.processes["r1"]
+    top_up(cluster, "shop-a", 1_000_000)
+    flood = threading.Thread(
+        target=connect_for_each,
+        args=(router, b"POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n\r\n"),
+        kwargs={"clients": CROWD, "each": 20},
+    )
+    flood.start()
+    crowd = Crowd(router, b"", SHAPES["a length"], 0)
+    beside = crowd.ordinary_call("/v1/services/orders/y", workspace_api_key("shop-a"))
+    flood.join()
+    assert router.popen.poll() is None
+    assert beside == 201
+    assert peak_memory_of(router) < MOST_BYTES
