Tell other routers in place of holders that cannot be reached

What callers saw: with servers of two versions, 8 of 14 streams were refused that they took up after five routers were killed 1 s apart.

Cause: a note was sent to two routers and to no other when one of them was down; which routers are down is known only after the message has failed.

Change: a holder that cannot be reached is replaced by the next in the order, three times at most; a router that is brought a stream asks as many further ones.

--- a/src/hawthornstage/actors/servers/stream_versions.py
+++ b/src/hawthornstage/actors/servers/stream_versions.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any
 
 from hawthornstage.actors.peers.messages import Send
@@ -19,9 +20,11 @@
     StreamNotes,
     VersionHistory,
 )
+from hawthornstage.mailbox import ReplyCallback
 from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.budget_messages import Acknowledged
 from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.messages.members import PeerUnreachable
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.stream_versions import (
     FindStreamVersion,
@@ -35,6 +38,13 @@
 from hawthornstage.observe.events import EventLog
 
 
+@dataclass(frozen=True)
+class HolderUnreachable:
+    """Tells that a holder of a stream's note cannot be reached."""
+
+    key: StreamKey
+
+
 class StreamVersionsTask(Task):
     """Owns the versions of each service's servers, and those that began streams.
 
@@ -75,6 +85,8 @@
                 self.history.recorded = versions
             case KnownRouters(urls):
                 self.update_others(urls, now)
+            case HolderUnreachable(key):
+                self.tell_substitute(key)
             case HandOverStreams():
                 self.stopping = True
                 self.hand_over(now)
@@ -161,13 +173,31 @@
         """Tell other routers the version of a stream, without waiting for them.
 
         A stream whose holders do not get this is not continued, rather than continued
-        at a wrong version.
+        at a wrong version. Others are told in place of those that cannot be reached.
         """
         service, call_id = key
+        reply_to = ReplyCallback(partial(self.hear_reply, key))
         for node in holders:
             for version in sorted(self.notes.notes[key].versions):
                 note = StreamVersionNoted(call_id, service, version)
-                self.peers.tell(Send(node, note))
+                self.peers.tell(Send(node, note, reply_to))
+
+    def hear_reply(self, key: StreamKey, reply: Any) -> None:
+        """Pass a holder's reply to this task if it is that it cannot be reached."""
+        if isinstance(reply, PeerUnreachable):
+            self.actor_ref.tell(HolderUnreachable(key))
+
+    def tell_substitute(self, key: StreamKey) -> None:
+        """Tell another router in place of a holder that cannot be reached."""
+        note = self.notes.notes.get(key)
+        if note is None:
+            return
+        told = (*note.holders, *note.substitutes)
+        node = self.others.substitute(key[1], told)
+        if node is not None:
+            substitutes = (*note.substitutes, node)
+            self.notes.notes[key] = replace(note, substitutes=substitutes)
+            self.tell_holders(key, (node,))
 
     def known(self, request: RequestStreamVersion, now: float) -> StreamVersionReply:
         """Return what this router knows of a stream's version."""
--- a/src/hawthornstage/decisions/stream_holders.py
+++ b/src/hawthornstage/decisions/stream_holders.py
@@ -17,10 +17,14 @@
 
 # Longest time from a stream's first event until a caller continues it, in seconds.
 STREAM_LIFETIME_S = 20.0
-# Routers that are told the version of a stream, and that are asked for it: one more, as
-# the router that told them may have been among the first itself.
+# Routers that are told the version of a stream, and others that are told in place of
+# those that cannot be reached.
 HOLDERS_PER_STREAM = 2
+MAX_SUBSTITUTES = 3
+# Routers that are asked for it at first: one more than were told, as the router that
+# told them may have been among the first itself; and those that are asked next.
 HOLDERS_ASKED = 3
+FURTHER_HOLDERS_ASKED = MAX_SUBSTITUTES
 
 
 def holders_to_tell(call_id: str, others: Iterable[str]) -> tuple[str, ...]:
@@ -29,8 +33,9 @@
 
 
 def holders_to_ask(call_id: str, others: Iterable[str]) -> tuple[str, ...]:
-    """Return the other routers that are asked for the version of a stream."""
-    return tuple(rendezvous_order(bounded_id(call_id), others)[:HOLDERS_ASKED])
+    """Return the other routers that are asked for the version of a stream, in order."""
+    most = HOLDERS_ASKED + FURTHER_HOLDERS_ASKED
+    return tuple(rendezvous_order(bounded_id(call_id), others)[:most])
 
 
 @dataclass(frozen=True)
@@ -96,6 +101,17 @@
             return holders_to_tell(call_id, self.started.union(before))
         return holders_to_tell(call_id, self.processes)
 
+    def substitute(self, call_id: str, told: Iterable[str]) -> str | None:
+        """Return the router to tell in place of a holder that cannot be reached.
+
+        Args:
+            call_id: Id of the call that brought the stream's first event.
+            told: Routers that were told, or could not be.
+        """
+        order = rendezvous_order(bounded_id(call_id), self.processes)
+        most = HOLDERS_PER_STREAM + MAX_SUBSTITUTES
+        return next((name for name in order[:most] if name not in set(told)), None)
+
     def lacking(
         self, holders: Iterable[str], before: tuple[str, ...]
     ) -> tuple[str, ...]:
--- a/src/hawthornstage/decisions/stream_versions.py
+++ b/src/hawthornstage/decisions/stream_versions.py
@@ -97,12 +97,14 @@
         own: Whether this router passed on its first event.
         noted_at: Time of the latest note.
         holders: Other routers that are to know it.
+        substitutes: Routers that were told in place of holders.
     """
 
     versions: frozenset[str]
     own: bool
     noted_at: float
     holders: tuple[str, ...] = ()
+    substitutes: tuple[str, ...] = ()
 
 
 @dataclass
--- a/src/hawthornstage/filters/stream_version.py
+++ b/src/hawthornstage/filters/stream_version.py
@@ -13,6 +13,7 @@
 from hawthornstage.actors.store_watch import sleep
 from hawthornstage.actors.task import Recipient
 from hawthornstage.clock import Clock
+from hawthornstage.decisions.stream_holders import HOLDERS_ASKED
 from hawthornstage.decisions.stream_versions import (
     VersionFound,
     VersionUnknown,
@@ -36,8 +37,6 @@
 # Delay before routers are asked once more that did not reply, in seconds: links that
 # were lost connect again within it.
 ASK_AGAIN_AFTER_S = 0.55
-# Delays before each time that routers are asked for the version of one stream.
-PAUSES_S = (0.0, ASK_AGAIN_AFTER_S)
 
 
 @dataclass(frozen=True)
@@ -92,17 +91,26 @@
     ) -> VersionFound | VersionUnknown:
         """Ask the other routers, some twice if they don't reply, and decide.
 
+        Those that were told first are asked first, then those that may have been told
+        in place of them.
+
         Args:
             request: The question.
             sources: What this router knows, and whom to ask.
             replies: Extended by the replies, by the router's name.
         """
-        alone = not sources.holders
+        holders = sources.holders
+        alone = not holders
+        first, further = holders[:HOLDERS_ASKED], holders[HOLDERS_ASKED:]
         decision = resolve_version(sources.own, (), alone=alone)
-        for pause_s in PAUSES_S:
-            missing = [name for name in sources.holders if name not in replies]
+        for names, pause_s in (
+            (first, 0.0),
+            (further, 0.0),
+            (holders, ASK_AGAIN_AFTER_S),
+        ):
+            missing = [name for name in names if name not in replies]
             if isinstance(decision, VersionFound) or not missing:
-                break
+                continue
             sleep(self.clock, pause_s)
             self.ask_holders(request, missing, replies)
             decision = resolve_version(sources.own, replies.values(), alone=alone)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -11,10 +11,12 @@
 from hawthornstage.actors.servers.stream_versions import StreamVersionsTask
 from hawthornstage.actors.task import Ask
 from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.membership import rendezvous_order
 from hawthornstage.decisions.router_processes import process_address
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.stream_holders import (
     HOLDERS_PER_STREAM,
+    MAX_SUBSTITUTES,
     STREAM_LIFETIME_S,
     holders_to_ask,
     holders_to_tell,
@@ -535,3 +537,46 @@
     task.handle(KnownRouters(restarted(*holders)))
     task.handle(StreamVersionNoted(call_id, "models", "v1"))
     assert told_nodes(peers, call_id) == sorted(holders)
+
+
+def fail_sent(task: Any, peers: Inbox, *nodes: str) -> None:
+    """Let what was sent to some routers fail, and the task handle the replies."""
+    sent, peers.messages = peers.messages, []
+    for each in sent:
+        if each.node in nodes:
+            each.reply_to.put(PeerUnreachable(each.node, "gone"))
+    while not task.actor_inbox.empty():
+        task.handle(task.actor_inbox.get().message)
+
+
+def test_other_routers_are_told_in_place_of_holders_that_cannot_be_reached(
+    clock: ManualClock, events: EventLog
+) -> None:
+    """Guards: the holders of a stream's note were down when it began, unnoticed."""
+    peers = Inbox()
+    task: Any = StreamVersionsTask(peers, clock=clock, events=events)
+    others = {name: address(name, "first") for name in ROUTERS[1:]}
+    task.handle(KnownRouters(others))
+    task.handle(registered(server("a", "v1"), server("b", "v2")))
+    task.handle(StreamVersionNoted("s1", "models", "v1"))
+    order = rendezvous_order("s1", others)
+    told: set[str] = set()
+    for _ in range(MAX_SUBSTITUTES + HOLDERS_PER_STREAM + 1):
+        told |= {each.node for each in peers.messages}
+        fail_sent(task, peers, *told)
+    assert told == set(order[: HOLDERS_PER_STREAM + MAX_SUBSTITUTES])
+    for node in order[HOLDERS_PER_STREAM + MAX_SUBSTITUTES :]:
+        assert told <= {*holders_to_ask("s1", {*ROUTERS} - {node}), node}
+
+
+def test_routers_that_may_have_been_told_in_place_of_holders_are_asked_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    others: dict[str, list[Any]] = {
+        name: [reply(recent=BOTH)] for name in ("b", "c", "d", "e")
+    }
+    others["f"] = [reply("v2", recent=BOTH)]
+    routers = Routers(reply(recent=BOTH), others)
+    exchange = resolve(routers, monkeypatch, resumes="s1", last_event_id="3")
+    assert isinstance(exchange, ForwardExchange)
+    assert exchange.stream_version == "v2"
