--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -14,36 +14,26 @@
 from hawthornstage.actors.connection_memory import ConnectionMemoryTask
 from hawthornstage.actors.desired_states import (
     DesiredStateTask,
-    DesiredStateWatch,
-    FetchNewerVersion,
-    SendVersion,
-)
-from hawthornstage.actors.evacuations import CheckEvacuations, EvacuationsTask
-from hawthornstage.actors.fleet_members import FleetMembers, MembershipTick
-from hawthornstage.actors.forwarded_calls import (
-    ForwardedCalls,
 )
+from hawthornstage.actors.evacuations import EvacuationsTask
+from hawthornstage.actors.fleet_members import FleetMembers
+from hawthornstage.actors.forwarded_calls import ForwardedCalls
 from hawthornstage.actors.health import HealthTask
-from hawthornstage.actors.ledger import CheckEpoch, LedgerTask
-from hawthornstage.actors.peers.messages import PeerMet
+from hawthornstage.actors.ledger import LedgerTask
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
 from hawthornstage.actors.reading_turns import ReadingTurnsTask
-from hawthornstage.actors.servers.crash_logs import CrashLogsWatch, CrashLogWriter
-from hawthornstage.actors.servers.crashing_parts import CheckCrashLog, CrashingPartsTask
+from hawthornstage.actors.servers.crash_logs import CrashLogWriter
+from hawthornstage.actors.servers.crashing_parts import CrashingPartsTask
 from hawthornstage.actors.servers.failures import ServerFailuresTask
 from hawthornstage.actors.servers.links import LinkProber, ServerLinksTask
 from hawthornstage.actors.servers.lost_servers import LostServersTask
 from hawthornstage.actors.servers.notices import ServerNoticesTask
 from hawthornstage.actors.servers.reach_checks import ReachChecks
-from hawthornstage.actors.servers.registry import ServerRegistry
 from hawthornstage.actors.servers.selection import ServerSelectionTask
 from hawthornstage.actors.servers.stream_versions import StreamVersionsTask
 from hawthornstage.actors.servers.tunnels import TunnelsTask
-from hawthornstage.actors.servers.version_records import (
-    CheckVersionRecords,
-    VersionRecordsTask,
-)
+from hawthornstage.actors.servers.version_records import VersionRecordsTask
 from hawthornstage.actors.settings_watch import SettingsWatch
 from hawthornstage.actors.shared_secret import (
     SHARED_SECRET_STORE_KEY,
@@ -51,19 +41,17 @@
 )
 from hawthornstage.actors.shared_watches import SharedWatches, WatchShare
 from hawthornstage.actors.store_call_log import (
-    LogStoreCalls,
     StoreCallEnded,
     StoreCallLog,
 )
 from hawthornstage.actors.task import MessageDispatcher
 from hawthornstage.actors.timers import Timers
-from hawthornstage.actors.token_accounts import (
-    CheckTokenAccounts,
-    TokenAccountsTask,
-)
+from hawthornstage.actors.token_accounts import TokenAccountsTask
 from hawthornstage.border.peer_connection import PeerIdentity
 from hawthornstage.clock import Clock
+from hawthornstage.compose_messages import register_messages, schedule_periodic_work
 from hawthornstage.compose_pipe import make_intake, make_pipe
+from hawthornstage.compose_watches import watch_store
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.decisions.connection_limits import derive_limits
 from hawthornstage.decisions.crashing_parts import BlockedParts
@@ -76,71 +64,25 @@
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.admission import AdmissionPolicy
-from hawthornstage.messages.call_leases import (
-    CallLeaseEnded,
-    FragileAnnounced,
-    RequestCallLease,
-)
 from hawthornstage.messages.desired import DesiredState
-from hawthornstage.messages.draws import (
-    CountsStored,
-    FinalTransfer,
-    RequestCallTokens,
-    RequestTransfer,
-)
-from hawthornstage.messages.evacuations import Evacuations, EvacuationsAnnounced
-from hawthornstage.messages.fleet import (
-    CallBlocked,
-    DesiredStateHeartbeat,
-    RequestCompressedState,
-    RequestDesiredState,
-    ServerFailedDuringCall,
-)
-from hawthornstage.messages.health import CheckTasks
+from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.host_settings import (
     HostSettings,
     SocketAddress,
     StoreBounds,
 )
 from hawthornstage.messages.lost_servers import StopChecks
-from hawthornstage.messages.server_limits import (
-    LimitAnnounced,
-    RequestPermit,
-)
-from hawthornstage.messages.server_links import ProbeLinks, ServerLinks
-from hawthornstage.messages.server_notices import (
-    ClosedAnnounced,
-    LeavingAnnounced,
-    ServerNotices,
-)
+from hawthornstage.messages.server_links import ServerLinks
+from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import RegisteredServers
-from hawthornstage.messages.shared_watches import RequestChanges
-from hawthornstage.messages.slow_start import EndSlowStarts
 from hawthornstage.messages.store import Put
-from hawthornstage.messages.stream_versions import (
-    RequestStreamVersion,
-    StreamVersionNoted,
-)
-from hawthornstage.messages.tunnels import RequestTunnel, StopTunnels
+from hawthornstage.messages.tunnels import StopTunnels
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.settings import load_host_settings
 from hawthornstage.platform.store import StoreClient
 from hawthornstage.store_epoch import StoreEpoch
 
-# Intervals of the messages that trigger the tasks' periodic work, in seconds.
-MEMBERS_INTERVAL_S = 1.0
-HEARTBEAT_INTERVAL_S = 1.0
-FETCH_CHECK_INTERVAL_S = 0.25
-TOKEN_ACCOUNTS_CHECK_INTERVAL_S = 0.1
-CRASH_LOG_CHECK_INTERVAL_S = 0.1
-EPOCH_CHECK_INTERVAL_S = 0.5
-LINK_PROBE_INTERVAL_S = 0.5
-EVACUATIONS_CHECK_INTERVAL_S = 2.0
-VERSION_RECORDS_CHECK_INTERVAL_S = 2.0
-STORE_CALLS_LOG_INTERVAL_S = 10.0
-SLOW_START_CHECK_INTERVAL_S = 0.25
-HEALTH_CHECK_INTERVAL_S = 2.5
 # Random bytes that tell the processes of one router apart.
 PROCESS_BYTES = 6
 # Number of routers assumed to share the fleet's retries and budgets until the store
@@ -217,7 +159,7 @@
         self.peers.start()
         self.tunnels.start()
         self.reach_checks.start()
-        self.watch_store()
+        watch_store(self)
         self.events.emit("router_started", metrics_port=self.metrics_http.port)
 
     def start_tasks(self, secret: str) -> None:
@@ -300,8 +242,8 @@
             self.crashing_parts,
             self.version_records,
         )
-        self.register_messages()
-        self.schedule_periodic_work()
+        register_messages(self)
+        schedule_periodic_work(self)
         memory = ConnectionMemory(self.connection_memory, self.clock)
         self.callers = CallerListener(
             self.settings.callers,
@@ -429,59 +371,6 @@
         }
         self.health = HealthTask.start(watched, self.faulty_tasks, **self.shared)
 
-    def register_messages(self) -> None:
-        """Register the tasks for the messages of other routers."""
-        register = self.dispatcher.register
-        register(
-            self.desired_states,
-            (DesiredStateHeartbeat, RequestDesiredState, RequestCompressedState),
-        )
-        register(
-            self.token_accounts, (RequestCallTokens, RequestTransfer, FinalTransfer)
-        )
-        register(self.ledger, (CountsStored,))
-        register(self.server_failures, (ServerFailedDuringCall, CallBlocked))
-        register(
-            self.server_notices,
-            (
-                FragileAnnounced,
-                CallLeaseEnded,
-                ClosedAnnounced,
-                LeavingAnnounced,
-                LimitAnnounced,
-                RequestCallLease,
-                RequestPermit,
-            ),
-        )
-        register(self.members, (PeerMet,))
-        register(self.tunnels, (RequestTunnel,))
-        register(self.evacuations, (EvacuationsAnnounced,))
-        register(self.shared_watches, (RequestChanges,))
-        register(self.stream_versions, (StreamVersionNoted, RequestStreamVersion))
-
-    def schedule_periodic_work(self) -> None:
-        """Schedule the messages that trigger the tasks' periodic work."""
-        self.members.tell(MembershipTick())
-        every = self.timers.every
-        every(HEALTH_CHECK_INTERVAL_S, self.health, CheckTasks())
-        every(MEMBERS_INTERVAL_S, self.members, MembershipTick())
-        every(HEARTBEAT_INTERVAL_S, self.desired_states, SendVersion())
-        every(FETCH_CHECK_INTERVAL_S, self.desired_states, FetchNewerVersion())
-        every(
-            TOKEN_ACCOUNTS_CHECK_INTERVAL_S, self.token_accounts, CheckTokenAccounts()
-        )
-        every(EPOCH_CHECK_INTERVAL_S, self.ledger, CheckEpoch())
-        every(LINK_PROBE_INTERVAL_S, self.server_links, ProbeLinks())
-        every(
-            VERSION_RECORDS_CHECK_INTERVAL_S,
-            self.version_records,
-            CheckVersionRecords(),
-        )
-        every(EVACUATIONS_CHECK_INTERVAL_S, self.evacuations, CheckEvacuations())
-        every(SLOW_START_CHECK_INTERVAL_S, self.server_notices, EndSlowStarts())
-        every(CRASH_LOG_CHECK_INTERVAL_S, self.crashing_parts, CheckCrashLog())
-        every(STORE_CALLS_LOG_INTERVAL_S, self.store_call_log, LogStoreCalls())
-
     def retry_terms(self) -> RetryLimits:
         """Return the current settings of the fleet's retries."""
         settings = self.live_settings.value
@@ -489,34 +378,6 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
 
-    def watch_store(self) -> None:
-        """Start the watches of the store, each with its own connection."""
-        shared = (self.store_bounds, self.clock, self.events, self.share_watch)
-        DesiredStateWatch(
-            self.store("desired_state"),
-            self.desired_states,
-            *shared,
-            followers=(self.evacuations,),
-        ).start()
-        ServerRegistry(
-            self.store("servers"),
-            (
-                self.server_selection,
-                self.stream_versions,
-                self.version_records,
-                self.server_links,
-                self.lost_servers,
-            ),
-            self.registered_servers,
-            self.routers,
-            *shared,
-            slow_starts=self.server_notices,
-            last_heard=self.servers_heard_at,
-        ).start()
-        CrashLogsWatch(
-            self.store("crash_logs"), self.crashing_parts, self.routers, *shared
-        ).start()
-
     def share_watch(self, prefix: str) -> WatchShare:
         """Return a watch's part in sharing what it reads with other routers."""
         return WatchShare(
