Keep views and holders when only processes have changed

Cause: a router that is back under its name is published now, and each publication began a new view of permit issuers and forgot the holders of all workspaces, which cost a hash for each router and workspace.

Change: both are kept while the names are the same.

Result: the tests of limits, holders and draws pass.

--- a/src/hawthornstage/actors/ledger.py
+++ b/src/hawthornstage/actors/ledger.py
@@ -173,7 +173,7 @@
                 self.merge_counts()
             case KnownRouters(urls):
                 self.epoch.routers = frozenset((self.node, *urls))
-                self.holders = HolderDirectory(self.node, self.epoch.routers)
+                self.holders = self.holders.updated(urls)
 
     def store_record(self, request: WriteRecord) -> RecordOutcome:
         """Store a record together with a draw.
--- a/src/hawthornstage/actors/token_accounts.py
+++ b/src/hawthornstage/actors/token_accounts.py
@@ -206,8 +206,7 @@
             case KnownRouters(urls, settled):
                 self.fleet_known = settled
                 self.other_routers = tuple(sorted(urls))
-                node = self.holders.node
-                self.holders = HolderDirectory(node, frozenset((node, *urls)))
+                self.holders = self.holders.updated(urls)
             case Ask(message=ReturnAllTokens(), reply_to=reply_to):
                 self.return_all(reply_to, now)
             case StopDrawingAhead():
--- a/src/hawthornstage/decisions/server_limits.py
+++ b/src/hawthornstage/decisions/server_limits.py
@@ -164,11 +164,16 @@
     orders: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def update_routers(self, others: Iterable[str], now: float) -> None:
-        """Replace the known routers, and drop views that no router has any more."""
-        self.views.append(RouterView(now, frozenset((self.node, *others))))
+        """Replace the known routers, and drop views that no router has any more.
+
+        One that starts again under its name changes no view.
+        """
+        routers = frozenset((self.node, *others))
+        if routers != self.views[-1].routers:
+            self.views.append(RouterView(now, routers))
+            self.orders.clear()
         while len(self.views) > 1 and self.views[1].since <= now - VIEW_SETTLING_S:
             del self.views[0]
-        self.orders.clear()
 
     def issuers(self, key: str) -> tuple[str, ...]:
         """Return the routers that issue a server's permits, the first one first.
--- a/src/hawthornstage/decisions/token_holders.py
+++ b/src/hawthornstage/decisions/token_holders.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from hawthornstage.decisions.membership import rendezvous_order
@@ -33,6 +34,15 @@
     routers: frozenset[str] = frozenset()
     orders: dict[str, tuple[str, ...]] = field(default_factory=dict, compare=False)
 
+    def updated(self, others: Iterable[str]) -> HolderDirectory:
+        """Return the directory with other known routers, or this one if none changed.
+
+        Args:
+            others: Names of all known routers but this one.
+        """
+        routers = frozenset((self.node, *others))
+        return self if routers == self.routers else HolderDirectory(self.node, routers)
+
     @property
     def holder_count(self) -> int:
         """The number of holders of each workspace."""
