Ask a server for its process once a stream has begun there in an outage

Cause: a stream that begins while the list of servers is known to be old has no certain version, and no note said so. Routers that were brought such a stream found no note and concluded the only version in their lists, which were as old.

Change: its router notes the version as unknown and asks the server for its report. If it is the process in the list, it was so before as well: the version is certain, also for further streams on connections that are older than the report, which may then go on elsewhere. Otherwise others are told that the version is unknown, and none goes on with the stream.

New event: unconfirmed_streams_checked.

--- a/src/hawthornstage/actors/servers/stream_versions.py
+++ b/src/hawthornstage/actors/servers/stream_versions.py
@@ -20,17 +20,23 @@
     StreamNotes,
     VersionHistory,
 )
+from hawthornstage.decisions.unconfirmed_streams import UnconfirmedStreams
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyCallback
+from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.budget_messages import Acknowledged
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.members import PeerUnreachable
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.stream_versions import (
+    UNKNOWN_VERSION,
     FindStreamVersion,
     HandOverStreams,
+    ProcessReported,
     RecordedVersions,
     RequestStreamVersion,
+    StreamBeganUnconfirmed,
     StreamVersionNoted,
     StreamVersionReply,
     StreamVersionSources,
@@ -50,17 +56,31 @@
 
     Args:
         peers: Sends messages to other routers.
+        process_checks: Task that asks servers which process they are.
+        confirmed: Where it is published when each server, by its incarnation, last was
+            the process in the list.
         clock: The runtime's clock.
         events: The event log.
     """
 
-    def __init__(self, peers: Recipient, *, clock: Clock, events: EventLog) -> None:
+    def __init__(
+        self,
+        peers: Recipient,
+        process_checks: Recipient,
+        confirmed: LatestValue[Mapping[str, float]],
+        *,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
         super().__init__()
         self.peers = peers
+        self.process_checks = process_checks
+        self.confirmed = confirmed
         self.clock = clock
         self.events = events
         self.history = VersionHistory()
         self.notes = StreamNotes()
+        self.unconfirmed = UnconfirmedStreams()
         self.others = OtherRouters()
         self.stopping = False
 
@@ -69,8 +89,12 @@
         match message:
             case StreamVersionNoted() as note:
                 key, holders = self.note(note, now, own=True)
-                if not self.can_be_concluded(note.service, holders, now):
+                if not self.can_be_concluded(key, holders, now):
                     self.tell_holders(key, holders)
+            case StreamBeganUnconfirmed():
+                self.begin_unconfirmed(message, now)
+            case ProcessReported():
+                self.hear_report(message, now)
             case Ask(message=StreamVersionNoted() as note, reply_to=reply_to):
                 self.note(note, now, own=False)
                 reply_to.put(Acknowledged())
@@ -100,6 +124,43 @@
         self.notes.add(*key, noted.version, now, own=own, holders=holders)
         return key, holders
 
+    def begin_unconfirmed(self, began: StreamBeganUnconfirmed, now: float) -> None:
+        """Note that a stream's version is unknown, and ask its server for its process.
+
+        Others are told once the server has replied that it is another process, or has
+        not replied.
+        """
+        unknown = StreamVersionNoted(began.call_id, began.service, UNKNOWN_VERSION)
+        key, _ = self.note(unknown, now, own=True)
+        if self.unconfirmed.add(key, began.server, now):
+            self.ask_process(began.server)
+
+    def ask_process(self, server: BackendServer) -> None:
+        """Ask a server for its process; the reply is a message to this task."""
+        self.process_checks.tell(Ask(server, ReplyCallback(self.actor_ref.tell)))
+
+    def hear_report(self, report: ProcessReported, now: float) -> None:
+        """Note which versions are certain now, and tell of those that are not."""
+        reported = self.unconfirmed.servers.get(report.incarnation)
+        if reported is None:
+            return
+        result = self.unconfirmed.hear(report, now)
+        self.confirmed.publish(self.unconfirmed.confirmed())
+        self.events.emit(
+            "unconfirmed_streams_checked",
+            server=report.incarnation,
+            certain=len(result.certain),
+            uncertain=len(result.uncertain),
+        )
+        version = reported.server.version
+        for service, call_id in result.certain:
+            self.handle(StreamVersionNoted(call_id, service, version))
+        for key in result.uncertain:
+            if key in self.notes.notes:
+                self.tell_holders(key, self.notes.notes[key].holders)
+        if result.ask_again:
+            self.ask_process(reported.server)
+
     def update_servers(self, registered: RegisteredServers, now: float) -> None:
         """Record the servers' versions; tell of running streams once they differ."""
         services = {server.service for server in registered.servers.values()}
@@ -119,18 +180,20 @@
                 self.tell_holders(key, self.notes.notes[key].holders)
 
     def can_be_concluded(
-        self, service: str, holders: tuple[str, ...], now: float
+        self, key: StreamKey, holders: tuple[str, ...], now: float
     ) -> bool:
         """Whether a stream's holders can conclude its version without being told."""
         if self.stopping or not self.others.can_conclude(holders, now):
             return False
-        return self.history.is_uniform(service, now)
+        if UNKNOWN_VERSION in self.notes.notes[key].versions:
+            return False
+        return self.history.is_uniform(key[0], now)
 
     def update_others(self, urls: Mapping[str, str], now: float) -> None:
         """Replace the other routers; tell those of running streams that lack them."""
         streams = self.notes.running_streams(now)
         concluded = {
-            key: self.can_be_concluded(key[0], self.notes.notes[key].holders, now)
+            key: self.can_be_concluded(key, self.notes.notes[key].holders, now)
             for key in streams
         }
         self.others = self.others.updated(urls, now)
@@ -151,11 +214,10 @@
         Returns:
             Whether any had to be told.
         """
-        service, call_id = key
         note = self.notes.notes[key]
-        holders = self.others.holders_after(call_id, note.holders)
+        holders = self.others.holders_after(key[1], note.holders)
         self.notes.notes[key] = replace(note, holders=holders)
-        if self.can_be_concluded(service, holders, now):
+        if self.can_be_concluded(key, holders, now):
             return False
         if were_told:
             holders = self.others.lacking(holders, note.holders)
--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -60,7 +60,7 @@
         OSError: The server cannot be connected to.
     """
 
-    caller: CallerConnection
+    caller: CallerConnection | None
 
     def __init__(
         self,
@@ -74,6 +74,7 @@
         self.socket = socket.create_connection(
             (address.host, address.port), timeout=connect_timeout_s
         )
+        self.opened_at = clock.monotonic()
         set_socket_options(self.socket)
         probe_when_idle(self.socket)
         self.tunnel: TunnelReader | None = None
@@ -110,7 +111,7 @@
 
     def start(
         self,
-        caller: CallerConnection,
+        caller: CallerConnection | None,
         method: str,
         target: str,
         headers: list[tuple[str, str]],
@@ -119,7 +120,8 @@
         """Queue a request; `next_event` sends it.
 
         Args:
-            caller: Connection of the caller that waits for the response.
+            caller: Connection of the caller that waits for the response, or None if
+                none does.
             method: HTTP method.
             target: Path and query.
             headers: All headers, including the length of the body.
@@ -131,7 +133,7 @@
         """
         self.caller = caller
         self.requests += 1
-        self.watch_caller = True
+        self.watch_caller = caller is not None
         self.received_at = self.clock.monotonic()
         self.informational_responses = 0
         encoded_headers = [(name, value.encode("latin-1")) for name, value in headers]
@@ -247,7 +249,7 @@
             return DeadlineExceeded()
         events = READABLE | (select.POLLOUT if self.unsent else 0)
         watched = [(self.socket, events)]
-        if self.watch_caller:
+        if self.watch_caller and self.caller is not None:
             watched.append((self.caller.socket, READABLE))
         if self.is_link_silent is not None:
             remaining_s = min(remaining_s, STALL_CHECK_INTERVAL_S)
@@ -255,7 +257,7 @@
         if not ready and self.is_stalled():
             reason = "nothing was received over a link that fails"
             return ServerFailed(reason, connection_lost=True)
-        if self.caller.socket.fileno() in ready:
+        if self.caller is not None and self.caller.socket.fileno() in ready:
             if self.caller.is_closed_by_caller():
                 return CallerDisconnected()
             # The caller has pipelined its next request, which is read later.
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -4,6 +4,7 @@
 
 import secrets
 import threading
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +30,7 @@
 from hawthornstage.actors.servers.links import LinkProber, ServerLinksTask
 from hawthornstage.actors.servers.lost_servers import LostServersTask
 from hawthornstage.actors.servers.notices import ServerNoticesTask
+from hawthornstage.actors.servers.process_checks import ProcessChecks
 from hawthornstage.actors.servers.reach_checks import ReachChecks
 from hawthornstage.actors.servers.selection import ServerSelectionTask
 from hawthornstage.actors.servers.stream_versions import StreamVersionsTask
@@ -61,6 +63,7 @@
 from hawthornstage.decisions.server_selection import ServerSelector
 from hawthornstage.decisions.watch_sharing import WatchReaders
 from hawthornstage.filters.connection_memory import ConnectionMemory
+from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.fleet_shutdown import FleetShutdown
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.admission import AdmissionPolicy
@@ -120,6 +123,7 @@
         self.blocked_parts = LatestValue(BlockedParts())
         self.registered_servers = LatestValue(RegisteredServers({}))
         self.servers_heard_at = LatestValue(float("-inf"))
+        self.processes_confirmed: LatestValue[Mapping[str, float]] = LatestValue({})
         self.server_notices_in_force = LatestValue(ServerNotices())
         self.evacuations_in_force = LatestValue(Evacuations())
         self.server_links_known = LatestValue(ServerLinks())
@@ -226,7 +230,12 @@
             derive_limits(self.settings.limits).pool_bytes, **self.shared
         )
         self.reading_turns = ReadingTurnsTask.start(self.timers, **self.shared)
-        self.stream_versions = StreamVersionsTask.start(self.peers, **self.shared)
+        self.stream_versions = StreamVersionsTask.start(
+            self.peers,
+            ProcessChecks.start(ConfirmProcess(self.clock, self.events), self.clock),
+            self.processes_confirmed,
+            **self.shared,
+        )
         self.version_records = VersionRecordsTask.start(
             node, self.store("versions"), self.stream_versions, **self.shared
         )
--- a/src/hawthornstage/compose_pipe.py
+++ b/src/hawthornstage/compose_pipe.py
@@ -104,6 +104,7 @@
             memory=memory,
             registered=router.registered_servers,
             servers_heard_at=router.servers_heard_at,
+            processes_confirmed=router.processes_confirmed,
             clock=router.clock,
             metrics=router.metrics,
         ),
--- a/src/hawthornstage/decisions/stream_versions.py
+++ b/src/hawthornstage/decisions/stream_versions.py
@@ -19,7 +19,10 @@
 from hawthornstage.decisions.stream_holders import STREAM_LIFETIME_S
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.bounded_text import bounded_id
-from hawthornstage.messages.stream_versions import StreamVersionReply
+from hawthornstage.messages.stream_versions import (
+    UNKNOWN_VERSION,
+    StreamVersionReply,
+)
 
 # Time for which the version of a stream is remembered, in seconds.
 NOTE_LIFETIME_S = 60.0
@@ -139,7 +142,7 @@
         """
         key = (service, bounded_id(call_id))
         known = self.notes.pop(key, StreamNote(frozenset(), False, now))
-        versions = known.versions | {version}
+        versions = certain_versions(known.versions | {version})
         self.notes[key] = StreamNote(versions, own or known.own, now, holders)
         self.drop_expired(now)
 
@@ -195,8 +198,10 @@
     """
     others = list(replies)
     known = [own, *others]
-    noted = {version for each in known for version in each.noted}
+    noted = certain_versions({version for each in known for version in each.noted})
     recent = {version for each in known for version in each.recent}
+    if UNKNOWN_VERSION in noted:
+        return VersionUnknown()
     if noted:
         return found_version(noted, recent)
     if not others and not alone:
@@ -222,6 +227,12 @@
     return VersionFound(version)
 
 
+def certain_versions(versions: Iterable[str]) -> frozenset[str]:
+    """Return versions without the unknown one, unless that is all there is."""
+    found = frozenset(versions)
+    return found - {UNKNOWN_VERSION} or found
+
+
 def recent_versions(versions: Mapping[str, float], now: float) -> dict[str, float]:
     """Return the versions that were registered within the life of a stream."""
     return {
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import partial
 
@@ -56,7 +57,10 @@
     RegisteredServers,
     ServerChosen,
 )
-from hawthornstage.messages.stream_versions import StreamVersionNoted
+from hawthornstage.messages.stream_versions import (
+    StreamBeganUnconfirmed,
+    StreamVersionNoted,
+)
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
@@ -83,6 +87,8 @@
         memory: Memory of responses.
         registered: The servers that may get calls, read right before each send.
         servers_heard_at: Monotonic time at which they were last known to be right.
+        processes_confirmed: Monotonic time at which each server last said that it is
+            the process in the list, by its incarnation.
         clock: Source of time and timeouts.
         metrics: Records errors of the wait estimate.
     """
@@ -100,6 +106,7 @@
     memory: ConnectionMemory
     registered: LatestValue[RegisteredServers]
     servers_heard_at: LatestValue[float]
+    processes_confirmed: LatestValue[Mapping[str, float]]
     clock: Clock
     metrics: Metrics
 
@@ -321,7 +328,9 @@
         def on_answer_began() -> str | None:
             if exchange.shared_ids:
                 self.crashing_parts.tell(AnswerBegan(exchange.shared_ids))
-            return self.note_stream_version(exchange, choice.server, delivery)
+            return self.note_stream_version(
+                exchange, connection, choice.server, delivery
+            )
 
         with self.memory.hold(bounded_id(call.id)) as memory:
             relay = ResponseRelay(
@@ -368,8 +377,24 @@
             return False
         return self.process.confirm(connection, caller, choice.server)
 
+    def is_process_known(
+        self, connection: ServerConnection, server: BackendServer
+    ) -> bool:
+        """Whether a connection certainly leads to the process in the list of servers.
+
+        It does if it had been opened when the server last confirmed that.
+        """
+        confirmed_at = self.processes_confirmed.value.get(server.incarnation)
+        if self.registered.value.current:
+            return True
+        return confirmed_at is not None and connection.opened_at < confirmed_at
+
     def note_stream_version(
-        self, exchange: ForwardExchange, server: BackendServer, delivery: Delivery
+        self,
+        exchange: ForwardExchange,
+        connection: ServerConnection,
+        server: BackendServer,
+        delivery: Delivery,
     ) -> str | None:
         """Keep the version of the server that is about to begin or continue a stream.
 
@@ -386,13 +411,16 @@
             # The connection may have been opened to either process.
             return f"the server has started again with version {current.version!r}"
         if delivery.stream_version is None:
-            if not self.registered.value.current and exchange.stream_version is None:
+            call_id = bounded_id(exchange.call.id)
+            begins = exchange.stream_version is None
+            if begins and not self.is_process_known(connection, server):
                 delivery.began_unconfirmed = True
+                self.stream_versions.tell(
+                    StreamBeganUnconfirmed(call_id, exchange.service, server)
+                )
                 return None
             delivery.stream_version = server.version
             self.stream_versions.tell(
-                StreamVersionNoted(
-                    bounded_id(exchange.call.id), exchange.service, server.version
-                )
+                StreamVersionNoted(call_id, exchange.service, server.version)
             )
         return None
--- a/src/hawthornstage/filters/server_process.py
+++ b/src/hawthornstage/filters/server_process.py
@@ -61,10 +61,16 @@
     def ask(
         self,
         connection: ServerConnection,
-        caller: CallerConnection,
+        caller: CallerConnection | None,
         server: BackendServer,
     ) -> int | None:
-        """Return the start of the process that a connection leads to, if it tells."""
+        """Return the start of the process that a connection leads to, if it tells.
+
+        Args:
+            connection: The connection.
+            caller: Connection of the caller that waits, or None if none does.
+            server: The server as the list has it.
+        """
         deadline = self.clock.monotonic() + REPORT_TIMEOUT_S
         connection.start(caller, "GET", REPORT_TARGET, report_headers(server), b"")
         document = b""
--- a/src/hawthornstage/messages/stream_versions.py
+++ b/src/hawthornstage/messages/stream_versions.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from hawthornstage.messages.backends import BackendServer
+
 
 @dataclass(frozen=True)
 class StreamVersionNoted:
@@ -24,6 +26,40 @@
     version: str
 
 
+# Stands for the version of a stream that began at a server whose process is not known.
+UNKNOWN_VERSION = "\0"
+
+
+@dataclass(frozen=True)
+class StreamBeganUnconfirmed:
+    """Tells this router's own task of a stream whose version is not certain.
+
+    Args:
+        call_id: Id of the call that brought the first event.
+        service: The service that the call was sent to.
+        server: The server, which may have started again since its entry was read.
+    """
+
+    call_id: str
+    service: str
+    server: BackendServer
+
+
+@dataclass(frozen=True)
+class ProcessReported:
+    """Tells whether a server says that it is the process in the list.
+
+    Args:
+        incarnation: The process in the list.
+        confirmed: Whether it says so; False also if it says nothing.
+        asked_at: Monotonic time before it was asked, in seconds.
+    """
+
+    incarnation: str
+    confirmed: bool
+    asked_at: float
+
+
 @dataclass(frozen=True)
 class RequestStreamVersion:
     """Asks a router for the version of a stream; the reply is `StreamVersionReply`.
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -114,6 +114,7 @@
         servers = {server_id(each): server_at(each) for each in addresses}
         self.registered = LatestValue(RegisteredServers(servers))
         self.servers_heard_at = LatestValue(math.inf)
+        self.processes_confirmed: LatestValue[Any] = LatestValue({})
         self.blocked_calls = LatestValue(BlockedCalls())
         self.blocked_parts = LatestValue(BlockedParts())
         self.notices = LatestValue(ServerNotices())
@@ -164,6 +165,7 @@
         memory=ConnectionMemory(tasks, clock),
         registered=tasks.registered,
         servers_heard_at=tasks.servers_heard_at,
+        processes_confirmed=tasks.processes_confirmed,
         clock=clock,
         metrics=metrics,
     )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -32,6 +32,7 @@
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters import stream_version
 from hawthornstage.filters.stream_version import ResolveStreamVersion
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.bounded_text import MAX_ID_LENGTH
 from hawthornstage.messages.fleet import KnownRouters
@@ -214,7 +215,9 @@
 def make_task(clock: ManualClock, events: EventLog) -> tuple[Any, Inbox]:
     """Return a task that knows three other routers, and what it sends."""
     peers = Inbox()
-    task: Any = StreamVersionsTask(peers, clock=clock, events=events)
+    task: Any = StreamVersionsTask(
+        peers, Inbox(), LatestValue({}), clock=clock, events=events
+    )
     task.handle(KnownRouters({"b": "ws://b", "c": "ws://c", "d": "ws://d"}))
     return task, peers
 
@@ -451,7 +454,9 @@
 def make_settled_task(clock: ManualClock, events: EventLog) -> tuple[Any, Inbox]:
     """Return a task whose history is complete, among routers that are old."""
     peers = Inbox()
-    task: Any = StreamVersionsTask(peers, clock=clock, events=events)
+    task: Any = StreamVersionsTask(
+        peers, Inbox(), LatestValue({}), clock=clock, events=events
+    )
     task.handle(KnownRouters(SETTLED))
     task.handle(registered(server("a", "v1")))
     clock.advance(STREAM_LIFETIME_S)
@@ -554,7 +559,9 @@
 ) -> None:
     """Guards: the holders of a stream's note were down when it began, unnoticed."""
     peers = Inbox()
-    task: Any = StreamVersionsTask(peers, clock=clock, events=events)
+    task: Any = StreamVersionsTask(
+        peers, Inbox(), LatestValue({}), clock=clock, events=events
+    )
     others = {name: address(name, "first") for name in ROUTERS[1:]}
     task.handle(KnownRouters(others))
     task.handle(registered(server("a", "v1"), server("b", "v2")))
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -23,6 +23,7 @@
     RECORDERS,
     VersionRecords,
 )
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Put, StoreRestored
@@ -48,7 +49,9 @@
         self.inbox = streams
         self.records: Any = VersionRecordsTask(node, client, streams, **shared)
         self.records.handle(KnownRouters({}))
-        self.streams: Any = StreamVersionsTask(Inbox(), **shared)
+        self.streams: Any = StreamVersionsTask(
+            Inbox(), Inbox(), LatestValue({}), **shared
+        )
 
     def see(self, *versions: str) -> None:
         """Let the router read the registered servers."""
