tests: one fixture for the router that crowds come to

Cause: three tests of the standalone router set it up in the same way. Change: a fixture, and one check of its memory; bounds and crowds as they were.

--- a/src/hawthornstage/decisions/stream_versions.py
+++ b/src/hawthornstage/decisions/stream_versions.py
@@ -4,8 +4,8 @@
 stream can continue it. The router that passes on a stream's first event tells a few
 others (`stream_holders`), as long as a service has or recently had servers of several
 versions, or these others started not long ago. A router that continues a stream asks
-them. It may also conclude
-the version if there has been only one; otherwise it does not guess.
+them. It may also conclude the version if there has been only one; otherwise it does not
+guess.
 
 Times are seconds of the monotonic clock.
 """
--- a/tests/test_standalone_clients.py
+++ b/tests/test_standalone_clients.py
@@ -7,6 +7,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import pytest
 
@@ -19,7 +20,7 @@
 )
 from tests.conftest import WORKSPACES, top_up
 from tests.fleet_load import peak_memory_of
-from tools.cluster import Cluster, responds_ok, workspace_api_key
+from tools.cluster import Cluster, Process, responds_ok, workspace_api_key
 
 StartCluster = Callable[..., Cluster]
 
@@ -44,29 +45,55 @@
 SHAPES = make_shapes(BODY_BYTES, TINY_CHUNKS)
 
 
+@dataclass
+class Router:
+    """A router alone in its cluster, and how a client reaches it.
+
+    Args:
+        process: Its process.
+        key: API key of a workspace with tokens.
+    """
+
+    process: Process
+    key: str
+
+    def head(self, path: str) -> bytes:
+        """Return the beginning of a request's head."""
+        return (
+            f"POST {path} HTTP/1.1\r\nHost: {self.process.host}\r\n"
+            f"Authorization: Bearer {self.key}"
+        ).encode()
+
+    def check_memory(self, name: str) -> None:
+        """Check that the process lives, and has stayed within its bounds."""
+        peak = peak_memory_of(self.process)
+        print(f"{name}: {peak / 1e6:.1f} MB at the peak")
+        assert self.process.popen.poll() is None
+        assert peak < MOST_BYTES
+
+
+@pytest.fixture
+def router(start_cluster: StartCluster) -> Router:
+    """Return a router whose workspace has tokens."""
+    cluster = start_cluster(routers=1, domains=("a",), settings={"limits": LIMITS})
+    top_up(cluster, WORKSPACES[0], 1_000_000)
+    return Router(cluster.processes["r1"], workspace_api_key(WORKSPACES[0]))
+
+
 @pytest.mark.parametrize("shape", SHAPES)
 def test_crowd_leaves_the_router_within_its_bounds_and_others_served(
-    shape: str, start_cluster: StartCluster
+    shape: str, router: Router
 ) -> None:
-    cluster = start_cluster(routers=1, domains=("a",), settings={"limits": LIMITS})
-    router = cluster.processes["r1"]
-    top_up(cluster, "shop-a", 1_000_000)
-    key = workspace_api_key(WORKSPACES[0])
-    head = (
-        f"POST /v1/services/orders/x HTTP/1.1\r\nHost: {router.host}\r\n"
-        f"Authorization: Bearer {key}"
-    )
-    with Crowd(router, head.encode(), SHAPES[shape], CROWD) as crowd:
+    head = router.head("/v1/services/orders/x")
+    with Crowd(router.process, head, SHAPES[shape], CROWD) as crowd:
         crowd.wait_finished()
         # Its connection comes after those of the crowd.
-        assert responds_ok(router.url + "/healthz")
-        answer = crowd.ordinary_call("/v1/services/orders/y", key)
-        sockets = count_sockets(router)
-    peak = peak_memory_of(router)
-    print(f"{shape}: {peak / 1e6:.1f} MB at the peak, {sockets} sockets")
-    assert router.popen.poll() is None
+        assert responds_ok(router.process.url + "/healthz")
+        answer = crowd.ordinary_call("/v1/services/orders/y", router.key)
+        sockets = count_sockets(router.process)
+    print(f"{shape}: {sockets} sockets")
+    router.check_memory(shape)
     assert answer == 201
-    assert peak < MOST_BYTES
     assert sockets <= 2 * (REQUESTS + MORE_CONNECTIONS) + OTHER_SOCKETS
 
 
@@ -94,44 +121,31 @@
 
 @pytest.mark.parametrize("chat", CHATS)
 def test_crowd_of_chats_leaves_the_router_within_its_bounds_and_others_served(
-    chat: str, start_cluster: StartCluster
+    chat: str, router: Router
 ) -> None:
     """Guards: bodies count by their bytes, and take 63 times that when parsed."""
-    cluster = start_cluster(routers=1, domains=("a",), settings={"limits": LIMITS})
-    router = cluster.processes["r1"]
-    top_up(cluster, "shop-a", 1_000_000)
-    key = workspace_api_key(WORKSPACES[0])
-    head = (
-        f"POST /v1/chat/completions HTTP/1.1\r\nHost: {router.host}\r\n"
-        f"Authorization: Bearer {key}"
-    )
-    with Crowd(router, head.encode(), CHATS[chat], CROWD) as crowd:
+    head = router.head("/v1/chat/completions")
+    with Crowd(router.process, head, CHATS[chat], CROWD) as crowd:
         crowd.wait_finished()
-        assert responds_ok(router.url + "/healthz")
-        answer = crowd.ordinary_call("/v1/services/orders/y", key)
-    peak = peak_memory_of(router)
-    print(f"{chat}: {peak / 1e6:.1f} MB at the peak")
-    assert router.popen.poll() is None
+        assert responds_ok(router.process.url + "/healthz")
+        answer = crowd.ordinary_call("/v1/services/orders/y", router.key)
+    router.check_memory(chat)
     assert answer == 201
-    assert peak < MOST_BYTES
 
 
 def test_ordinary_call_is_served_beside_clients_that_connect_for_each_request(
-    start_cluster: StartCluster,
+    router: Router,
 ) -> None:
     """Guards: the free part of reading is given anew with each connection."""
-    cluster = start_cluster(routers=1, domains=("a",), settings={"limits": LIMITS})
-    router = cluster.processes["r1"]
-    top_up(cluster, "shop-a", 1_000_000)
+    request = b"POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n\r\n"
     flood = threading.Thread(
         target=connect_for_each,
-        args=(router, b"POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n\r\n"),
+        args=(router.process, request),
         kwargs={"clients": CROWD, "each": 20},
     )
     flood.start()
-    crowd = Crowd(router, b"", SHAPES["a length"], 0)
-    beside = crowd.ordinary_call("/v1/services/orders/y", workspace_api_key("shop-a"))
+    crowd = Crowd(router.process, b"", SHAPES["a length"], 0)
+    beside = crowd.ordinary_call("/v1/services/orders/y", router.key)
     flood.join()
-    assert router.popen.poll() is None
+    router.check_memory("one connection for each request")
     assert beside == 201
-    assert peak_memory_of(router) < MOST_BYTES
