--- a/tools/rolls.py
+++ b/tools/rolls.py
@@ -14,7 +14,9 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from tools.fleet import RESUMABLE_PATH, Fleet
 
@@ -118,7 +120,6 @@
         if self.roll.old:
             time.sleep(OLD_S)
         names = self.fleet.names
-        began_at = time.monotonic()
         roll_s = (len(names) - 1) * self.roll.gap_s
         for number, name in enumerate(names):
             self.begin(number * self.roll.gap_s, self.restart, name)
@@ -127,16 +128,17 @@
             self.begin(streams_at, self.read_stream, number)
         if self.roll.silent_s:
             self.begin(max(0.0, roll_s - 0.25), self.silence_store)
-        for each in list(self.threads):
+        for each in self.threads:
             each.join()
-        print(f"played in {time.monotonic() - began_at:.1f} s", file=sys.stderr)
         for number in range(STREAMS):
             self.begin_new(number)
         return self.tally
 
-    def begin(self, delay_s: float, function: object, *arguments: object) -> None:
+    def begin(
+        self, delay_s: float, function: Callable[..., None], *arguments: Any
+    ) -> None:
         """Call a function in a thread of its own, after a delay in seconds."""
-        thread = threading.Timer(delay_s, function, arguments)  # type: ignore[arg-type]
+        thread = threading.Timer(delay_s, function, arguments)
         self.threads.append(thread)
         thread.start()
 
