--- a/src/hawthornstage/platform/server_entries.py
+++ b/src/hawthornstage/platform/server_entries.py
@@ -12,6 +12,8 @@
 from hawthornstage.border.json_values import load_json
 from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.platform.header_text import is_plain_value
+from hawthornstage.platform.writable_text import CheckedText
 
 # Prefix of the entries' keys, followed by the server's id.
 ENTRIES_PREFIX = "servers/"
@@ -30,9 +32,9 @@
 
     model_config = ConfigDict(strict=True)
 
-    service: str
+    service: CheckedText
     address: str
-    zone: str = ""
+    zone: CheckedText = ""
     slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)] = 1
     state: Literal["ready", "draining"]
     version: str = ""
@@ -45,18 +47,22 @@
     """Decode an entry.
 
     Args:
-        key: The entry's key, which holds the server's id.
+        key: The entry's key, which holds the server's id. Calls name it in a header: an
+            id that no header carries as it is names no server.
         document: The entry's JSON document.
 
     Returns:
         The server, or the reason in one line if the entry is invalid.
     """
+    server_id = key.removeprefix(ENTRIES_PREFIX)
+    if not is_plain_value(server_id):
+        return f"no header can carry the id {server_id!r}"
     try:
         model = EntryModel.model_validate(load_json(document))
         address = parse_address(model.address)
         cold_left_s = bounded_cold_left_s(model.cold_left_ms)
         return BackendServer(
-            id=key.removeprefix(ENTRIES_PREFIX),
+            id=server_id,
             service=model.service,
             host=address.host,
             port=address.port,
--- a/src/hawthornstage/platform/store.py
+++ b/src/hawthornstage/platform/store.py
@@ -32,6 +32,7 @@
     StoreNoResponse,
     StoreRefused,
 )
+from hawthornstage.platform.writable_text import ReplacedText
 from hawthornstage.store_epoch import StoreEpoch
 
 # Timeouts for connecting and for the response, in seconds.
@@ -63,7 +64,7 @@
 class ItemModel(BaseModel):
     """An item as encoded by the store."""
 
-    key: str
+    key: ReplacedText
     value: Base64Bytes = b""
     revision: int
     removed: bool = False
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 import os
 import signal
 import socket
@@ -336,8 +337,10 @@
 
 
 def post(url: str, document: Any) -> Any:
-    """POST a JSON document and return the decoded JSON response."""
-    return urllib3.request("POST", url, json=document, timeout=5.0).json()
+    """POST a JSON document, escaped to ASCII, and return the decoded JSON response."""
+    headers = {"Content-Type": "application/json"}
+    body = json.dumps(document)
+    return urllib3.request("POST", url, body=body, headers=headers, timeout=5.0).json()
 
 
 def fetch_counts(process: Process) -> Any:
