--- a/src/hawthornstage/platform/desired_state.py
+++ b/src/hawthornstage/platform/desired_state.py
@@ -18,6 +18,8 @@
     WorkspaceSpec,
 )
 from hawthornstage.messages.slow_start import SlowStartTerms
+from hawthornstage.platform.header_text import encode_value
+from hawthornstage.platform.writable_text import EscapedText
 from hawthornstage.settings_errors import format_validation_errors
 
 # Key of the current desired state, and the prefix to watch.
@@ -40,7 +42,7 @@
 class ShareModel(BaseModel):
     """One service of a route's traffic split."""
 
-    service: str
+    service: EscapedText
     weight: float
 
 
@@ -52,19 +54,19 @@
 class RouteModel(BaseModel):
     """A route in the operators' format."""
 
-    name: str
+    name: EscapedText
     hostname: str
     path_prefix: str = Field(alias="path-prefix")
     kind: str
     timeout_ms: float = Field(alias="timeout-ms")
     objective_ms: float = Field(alias="target-latency-ms", default=500.0)
     priority: int = 5
-    service: str | None = None
+    service: EscapedText | None = None
     split: list[ShareModel] = Field(alias="traffic-split", default=[])
     max_attempts: int = Field(alias="max-attempts", default=1)
     public: bool = False
     resumable: bool = False
-    homes: list[str] | None = Field(alias="allowed-regions", default=None)
+    homes: list[EscapedText] | None = Field(alias="allowed-regions", default=None)
 
     def to_route(self) -> ForwardRoute:
         """Convert to the route that the rest of the code uses."""
@@ -105,7 +107,7 @@
 class ServiceModel(BaseModel):
     """A service in the operators' format."""
 
-    name: str
+    name: EscapedText
     max_connections: int = Field(alias="max-connections", default=100)
     engine: EngineModel | None = None
     cold_s: float = Field(alias="cold-s", default=0.0)
@@ -152,12 +154,15 @@
     priority: int | None = None
     # Total tokens that the workspace may use over the day.
     prepaid: int | None = None
-    homes: list[str] | None = Field(alias="allowed-regions", default=None)
+    homes: list[EscapedText] | None = Field(alias="allowed-regions", default=None)
 
     def to_workspace(self) -> WorkspaceSpec:
-        """Convert to the workspace that the rest of the code uses."""
+        """Convert to the workspace that the rest of the code uses.
+
+        Its name is the one that servers get, in the log and the store, too.
+        """
         return WorkspaceSpec(
-            self.name,
+            encode_value(self.name),
             frozenset(self.api_keys),
             self.priority,
             self.prepaid,
