--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -5,13 +5,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-
-class ExecutionState(Enum):
-    """Whether a failed request may have been executed by a backend server."""
-
-    NO = "no"
-    YES = "yes"
-    UNKNOWN = "unknown"
+from hawthornstage.messages.execution import ExecutionState
 
 
 class ErrorKind(Enum):
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -31,6 +31,7 @@
     Refused,
     ResponseRelay,
     belongs_to_call,
+    ran_in_attempt,
 )
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
@@ -40,6 +41,7 @@
 from hawthornstage.messages.bounded_text import bounded_id
 from hawthornstage.messages.crashing_parts import AnswerBegan
 from hawthornstage.messages.desired import Idempotency
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.forward import (
     CallerDisconnected,
     DeadlineExceeded,
@@ -156,12 +158,8 @@
                         if not outcome.closed:
                             delivery.full |= {choice.server.id}
                         self.admit.note_refused(exchange)
-                case Misdirected(reason) | NotSent(reason):
+                case Misdirected(_, reason) | NotSent(reason) | ServerFailed(reason):
                     delivery.outcome = reason
-                case ServerFailed(reason):
-                    delivery.outcome = reason
-                    if exchange.route.idempotency is Idempotency.NON_IDEMPOTENT:
-                        return final_failure(delivery, reason)
             if not self.can_retry(exchange, delivery):
                 return final_failure(delivery, delivery.outcome)
 
@@ -209,6 +207,9 @@
 
     def can_retry(self, exchange: ForwardExchange, delivery: Delivery) -> bool:
         """Return whether another server may go on, and attempts and time are left."""
+        idempotent = exchange.route.idempotency is Idempotency.IDEMPOTENT
+        if delivery.may_have_run and not idempotent:
+            return False
         if delivery.events and delivery.last_event_id is None:
             # It would begin anew.
             return False
@@ -245,7 +246,7 @@
             return NotSent(reason)
         delivery.attempts += 1
         delivery.through_router = connection.through_router
-        ran_before, delivery.may_have_run = delivery.may_have_run, True
+        ran_before, delivery.ran = delivery.ran, ExecutionState.UNKNOWN
         pooled = False
         try:
             outcome = self.exchange(exchange, caller, connection, choice, delivery)
@@ -256,10 +257,9 @@
             if not pooled:
                 connection.close()
         delivery.pooled = connection if pooled else None
-        if isinstance(outcome, Refused | Misdirected):
-            delivery.may_have_run = ran_before
-        if isinstance(outcome, Misdirected):
-            delivery.misdirected += 1
+        if ran_in_attempt(outcome) is ExecutionState.NO:
+            delivery.ran = ran_before
+            delivery.misdirected += isinstance(outcome, Misdirected)
         return outcome
 
     def why_not_send(
@@ -322,8 +322,7 @@
                 return ServerFailed("the response has no head")
             case end:
                 return end
-        idempotent = exchange.route.idempotency is Idempotency.IDEMPOTENT
-        retryable = idempotent and self.can_retry(exchange, delivery)
+        retryable = self.can_retry(exchange, delivery)
 
         def on_answer_began() -> str | None:
             if exchange.shared_ids:
@@ -355,7 +354,7 @@
             error_s = delivery.first_byte_s - choice.basis.wait_s
             self.metrics.estimate_error.observe(error_s)
         self.reports.note_notice(call_id, choice.server, head, connection)
-        if not head.not_executed:
+        if head.ran is not ExecutionState.NO:
             self.admit.note_accepted(exchange)
 
     def may_go_on_there(
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -9,7 +9,9 @@
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.border.sse import EventSplitter, EventTooLargeError
+from hawthornstage.decisions.promises import is_false_promise
 from hawthornstage.filters.connection_memory import HeldMemory
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.forward import (
     CallerDisconnected,
     DeadlineExceeded,
@@ -55,8 +57,14 @@
 
 @dataclass(frozen=True)
 class Misdirected:
-    """Another server responded at the address; the chosen server has left it."""
+    """Another server responded at the address; the chosen server has left it.
 
+    Args:
+        ran: What is known of whether that server has run the call.
+        reason: For the log.
+    """
+
+    ran: ExecutionState
     reason: str = "another server has this address"
 
 
@@ -69,6 +77,19 @@
     | CallerDisconnected
     | DeadlineExceeded
 )
+
+
+def ran_in_attempt(outcome: AttemptOutcome) -> ExecutionState:
+    """Return what is known of whether an attempt has run its call."""
+    match outcome:
+        case NotSent() | Refused():
+            return ExecutionState.NO
+        case Misdirected(ran):
+            return ran
+        case _:
+            return ExecutionState.UNKNOWN
+
+
 # Names of the outcomes in the log and the metrics.
 OUTCOME_NAMES: dict[type, str] = {
     Delivered: "Delivered",
@@ -115,13 +136,16 @@
                 f"response for request {head.request_id!r} instead of {call_id!r}"
             )
         if head.misdirected:
-            return Misdirected()
-        if head.not_executed:
+            return Misdirected(head.ran)
+        if head.ran is ExecutionState.NO:
             return Refused(
                 f"status {head.status}, not run",
                 head.status == 503,
                 closed=bool(head.notice.closed_for_s),
             )
+        if is_false_promise(head.status, head.ran):
+            # Passed on, it would tell the caller that the call has not run.
+            return ServerFailed(f"status {head.status} without a word on its run")
         if head.is_success and (not head.sealed or head.content_encoded):
             return ServerFailed(
                 "the response lacks the server's digest or is re-encoded"
@@ -256,7 +280,7 @@
     """
     if head.request_id:
         return head.request_id == call_id
-    return head.not_executed and not reused
+    return head.ran is ExecutionState.NO and not reused
 
 
 def event_id(event: bytes) -> str | None:
--- a/src/hawthornstage/messages/forward.py
+++ b/src/hawthornstage/messages/forward.py
@@ -14,6 +14,7 @@
     ServiceSpec,
     WorkspaceSpec,
 )
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.server_notices import SILENT_NOTICE, ServerNotice
 
 Headers = tuple[tuple[str, str], ...]
@@ -186,7 +187,7 @@
         headers: Headers to forward to the caller.
         request_id: Id of the request that the response belongs to, or empty.
         sealed: Whether it carries the server's digest.
-        not_executed: Whether the server states that it did not run the request.
+        ran: What the response tells of whether the server has run the request.
         misdirected: Whether a server other than the intended one responded.
         content_encoded: Whether a content encoding changed the server's own bytes.
         keep_alive_s: Time for which the server keeps an idle connection open, in
@@ -198,7 +199,7 @@
     headers: Headers
     request_id: str
     sealed: bool
-    not_executed: bool
+    ran: ExecutionState
     misdirected: bool
     content_encoded: bool
     keep_alive_s: float | None = None
@@ -215,7 +216,7 @@
 
         A failing server may answer sooner than one that does its work.
         """
-        if self.not_executed or self.misdirected:
+        if self.ran is ExecutionState.NO or self.misdirected:
             return False
         return self.sealed if self.is_success else 300 <= self.status < 500
 
@@ -313,11 +314,12 @@
 
     Args:
         attempts: Number of times that the call was sent to a server.
-        misdirected: Attempts that a server other than the intended one answered.
+        misdirected: Attempts that another server than the intended one answered, and
+            did not run.
         attempted_servers: The chosen servers, including unreachable ones.
         excluded: Ids of the servers that must not be chosen again.
         full: Ids of those among them that only had no room for the call.
-        may_have_run: Whether a server may have started to run the call.
+        ran: What is known of whether a server has run the call.
         events: Complete events forwarded to the caller.
         last_event_id: Id of the last forwarded event.
         stream_version: Version of the server that began the stream, or None before its
@@ -344,7 +346,7 @@
     attempted_servers: tuple[BackendServer, ...] = ()
     excluded: frozenset[str] = frozenset()
     full: frozenset[str] = frozenset()
-    may_have_run: bool = False
+    ran: ExecutionState = ExecutionState.NO
     events: int = 0
     last_event_id: str | None = None
     stream_version: str | None = None
@@ -361,3 +363,8 @@
     lease: CallLease | None = None
     permit_asked_at: float | None = None
     began_unconfirmed: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have started to run the call."""
+        return self.ran is not ExecutionState.NO
--- a/src/hawthornstage/platform/headers.py
+++ b/src/hawthornstage/platform/headers.py
@@ -7,6 +7,7 @@
 
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.messages.bounded_text import bounded_id, bounded_text
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.forward import (
     ForwardCall,
     Headers,
@@ -245,7 +246,7 @@
         headers=forwarded,
         request_id=by_name.get(REQUEST_ID, ""),
         sealed=RESPONSE_SEAL in by_name,
-        not_executed=NOT_EXECUTED in by_name or status == WRONG_SERVER_STATUS,
+        ran=parse_execution(by_name),
         misdirected=status == WRONG_SERVER_STATUS,
         content_encoded="content-encoding" in by_name,
         keep_alive_s=parse_keep_alive(by_name.get("keep-alive", "")),
@@ -253,6 +254,17 @@
     )
 
 
+def parse_execution(headers: dict[str, str]) -> ExecutionState:
+    """Return what a response tells of whether its server has run the request.
+
+    Only a header states that it has not; a status code alone states nothing.
+
+    Args:
+        headers: The values by name in lower case.
+    """
+    return ExecutionState.NO if NOT_EXECUTED in headers else ExecutionState.UNKNOWN
+
+
 def parse_notice(status: int, headers: dict[str, str]) -> ServerNotice:
     """Return what a server says of itself in a response.
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -73,7 +73,8 @@
             return self.control(environ, start)
         body = read_bytes(environ)
         if environ.get("HTTP_X_TARGET_INSTANCE", self.name) != self.name:
-            start("421 Misdirected Request", [("X-Instance-Id", self.name)])
+            headers = [("X-Instance-Id", self.name), ("X-Not-Executed", "1")]
+            start("421 Misdirected Request", headers)
             return []
         if environ["PATH_INFO"] == "/-/report":
             return send_json(start, {"stage": "both", "born": self.born})
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -42,6 +42,7 @@
     RequestMemory,
 )
 from hawthornstage.messages.desired import CallerLimits
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.forward import (
     Delivery,
     ResponseData,
@@ -259,7 +260,7 @@
         (),
         "",
         sealed=False,
-        not_executed=False,
+        ran=ExecutionState.UNKNOWN,
         misdirected=False,
         content_encoded=False,
     )
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -51,7 +51,7 @@
 
 SERVER_ERROR = SEALED.replace(b"200 OK", b"500 Failed") + b"Content-Length: 0\r\n\r\n"
 REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+MISDIRECTED = REFUSAL.replace(b"503 Busy", b"421 Misdirected Request")
 
 
 DeliverToHolder = Callable[..., tuple[Failure | None, Delivery]]
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -32,6 +32,7 @@
     EvacuationsRead,
     StorePosition,
 )
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.forward import Delivery
 from hawthornstage.messages.host_settings import StoreBounds
@@ -637,7 +638,7 @@
     failure = forwarder.deliver(exchange, pair.connection, Delivery())
     assert failure is not None and failure.kind is ErrorKind.EVACUATED
     assert (response_for(failure).status, response_for(failure).retry_after) == (503, 1)
-    sent = Delivery(attempts=1, may_have_run=True)
+    sent = Delivery(attempts=1, ran=ExecutionState.UNKNOWN)
     failure = forwarder.deliver(exchange, pair.connection, sent)
     assert failure is not None and failure.kind is ErrorKind.SERVER_FAILED
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -22,6 +22,7 @@
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.desired import Idempotency, TrafficShare
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.forward import ForwardCall, PromptPart
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.desired_state import (
@@ -243,18 +244,19 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "headers", "not_executed"),
+    ("status", "headers", "ran"),
     [
-        (503, (("x-not-executed", "1"),), True),
-        (421, (), True),
-        (503, (), False),
-        (500, (), False),
+        (503, (("x-not-executed", "1"),), ExecutionState.NO),
+        (421, (("x-not-executed", "1"),), ExecutionState.NO),
+        (421, (), ExecutionState.UNKNOWN),
+        (503, (), ExecutionState.UNKNOWN),
+        (500, (), ExecutionState.UNKNOWN),
     ],
 )
 def test_only_the_servers_word_says_not_run(
-    status: int, headers: Any, not_executed: bool
+    status: int, headers: Any, ran: ExecutionState
 ) -> None:
-    assert parse_response_head(status, headers).not_executed is not_executed
+    assert parse_response_head(status, headers).ran is ran
 
 
 def entry_with_slots(slots: int) -> bytes:
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,102 @@
+"""No caller is told that a call has not run unless that is known."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from hawthornstage.border.request_reader import RawRequest
+from hawthornstage.clock import ManualClock
+from hawthornstage.decisions.promises import PROMISING_STATUSES
+from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.messages.forward import Delivery
+from tests.connection_pair import REQUEST, SEALED, CallerPair, sealed
+from tests.delivery_world import (
+    ScriptedServer,
+    Tasks,
+    exchange_for,
+    make_forwarder,
+    read_all,
+)
+
+BODY = b"failed"
+PLAIN = b"Content-Length: 6\r\n\r\n" + BODY
+# Ways to answer with a status, by what follows its headers.
+SHAPES = {
+    "sized": PLAIN,
+    "chunked": b"Transfer-Encoding: chunked\r\n\r\n6\r\nfailed\r\n0\r\n\r\n",
+    "until the close": b"\r\n" + BODY,
+    "with Retry-After": b"Retry-After: 1\r\n" + PLAIN,
+}
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nX-Not-Executed: 1\r\n\r\n"
+ROUTES = {"once": "/letters/x", "repeatable": "/letters/long/x"}
+
+
+def unmarked(status: int, rest: bytes) -> bytes:
+    """Return a server's response that doesn't say whether the call has run."""
+    return SEALED.replace(b"200 OK", b"%d Failed" % status) + rest
+
+
+def deliver(
+    pair: CallerPair, target: str, *servers: ScriptedServer
+) -> tuple[Failure | None, Delivery]:
+    """Forward one call to scripted servers."""
+    pair.caller.sendall(REQUEST + b"Content-Length: 4\r\n\r\ntext")
+    assert isinstance(pair.receive(), RawRequest)
+    tasks: Any = Tasks([server.start() for server in servers])
+    forwarder = make_forwarder(tasks, ManualClock(start=10.0))
+    delivery = Delivery()
+    return forwarder.deliver(exchange_for(target), pair.connection, delivery), delivery
+
+
+# Guards against review/15: a 503 of a server that had run a booking was passed on.
+@pytest.mark.parametrize("target", ROUTES.values(), ids=ROUTES)
+@pytest.mark.parametrize("hints", [b"", EARLY_HINTS], ids=["", "after a 103"])
+@pytest.mark.parametrize("rest", SHAPES.values(), ids=SHAPES)
+@pytest.mark.parametrize("status", sorted(PROMISING_STATUSES))
+def test_status_of_a_server_promises_nothing_by_itself(
+    status: int, rest: bytes, hints: bytes, target: str, pair: CallerPair
+) -> None:
+    server = ScriptedServer([hints + unmarked(status, rest)])
+    failure, delivery = deliver(pair, target, server)
+    assert isinstance(failure, Failure)
+    assert failure.kind is ErrorKind.SERVER_FAILED
+    assert delivery.may_have_run
+    assert read_all(pair) == b""
+
+
+@pytest.mark.parametrize("status", sorted(PROMISING_STATUSES))
+def test_call_that_may_not_run_twice_is_sent_once_after_such_a_status(
+    status: int, pair: CallerPair
+) -> None:
+    first = ScriptedServer([unmarked(status, PLAIN)])
+    second = ScriptedServer([sealed(b"id: 1\ndata: a\n\n")])
+    _, delivery = deliver(pair, ROUTES["once"], first, second)
+    assert (delivery.attempts, delivery.misdirected) == (1, 0)
+    assert not second.seen
+
+
+@pytest.mark.parametrize("status", sorted(PROMISING_STATUSES))
+def test_repeatable_call_goes_on_after_such_a_status(
+    status: int, pair: CallerPair
+) -> None:
+    first = ScriptedServer([unmarked(status, PLAIN)])
+    second = ScriptedServer([sealed(b"id: 1\ndata: a\n\n")])
+    failure, delivery = deliver(pair, ROUTES["repeatable"], first, second)
+    assert failure is None
+    assert delivery.attempts == 2
+    assert b"data: a" in read_all(pair)
+
+
+@pytest.mark.parametrize("status", [404, 500, 504])
+def test_status_that_promises_nothing_is_passed_on_as_it_is(
+    status: int, pair: CallerPair
+) -> None:
+    failure, _ = deliver(
+        pair, ROUTES["once"], ScriptedServer([unmarked(status, PLAIN)])
+    )
+    assert failure is None
+    answer = read_all(pair)
+    assert answer.startswith(b"HTTP/1.1 %d" % status)
+    assert b"x-response-seal: s" in answer and answer.endswith(BODY)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -16,6 +16,7 @@
 from hawthornstage.filters.attempt_reports import is_server_failure
 from hawthornstage.filters.forward_relay import Delivered, Refused
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.forward import (
     NotSent,
     Prompt,
@@ -113,7 +114,8 @@
 def test_failures_and_refusals_do_not_show_a_servers_speed(
     status: int, not_executed: bool, misdirected: bool, shows_speed: bool
 ) -> None:
-    head = ResponseHead(status, (), "r1", True, not_executed, misdirected, False)
+    ran = ExecutionState.NO if not_executed else ExecutionState.UNKNOWN
+    head = ResponseHead(status, (), "r1", True, ran, misdirected, False)
     assert head.shows_speed == shows_speed
 
 
