Standalone router: promise "not run" only where it is known

A service's 408, 421 or 429 for a booking was passed on, and stored for later attempts. An engine's refusal said `ran: no` on its own word. A bill that could not be recorded had status 503 though the call has run. A repeatable call whose first server failed and for which then no server was left was told "not run".

Change: such statuses are the server's failure (`is_false_promise`), `failure_after` speaks for all attempts of a call, stored outcomes of older builds with such a status are told as unknown, and the table of failures holds no promising status without `ran: no`; `bill_unrecorded` has status 502, `server_refused` says `ran: unknown`.

--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -146,7 +146,7 @@
         502, ExecutionState.UNKNOWN, 1, "The backend server failed before it responded."
     ),
     ErrorKind.SERVER_REFUSED: ErrorResponse(
-        422, ExecutionState.NO, None, "The backend server refused the request."
+        422, ExecutionState.UNKNOWN, None, "The backend server refused the request."
     ),
     ErrorKind.STREAM_CUT: ErrorResponse(
         502,
@@ -161,7 +161,7 @@
         "This request crashed the servers that ran it.",
     ),
     ErrorKind.BILL_UNRECORDED: ErrorResponse(
-        503, ExecutionState.YES, 2, "The response could not be billed and is withheld."
+        502, ExecutionState.YES, 2, "The response could not be billed and is withheld."
     ),
     ErrorKind.NO_DESIRED_STATE: ErrorResponse(
         503, ExecutionState.NO, 0.2, "The router has not loaded the desired state yet."
--- a/src/hawthornstage/filters/attempt.py
+++ b/src/hawthornstage/filters/attempt.py
@@ -8,11 +8,13 @@
 
 from hawthornstage.clock import Clock
 from hawthornstage.decisions import retries
-from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.decisions.promises import failure_after
+from hawthornstage.errors import ErrorKind, Failure, response_for
 from hawthornstage.filters.choose_server import ChooseServer
 from hawthornstage.filters.dispatch import Dispatch
 from hawthornstage.filters.isolate import Isolate
 from hawthornstage.mailbox import Mailbox
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.request import Exchange
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
@@ -74,13 +76,16 @@
         """Send the call until a server responds or no retry is safe or allowed."""
         self.retry_budget.record_request()
         attempts = 0
+        ran = ExecutionState.NO
         while True:
             outcome = self.attempt_once(exchange)
             attempts += 1
             if not isinstance(outcome, Failure):
                 return outcome
             if not self.should_retry(exchange, outcome, attempts):
-                return outcome
+                return failure_after(outcome, ran)
+            if response_for(outcome).ran is not ExecutionState.NO:
+                ran = ExecutionState.UNKNOWN
             self.metrics.retries.inc()
             pause = retries.backoff(attempts, self.draw())
             self.events.emit(
--- a/src/hawthornstage/filters/claim.py
+++ b/src/hawthornstage/filters/claim.py
@@ -10,8 +10,10 @@
 from hawthornstage.actors.documents import Applied, Apply, StoreUnavailable
 from hawthornstage.clock import Clock
 from hawthornstage.decisions import claims
+from hawthornstage.decisions.promises import is_false_promise
 from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.mailbox import Mailbox
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.request import Exchange, Reply, Request
 from hawthornstage.observe.events import EventLog
 
@@ -72,7 +74,7 @@
                     "claimed", request_id=request.id, attempt=exchange.attempt
                 )
                 return replace(exchange, claimed=True)
-            case Applied(result=claims.AlreadyClaimed(outcome)) if outcome:
+            case Applied(result=claims.AlreadyClaimed(outcome)) if is_told(outcome):
                 self.events.emit("replayed", request_id=request.id)
                 return stored_reply(request, outcome)
             case Applied(result=claims.AlreadyClaimed()):
@@ -107,6 +109,16 @@
     return claims.claim_key(exchange.workspace, key)
 
 
+def is_told(outcome: claims.Outcome | None) -> bool:
+    """Whether the stored outcome of a call may be told.
+
+    Older builds stored responses that would now promise that the call has not run.
+    """
+    return outcome is not None and not is_false_promise(
+        outcome.status, ExecutionState.UNKNOWN
+    )
+
+
 def stored_reply(request: Request, outcome: claims.Outcome) -> Reply:
     """Return the stored response of an earlier attempt."""
     headers = (("X-Request-Id", request.id), ("Idempotent-Replayed", "true"))
--- a/src/hawthornstage/filters/dispatch.py
+++ b/src/hawthornstage/filters/dispatch.py
@@ -17,7 +17,9 @@
 
 from hawthornstage.border.chat import encode_engine_chat
 from hawthornstage.border.sse import EventTooLargeError, read_events
+from hawthornstage.decisions.promises import is_false_promise
 from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.request import (
     ChatCall,
     Exchange,
@@ -192,7 +194,8 @@
 
 def failure_for_status(exchange: Exchange, status: int, body: bytes) -> Failure | None:
     """Return the failure that a status code means, or None for a usable response."""
-    if status >= 500:
+    # No server of this interface says that it has not run a call.
+    if status >= 500 or is_false_promise(status, ExecutionState.UNKNOWN):
         detail = f"status {status}: {body[:200].decode(errors='replace')}"
         return Failure(ErrorKind.SERVER_FAILED, detail)
     if isinstance(exchange.request.call, ChatCall) and status >= 400:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
+import urllib3
 
+from hawthornstage.actors.documents import Applied
 from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.clock import ManualClock
-from hawthornstage.decisions.promises import PROMISING_STATUSES
-from hawthornstage.errors import ErrorKind, Failure
+from hawthornstage.decisions import claims
+from hawthornstage.decisions.promises import PROMISING_STATUSES, failure_after
+from hawthornstage.errors import ERROR_RESPONSES, ErrorKind, Failure, response_for
+from hawthornstage.filters.claim import Claim
+from hawthornstage.filters.dispatch import Dispatch
+from hawthornstage.messages.execution import ExecutionState
 from hawthornstage.messages.forward import Delivery
+from hawthornstage.observe.events import EventLog
+from tests.broken_server import BrokenServer
 from tests.connection_pair import REQUEST, SEALED, CallerPair, sealed
 from tests.delivery_world import (
     ScriptedServer,
@@ -19,6 +29,7 @@
     make_forwarder,
     read_all,
 )
+from tests.test_broken_answers import booking
 
 BODY = b"failed"
 PLAIN = b"Content-Length: 6\r\n\r\n" + BODY
@@ -100,3 +111,59 @@
     answer = read_all(pair)
     assert answer.startswith(b"HTTP/1.1 %d" % status)
     assert b"x-response-seal: s" in answer and answer.endswith(BODY)
+
+
+def test_own_failures_promise_only_what_is_known() -> None:
+    promising = [
+        each for each in ERROR_RESPONSES.values() if each.status in PROMISING_STATUSES
+    ]
+    assert promising
+    assert {each.ran for each in promising} == {ExecutionState.NO}
+
+
+@pytest.fixture
+def broken() -> Iterator[Any]:
+    """Return a function that starts a server, ended with the test."""
+    started: list[BrokenServer] = []
+
+    def start(shape: str) -> BrokenServer:
+        started.append(BrokenServer(shape))
+        return started[-1]
+
+    yield start
+    for each in started:
+        each.close()
+
+
+@pytest.mark.parametrize("status", sorted(PROMISING_STATUSES))
+def test_standalone_router_takes_no_promise_from_a_server(
+    status: int, broken: Any, events: EventLog
+) -> None:
+    exchange = booking(broken(str(status)), b"{}")
+    outcome = Dispatch(urllib3.PoolManager(), events).apply(exchange)
+    assert isinstance(outcome, Failure)
+    assert outcome.kind is ErrorKind.SERVER_FAILED
+    assert exchange.progress.sent
+
+
+@pytest.mark.parametrize("kind", ErrorKind)
+@pytest.mark.parametrize("ran", ExecutionState)
+def test_last_failure_of_a_call_speaks_for_all_its_attempts(
+    kind: ErrorKind, ran: ExecutionState
+) -> None:
+    told = response_for(failure_after(Failure(kind), ran)).ran
+    assert told is not ExecutionState.NO or ran is ExecutionState.NO
+
+
+@pytest.mark.parametrize("status", sorted(PROMISING_STATUSES))
+def test_stored_outcome_of_an_older_build_promises_nothing(
+    status: int, broken: Any, events: EventLog
+) -> None:
+    documents: Any = SimpleNamespace(tell=lambda message: None)
+    claim = Claim("r1", documents, 4, 1.0, ManualClock(), events)
+    outcome = claims.Outcome(status, "text/plain", b"")
+    reply = claim.handle_reply(
+        booking(broken("200"), b"{}"),
+        Applied("claims", claims.AlreadyClaimed(outcome)),
+    )
+    assert reply == Failure(ErrorKind.OUTCOME_UNKNOWN)
