--- a/src/hawthornstage/actors/caller_connections.py
+++ b/src/hawthornstage/actors/caller_connections.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
+from hawthornstage.border.request_reader import LimitsChanged
 from hawthornstage.border.sockets import Interrupt
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.connection_limits import (
@@ -127,6 +128,12 @@
         )
         return chosen
 
+    def tell_limits_changed(self) -> None:
+        """Wake the connections that wait for a caller within limits that changed."""
+        with self.condition:
+            for each in self.waiting.values():
+                each.interrupt.put(LimitsChanged())
+
     def begin_wait(self, waiting: Waiting) -> None:
         """Note that a connection waits for the rest of a request."""
         with self.condition:
--- a/src/hawthornstage/actors/caller_listener.py
+++ b/src/hawthornstage/actors/caller_listener.py
@@ -34,6 +34,7 @@
         intake: What connections share while they read.
         answerer: Serves complete requests.
         stopping: Signals to connections that the router stops.
+        connections: Counts the connections.
     """
 
     def __init__(
@@ -42,12 +43,13 @@
         intake: CallerIntake,
         answerer: Answerer,
         stopping: StopSignal,
+        connections: CallerConnections,
     ) -> None:
         super().__init__(name="callers", daemon=True)
         self.intake = intake
         self.answerer = answerer
         self.stopping = stopping
-        self.connections = CallerConnections(intake.clock, intake.events)
+        self.connections = connections
         self.workers = CallerWorkers(intake.clock, intake.start_delays)
         self.max_connections = derive_limits(intake.host).connections
         self.numbers = count()
--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -47,7 +47,7 @@
         memory: Memory of request bodies.
         turns: Turns to read long requests.
         host: What the router may take of its host.
-        limits: Returns the limits on reading one request.
+        limits: Returns the limits on reading one request that are in force.
         start_delays: How late connections begin to be served.
         clock: The runtime's clock.
         events: The event log.
@@ -139,9 +139,7 @@
         self.number = number
         self.address = address
         self.pace = intake.turns.pace_of(number, address)
-        self.caller = CallerConnection(
-            connection, intake.clock, header_bytes=intake.limits().header_bytes
-        )
+        self.caller = CallerConnection(connection, intake.clock)
 
     def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -175,7 +173,7 @@
         received: ReceiveResult = ConnectionClosed()
         try:
             received = self.caller.receive(
-                self.stopping.wake, self.intake.limits(), watch
+                self.stopping.wake, self.intake.limits, watch
             )
         finally:
             watch.end(served=isinstance(received, RawRequest))
--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 import h11
 
@@ -22,6 +23,8 @@
 from hawthornstage.clock import Clock
 from hawthornstage.messages.forward import Headers
 
+# Largest head that the parser keeps, in bytes; the limits in force are checked first.
+MAX_HEAD_BYTES = 2**31
 # Longest wait for a caller to accept a part of its response, in seconds.
 SEND_TIMEOUT_S = 5.0
 
@@ -32,16 +35,12 @@
     Args:
         connection: The accepted socket.
         clock: The runtime's clock.
-        header_bytes: Largest request head, in bytes.
     """
 
-    def __init__(
-        self, connection: socket.socket, clock: Clock, *, header_bytes: int
-    ) -> None:
+    def __init__(self, connection: socket.socket, clock: Clock) -> None:
         self.socket = connection
         self.clock = clock
-        self.header_bytes = header_bytes
-        self.parser = self.new_parser()
+        self.parser = new_parser()
         # Whether the response is sent in chunks, and the decoder of a chunked request.
         self.chunked = False
         self.closing = False
@@ -49,23 +48,22 @@
         set_socket_options(connection)
         connection.settimeout(SEND_TIMEOUT_S)
 
-    def new_parser(self) -> h11.Connection:
-        """Return the parser of a connection on which nothing has been received."""
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self.header_bytes)
-
     @property
     def idle(self) -> bool:
         """Whether no byte of a next request has been received."""
         return not self.parser.trailing_data[0]
 
     def receive(
-        self, wake_socket: socket.socket, limits: ReadLimits, observer: ReadObserver
+        self,
+        wake_socket: socket.socket,
+        limits: Callable[[], ReadLimits],
+        observer: ReadObserver,
     ) -> ReceiveResult:
         """Read the next request.
 
         Args:
             wake_socket: Becomes readable when idle connections must close.
-            limits: Limits on the request.
+            limits: Returns the limits on the request that are in force.
             observer: Is told of each wait, and of the size of the body.
 
         Returns:
@@ -149,7 +147,7 @@
         """Begin anew after a chunked body, which the parser has not seen."""
         if not chunks.finished:
             return False
-        self.parser = self.new_parser()
+        self.parser = new_parser()
         if chunks.rest:
             self.parser.receive_data(chunks.rest)
         return True
@@ -175,3 +173,8 @@
             # To a caller without chunks, an orderly close would look like the end.
             reset_on_close(self.socket)
         self.socket.close()
+
+
+def new_parser() -> h11.Connection:
+    """Return the parser of a connection on which nothing has been received."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/src/hawthornstage/border/request_reader.py
+++ b/src/hawthornstage/border/request_reader.py
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True)
 class ReadLimits:
-    """Limits on reading one request.
+    """Limits on reading one request, which may change while it is read.
 
     Args:
         first_byte_timeout_s: Longest wait for the first byte, in seconds.
@@ -115,6 +115,11 @@
     request_timeout_s: float = REQUEST_TIMEOUT_S
 
 
+@dataclass(frozen=True)
+class LimitsChanged:
+    """Wakes a task that waits for a caller: its limits may be others now."""
+
+
 class ReadObserver(Protocol):
     """Is told how the reading of a request proceeds, and may stop it."""
 
@@ -162,7 +167,7 @@
         parser: The connection's parser, which may have bytes of the request.
         clock: The runtime's clock.
         wake_socket: Becomes readable when idle connections must close.
-        limits: Limits on the request.
+        limits: Returns the limits on the request that are in force.
         observer: Is told of each wait, and of the size of the body.
         send_continue: Tells the caller to send the body.
     """
@@ -174,7 +179,7 @@
         clock: Clock,
         *,
         wake_socket: socket.socket,
-        limits: ReadLimits,
+        limits: Callable[[], ReadLimits],
         observer: ReadObserver,
         send_continue: Callable[[], None],
     ) -> None:
@@ -191,22 +196,36 @@
         self.body = io.BytesIO()
         # Memory of the head beyond the usual, in bytes.
         self.head_bytes = 0
-        self.deadline = self.clock.monotonic() + limits.first_byte_timeout_s
-        # Time by which the whole request must have arrived.
-        self.ends_at = math.inf
+        # Bytes received of the request until its head was complete.
+        self.received_bytes = len(parser.trailing_data[0])
+        # Times at which the wait for the next part and the request itself began.
+        self.waits_since = self.clock.monotonic()
+        self.begun_at = math.inf
         if self.begun:
             self.begin()
 
     def begin(self) -> None:
         """Note the first byte of the request."""
         self.begun = True
-        self.ends_at = self.clock.monotonic() + self.limits.request_timeout_s
+        self.begun_at = self.clock.monotonic()
         self.extend_deadline()
 
     def extend_deadline(self) -> None:
         """Give the caller time for the next part of the request."""
-        now = self.clock.monotonic()
-        self.deadline = min(now + self.limits.read_timeout_s, self.ends_at)
+        self.waits_since = self.clock.monotonic()
+
+    @property
+    def ends_at(self) -> float:
+        """Time by which the whole request must have arrived."""
+        return self.begun_at + self.limits().request_timeout_s
+
+    @property
+    def deadline(self) -> float:
+        """Time by which the next part of the request must arrive."""
+        limits = self.limits()
+        if not self.begun:
+            return self.waits_since + limits.first_byte_timeout_s
+        return min(self.waits_since + limits.read_timeout_s, self.ends_at)
 
     def read(self) -> ReceiveResult:
         """Return the request, or why there is none."""
@@ -243,10 +262,13 @@
         if self.chunks is not None:
             return self.receive()
         match self.parser.next_event():
+            case h11.NEED_DATA if self.head is None:
+                return self.refuse_head(self.received_bytes) or self.receive()
             case h11.NEED_DATA:
                 return self.receive()
             case h11.Request() as head:
-                return self.begin_body(head)
+                head_bytes = self.received_bytes - len(self.parser.trailing_data[0])
+                return self.refuse_head(head_bytes) or self.begin_body(head)
             case h11.Data(data=data):
                 return self.add_to_body(data)
             case h11.EndOfMessage():
@@ -266,6 +288,13 @@
             return outcome
         return self.accept_bytes(self.socket.recv(READ_BYTES))
 
+    def refuse_head(self, size: int) -> MalformedRequest | None:
+        """Return the refusal of a head, or None if it may have `size` bytes."""
+        limit = self.limits().header_bytes
+        if size <= limit:
+            return None
+        return MalformedRequest(431, f"the head exceeds {limit} bytes")
+
     def wait_for_bytes(self, interrupt: Interrupt) -> ReceiveResult | None:
         """Wait until bytes can be read; return why there are none."""
         watched: list[tuple[Pollable, int]] = [
@@ -274,29 +303,63 @@
         ]
         if not self.begun:
             watched.append((self.wake_socket, READABLE))
-        ready = wait_ready(watched, 0) if self.observer.has_turn else set()
+        ready: set[int] = set()
+        if self.observer.has_turn:
+            ready = self.poll(watched, interrupt, 0)
         if not ready:
             self.observer.end_turn()
-            remaining_s = self.deadline - self.clock.monotonic()
-            ready = wait_ready(watched, remaining_s) if remaining_s > 0 else set()
+            ready = self.wait_until(watched, interrupt, lambda: self.deadline)
         if self.begun and interrupt.fileno() in ready:
             return RequestRecalled()
         if self.socket.fileno() not in ready:
             return self.time_out()
         return None
 
+    def wait_until(
+        self,
+        watched: list[tuple[Pollable, int]],
+        interrupt: Interrupt,
+        latest: Callable[[], float],
+    ) -> set[int]:
+        """Wait until a socket is ready; return none once the time is over.
+
+        Args:
+            watched: The sockets and the interrupt.
+            interrupt: Tells of changed limits, too, which only end a wait.
+            latest: Returns the time at which to give up, which limits may change.
+        """
+        ready: set[int] = set()
+        while not ready and (remaining_s := latest() - self.clock.monotonic()) > 0:
+            ready = self.poll(watched, interrupt, remaining_s)
+        return ready
+
+    def poll(
+        self,
+        watched: list[tuple[Pollable, int]],
+        interrupt: Interrupt,
+        timeout_s: float,
+    ) -> set[int]:
+        """Wait once until a socket is ready, or until limits have changed."""
+        ready = wait_ready(watched, timeout_s)
+        if interrupt.fileno() in ready and interrupt.discard(LimitsChanged):
+            ready.remove(interrupt.fileno())
+        return ready
+
     def wait_for_turn(self, interrupt: Interrupt) -> ReceiveResult | None:
         """Wait until the connection may read on; return how the request ends.
 
         The caller is given its time anew, as it may have sent the next part long ago.
         """
         self.observer.request_turn(interrupt)
-        latest = self.deadline if self.head is None else self.ends_at
         watched: list[tuple[Pollable, int]] = [
             (interrupt, READABLE),
             (self.socket, FAILED),
         ]
-        ready = wait_ready(watched, latest - self.clock.monotonic())
+        ready = self.wait_until(
+            watched,
+            interrupt,
+            lambda: self.deadline if self.head is None else self.ends_at,
+        )
         match interrupt.take():
             case []:
                 return ConnectionClosed() if ready else self.time_out()
@@ -322,6 +385,8 @@
         self.observer.note_read(len(data), data.count(b"\n"))
         if self.chunks is not None:
             return self.decode(self.chunks, data)
+        if self.head is None:
+            self.received_bytes += len(data)
         self.parser.receive_data(data)
         return None
 
@@ -338,7 +403,7 @@
             # Very many tiny chunks cost no memory, and their time is spent in turns.
             self.chunks = ChunkedDecoder(refuse_small=False)
             return self.decode(self.chunks, self.parser.trailing_data[0])
-        if announced_bytes(head) > self.limits.body_bytes:
+        if announced_bytes(head) > self.limits().body_bytes:
             return self.too_large()
         return None
 
@@ -353,7 +418,7 @@
     def add_to_body(self, data: bytes) -> ReceiveResult | None:
         """Add a part to the body if it may take so much memory."""
         size = self.body.tell() + len(data)
-        if size > self.limits.body_bytes:
+        if size > self.limits().body_bytes:
             return self.too_large()
         if not self.observer.grow(self.head_bytes + size):
             return RequestRecalled()
@@ -363,7 +428,7 @@
 
     def too_large(self) -> MalformedRequest:
         """Return the refusal of a body over the limit."""
-        limit = self.limits.body_bytes
+        limit = self.limits().body_bytes
         return MalformedRequest(413, f"the body exceeds {limit} bytes")
 
     def complete(self) -> RawRequest:
--- a/src/hawthornstage/border/sockets.py
+++ b/src/hawthornstage/border/sockets.py
@@ -60,6 +60,15 @@
                 os.eventfd_read(self.descriptor)
         return messages
 
+    def discard(self, kind: type) -> bool:
+        """Drop the messages of a class; return whether none is left."""
+        with self.lock:
+            left = [each for each in self.messages if not isinstance(each, kind)]
+            if self.messages and not left:
+                os.eventfd_read(self.descriptor)
+            self.messages = left
+        return not left
+
     def close(self) -> None:
         """Release the descriptor."""
         with self.lock:
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -16,6 +16,7 @@
 from hawthornstage.actors import budgets as budgets_task
 from hawthornstage.actors.ask import ask
 from hawthornstage.actors.budgets import Budgets, DrainBudgets, HolderOptions
+from hawthornstage.actors.caller_connections import CallerConnections
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.actors.callers import CallerIntake, StopSignal
@@ -471,7 +472,13 @@
         )
         address = SocketAddress(self.settings.listen.host, self.settings.listen.port)
         answerer = WsgiCalls(self.application)
-        return CallerListener(address, intake, answerer, self.callers_stopping)
+        return CallerListener(
+            address,
+            intake,
+            answerer,
+            self.callers_stopping,
+            CallerConnections(**shared),
+        )
 
     def read_limits(self) -> ReadLimits:
         """Return the limits on reading one request."""
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from hawthornstage.actors.admission import AdmissionTask
+from hawthornstage.actors.caller_connections import CallerConnections
+from hawthornstage.actors.caller_limits import CallerLimitsTask
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.actors.callers import StopSignal
@@ -18,7 +20,7 @@
 )
 from hawthornstage.actors.evacuations import EvacuationsTask
 from hawthornstage.actors.fleet_members import FleetMembers
-from hawthornstage.actors.forwarded_calls import ForwardedCalls
+from hawthornstage.actors.forwarded_calls import ForwardedCalls, read_limits
 from hawthornstage.actors.health import HealthTask
 from hawthornstage.actors.ledger import LedgerTask
 from hawthornstage.actors.peers.task import Peers
@@ -50,6 +52,7 @@
 from hawthornstage.actors.timers import Timers
 from hawthornstage.actors.token_accounts import TokenAccountsTask
 from hawthornstage.border.peer_connection import PeerIdentity
+from hawthornstage.border.request_reader import ReadLimits
 from hawthornstage.clock import Clock
 from hawthornstage.compose_messages import register_messages, schedule_periodic_work
 from hawthornstage.compose_pipe import make_intake, make_pipe
@@ -136,6 +139,7 @@
         self.store_circuit = CircuitBreaker()
         self.store_epoch = StoreEpoch(self.events)
         self.stopping = StopSignal()
+        self.caller_connections = CallerConnections(**self.shared)
         self.timers = Timers(self.clock)
         self.dispatcher = MessageDispatcher()
         self.readiness = ProbeServer(
@@ -198,11 +202,14 @@
             slow_start_bounds=lambda: self.live_settings.value.slow_start_bounds,
             **self.shared,
         )
+        caller_limits = CallerLimitsTask.start(
+            self.read_limits, self.caller_connections
+        )
         self.desired_states = DesiredStateTask.start(
             node,
             self.desired,
             peers=self.peers,
-            subscribers=(self.token_accounts, self.server_notices),
+            subscribers=(self.token_accounts, self.server_notices, caller_limits),
             **self.shared,
         )
         self.evacuations = EvacuationsTask.start(
@@ -259,6 +266,7 @@
             make_intake(self, memory),
             ForwardedCalls(make_pipe(self, memory), self.stopping),
             self.stopping,
+            self.caller_connections,
         )
         self.callers.start()
 
@@ -380,6 +388,10 @@
         }
         self.health = HealthTask.start(watched, self.faulty_tasks, **self.shared)
 
+    def read_limits(self) -> ReadLimits:
+        """Return the limits on reading one request of the desired state in use."""
+        return read_limits(self.desired.value)
+
     def retry_terms(self) -> RetryLimits:
         """Return the current settings of the fleet's retries."""
         settings = self.live_settings.value
--- a/src/hawthornstage/compose_pipe.py
+++ b/src/hawthornstage/compose_pipe.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from hawthornstage.actors.callers import CallerIntake
-from hawthornstage.actors.forwarded_calls import ForwardPipe, read_limits
+from hawthornstage.actors.forwarded_calls import ForwardPipe
 from hawthornstage.filters.admit import AdmitCall
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
@@ -33,7 +33,7 @@
         memory=memory,
         turns=ReadingTurns(router.reading_turns, router.clock),
         host=router.settings.limits,
-        limits=lambda: read_limits(router.desired.value),
+        limits=router.read_limits,
         start_delays=router.start_delays,
         **router.shared,
     )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -147,7 +147,7 @@
     """Return a connected caller."""
     near, far = tcp_pair()
     wake, trigger = socket.socketpair()
-    connection = CallerConnection(far, Clock(), header_bytes=4_096)
+    connection = CallerConnection(far, Clock())
     observer = Observer()
     yield CallerPair(near, connection, wake, trigger, observer)
     for each in (near, far, wake, trigger, observer.interrupt):
--- a/tests/connection_pair.py
+++ b/tests/connection_pair.py
@@ -87,13 +87,16 @@
     trigger: socket.socket
     observer: Observer
     body_bytes: int = 1_000
+    header_bytes: int = 4_096
 
     def receive(
         self, *, first_byte_timeout_s: float = SOON, read_timeout_s: float = SOON
     ) -> Any:
         """Read the next request."""
-        limits = ReadLimits(first_byte_timeout_s, read_timeout_s, self.body_bytes)
-        return self.connection.receive(self.wake, limits, self.observer)
+        limits = ReadLimits(
+            first_byte_timeout_s, read_timeout_s, self.body_bytes, self.header_bytes
+        )
+        return self.connection.receive(self.wake, lambda: limits, self.observer)
 
 
 def tcp_pair() -> tuple[socket.socket, socket.socket]:
--- a/tests/test_any_bytes.py
+++ b/tests/test_any_bytes.py
@@ -10,7 +10,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from hawthornstage.border.caller_connection import CallerConnection
+from hawthornstage.border.caller_connection import CallerConnection, new_parser
 from hawthornstage.border.request_reader import (
     ConnectionClosed,
     IdleTimeout,
@@ -96,16 +96,15 @@
     data = b"".join(pieces)
     observer = Observer()
     wake, trigger = socket.socketpair()
-    limits = ReadLimits(SOON, SOON, BODY_BYTES)
+    limits = ReadLimits(SOON, SOON, BODY_BYTES, header_bytes=HEADER_BYTES)
     with wake, trigger, fed_socket(data, fractions) as near:
         near.settimeout(SOON)
         connection = unconnected(CallerConnection)
         connection.__dict__.update(
-            socket=near, clock=Clock(), header_bytes=HEADER_BYTES, request_chunks=None
+            socket=near, clock=Clock(), parser=new_parser(), request_chunks=None
         )
-        connection.parser = connection.new_parser()
         with bounded_memory(HEADER_BYTES + BODY_BYTES + SLACK_BYTES):
-            received = connection.receive(wake, limits, observer)
+            received = connection.receive(wake, lambda: limits, observer)
     observer.interrupt.close()
     ends = RawRequest | MalformedRequest | ConnectionClosed | IdleTimeout
     assert isinstance(received, ends)
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from hawthornstage.actors.caller_connections import CallerConnections
 from hawthornstage.actors.caller_listener import CallerListener
 from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.actors.callers import CallerIntake, StopSignal
@@ -99,7 +100,9 @@
     )
     stopping = StopSignal()
     calls = ForwardedCalls(pipe, stopping)
-    return CallerListener(SocketAddress("127.0.0.1", 0), intake, calls, stopping)
+    address = SocketAddress("127.0.0.1", 0)
+    connections = CallerConnections(**shared)
+    return CallerListener(address, intake, calls, stopping, connections)
 
 
 @pytest.fixture
--- a/tests/test_reading_turns.py
+++ b/tests/test_reading_turns.py
@@ -345,7 +345,7 @@
     sender = threading.Thread(target=send_bytes, daemon=True)
     sender.start()
     limits = ReadLimits(SOON, SOON, 1_000_000, request_timeout_s=SHORT_S)
-    received = pair.connection.receive(pair.wake, limits, pair.observer)
+    received = pair.connection.receive(pair.wake, lambda: limits, pair.observer)
     stop.set()
     sender.join()
     assert isinstance(received, RequestTimeout)
@@ -364,9 +364,9 @@
     sender = threading.Thread(target=near.sendall, args=(body,), daemon=True)
     with near, far, wake, trigger, closing(observer.interrupt):
         sender.start()
-        connection = CallerConnection(far, Clock(), header_bytes=4_096)
+        connection = CallerConnection(far, Clock())
         limits = ReadLimits(SOON, SOON, 4 * 1024 * 1024)
-        received = connection.receive(wake, limits, observer)
+        received = connection.receive(wake, lambda: limits, observer)
         observer.pace.end_reading()
     assert isinstance(received, RawRequest)
     assert received.body == b"z" * count
