Fix the log's end at a text that cannot be encoded

What operators saw: no line of either router any more, once an entry had half of a surrogate pair in its id or its service.

Cause: the thread that owns the log's file let the error of a write end it. Standard output is strict about what its encoding lacks.

Change: what the encoding lacks is escaped; a write that fails for another reason is counted with the dropped lines, and the thread goes on.

Evidence: tests/test_log_writer.py; four of its tests failed before.

--- a/src/hawthornstage/observe/logs.py
+++ b/src/hawthornstage/observe/logs.py
@@ -56,11 +56,24 @@
                 dropped, self.dropped = self.dropped, 0
             if dropped:
                 text += f"level=warning event=log_lines_dropped count={dropped}\n"
-            self.file.write(text)
-            self.file.flush()
+            self.write_out(text)
             if None in batch:
                 return
 
+    def write_out(self, text: str) -> None:
+        """Write lines to the file; what fails is counted as dropped.
+
+        What the file's encoding lacks is escaped, as others may have chosen the text.
+        """
+        encoding = getattr(self.file, "encoding", None) or "utf-8"
+        encoded = text.encode(encoding, "backslashreplace")
+        try:
+            self.file.write(encoded.decode(encoding))
+            self.file.flush()
+        except (OSError, ValueError):
+            with self.lock:
+                self.dropped += text.count("\n")
+
     def close(self) -> None:
         """Write the queued lines and stop the thread."""
         self.lines.put(None)
