Tasks of sockets: end what an unforeseen error was about, and go on

A socket whose owner failed stayed ready, so that the task failed again at once, without end; an error in the checks of timeouts ended the thread, and one in accepting a caller ended the listener.

Change: `SelectorTask` takes each step by `try_step`; after an error the subclass closes the link, tunnel or check that it was about (`end_failed`), and a wait for a reply ends. A tunnel that ends so lacks its last chunk, so that its user takes it for broken. `encode_frame` raises `FrameError`; the sender is told that the router was not reached. A check of a server's process that fails counts as not confirmed.

--- a/src/hawthornstage/actors/caller_listener.py
+++ b/src/hawthornstage/actors/caller_listener.py
@@ -98,8 +98,9 @@
                 address,
             )
             self.workers.serve(task.run)
-        except (OSError, RuntimeError) as error:
-            # The caller has reset it, or the system gives the process no thread more.
+        except Exception as error:
+            # The caller has reset it, or the system gives the process no thread more;
+            # whatever it was, the next caller is accepted.
             self.intake.events.emit("accept_failed", reason=str(error))
             connection.close()
             self.connections.remove_connection()
--- a/src/hawthornstage/actors/peers/incoming_connections.py
+++ b/src/hawthornstage/actors/peers/incoming_connections.py
@@ -180,7 +180,13 @@
         if incoming is None:
             return
         stamp = self.events.clock.now()
-        data = encode_frame(Frame(message.number, True, stamp, message.reply))
+        try:
+            data = encode_frame(Frame(message.number, True, stamp, message.reply))
+        except FrameError as error:
+            # The other router's wait ends with its timeout.
+            peer = incoming.connection.peer
+            self.events.emit("peer_reply_refused", peer=peer, reason=str(error))
+            return
         try:
             message.connection.send(data)
         except PeerConnectionError as error:
--- a/src/hawthornstage/actors/peers/outgoing_links.py
+++ b/src/hawthornstage/actors/peers/outgoing_links.py
@@ -124,7 +124,7 @@
         try:
             link = self.link_to(message.node)
             self.send_on_link(link, message)
-        except PeerConnectionError as error:
+        except (PeerConnectionError, FrameError) as error:
             message.reply_to.put(PeerUnreachable(message.node, str(error)))
 
     def link_to(self, node: str) -> PeerLink:
@@ -176,6 +176,7 @@
 
         Raises:
             PeerConnectionError: The message is not sent.
+            FrameError: The message can't be encoded.
         """
         if len(link.pending) >= MAX_PENDING:
             raise PeerConnectionError(f"{MAX_PENDING} messages wait for replies")
--- a/src/hawthornstage/actors/peers/task.py
+++ b/src/hawthornstage/actors/peers/task.py
@@ -25,6 +25,7 @@
 from hawthornstage.clock import Clock
 from hawthornstage.mailbox import DISCARD_REPLY
 from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.members import PeerUnreachable
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 
@@ -127,6 +128,16 @@
             case handler:
                 handler()
 
+    def end_failed(self, concerned: Any) -> None:
+        """Close the connection that a failed step was about, or end a wait."""
+        match concerned:
+            case PeerLink() if self.outgoing.links.get(concerned.name) is concerned:
+                self.outgoing.drop_link(concerned, "internal error")
+            case IncomingConnection():
+                self.incoming.drop(concerned, "internal error")
+            case Send(reply_to=reply_to) if reply_to is not DISCARD_REPLY:
+                reply_to.put(PeerUnreachable(concerned.node, "internal error"))
+
     def check_timeouts(self, now: float) -> None:
         """Expire replies, handshakes and idle connections, and count the rest."""
         self.outgoing.check_timeouts(now)
--- a/src/hawthornstage/actors/selector_task.py
+++ b/src/hawthornstage/actors/selector_task.py
@@ -6,11 +6,15 @@
 import socket
 import threading
 from collections import deque
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import structlog
 
+from hawthornstage.actors.task import Ask
 from hawthornstage.clock import Clock
+from hawthornstage.mailbox import Mailbox
 
 log = structlog.get_logger()
 
@@ -69,24 +73,46 @@
     def step(self, timeout: float) -> None:
         """Wait for at most `timeout` seconds, and handle what has arrived."""
         for key, ready in self.selector.select(timeout):
-            try:
-                self.handle_ready(key.data, ready)
-            except Exception:
-                log.exception("task_error", task=type(self).__name__)
+            self.try_step(partial(self.handle_ready, key.data, ready), key.data)
         while self.inbox:
             message = self.inbox.popleft()
-            try:
-                self.handle(message)
-            except Exception:
-                log.exception(
-                    "task_error",
-                    task=type(self).__name__,
-                    message=type(message).__name__,
-                )
+            self.try_step(partial(self.handle, message), message)
         now = self.clock.monotonic()
         if now >= self.next_check_at:
             self.next_check_at = now + self.check_interval_s
-            self.check_timeouts(now)
+            self.try_step(partial(self.check_timeouts, now), None)
+
+    def try_step(self, step: Callable[[], None], concerned: Any) -> None:
+        """Take a step; after an unforeseen error, end what it was about.
+
+        Args:
+            step: The step.
+            concerned: The message or the owner of the socket that it handles, or None.
+        """
+        try:
+            step()
+        except Exception:
+            kind = type(concerned).__name__
+            log.exception("task_error", task=type(self).__name__, concerned=kind)
+            self.try_end(concerned)
+
+    def try_end(self, concerned: Any) -> None:
+        """End what a failed step was about, as far as that is possible."""
+        try:
+            self.end_failed(concerned)
+        except Exception:
+            log.exception("task_error", task=type(self).__name__)
+
+    def end_failed(self, concerned: Any) -> None:
+        """End a wait for a reply; subclasses close the socket of an owner.
+
+        A socket that stayed ready would be served again at once, and fail again.
+
+        Args:
+            concerned: The message or the owner of the socket, or None.
+        """
+        if isinstance(concerned, Ask) and isinstance(concerned.reply_to, Mailbox):
+            concerned.reply_to.put(None)
 
     def drain_wake(self) -> None:
         """Empty the socket that wakes this task."""
--- a/src/hawthornstage/actors/servers/process_checks.py
+++ b/src/hawthornstage/actors/servers/process_checks.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import structlog
+
 from hawthornstage.actors.task import Ask, Task
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
@@ -12,6 +14,8 @@
 from hawthornstage.messages.host_settings import SocketAddress
 from hawthornstage.messages.stream_versions import ProcessReported
 
+log = structlog.get_logger()
+
 # Timeout for connecting to a server, in seconds.
 CONNECT_TIMEOUT_S = 0.4
 
@@ -49,5 +53,8 @@
             return False
         try:
             return self.process.ask(connection, None, server) == server.started_ms
+        except Exception:
+            log.exception("process_check_error", server=server.id)
+            return False
         finally:
             connection.close()
--- a/src/hawthornstage/actors/servers/reach_checks.py
+++ b/src/hawthornstage/actors/servers/reach_checks.py
@@ -95,6 +95,14 @@
             case StopChecks():
                 self.stopped = True
 
+    def end_failed(self, concerned: Any) -> None:
+        match concerned:
+            case Ask(message=CheckReach(server), reply_to=reply_to):
+                self.checks.pop(server.incarnation, None)
+                reply_to.put(Reach.UNKNOWN)
+            case ReachCheck():
+                self.end(concerned, Reach.UNKNOWN)
+
     def begin(self, server: BackendServer, reply_to: ReplyTo) -> None:
         """Connect to a server and some others, unless that is going on."""
         now = self.clock.monotonic()
--- a/src/hawthornstage/actors/servers/tunnels.py
+++ b/src/hawthornstage/actors/servers/tunnels.py
@@ -126,6 +126,16 @@
             case StopTunnels():
                 self.stopped = True
 
+    def end_failed(self, concerned: Any) -> None:
+        match concerned:
+            case Ask(message=RequestTunnel(), reply_to=reply_to):
+                self.refuse(TunnelRefusal.BUSY, reply_to)
+            case Tunnel():
+                # Without the last chunk, the other router takes it for broken.
+                self.close(concerned)
+            case Accepted():
+                self.drop(concerned)
+
     def refuse_new(self) -> None:
         """Open no more tunnels; may be called by any thread."""
         self.stopping = True
@@ -337,9 +347,14 @@
                 self.close(tunnel)
         for accepted in list(self.accepted):
             if now >= accepted.use_by:
-                self.selector.unregister(accepted.socket)
-                self.accepted.discard(accepted)
-                accepted.socket.close()
+                self.drop(accepted)
+
+    def drop(self, accepted: Accepted) -> None:
+        """Close a connection that has sent no token."""
+        self.accepted.discard(accepted)
+        if accepted.socket in self.selector.get_map():
+            self.selector.unregister(accepted.socket)
+        accepted.socket.close()
 
     def close_all(self) -> None:
         self.listener.close()
--- a/src/hawthornstage/border/frames.py
+++ b/src/hawthornstage/border/frames.py
@@ -150,7 +150,11 @@
 
 
 def encode_frame(frame: Frame) -> bytes:
-    """Return a frame as CBOR."""
+    """Return a frame as CBOR.
+
+    Raises:
+        FrameError: The message has a text that can't be encoded.
+    """
     message_type = type(frame.message)
     body = {
         "n": frame.number,
@@ -163,7 +167,10 @@
             )
         ),
     }
-    return dumps(body)
+    try:
+        return dumps(body)
+    except ValueError as error:
+        raise FrameError(f"{FRAME_NAMES[message_type]}: {error}") from error
 
 
 def decode_frame(data: bytes | str) -> Frame:
--- /dev/null
+++ b/tests/test_failing_tasks.py
@@ -0,0 +1,74 @@
+"""An unforeseen error in a task that serves sockets ends no more than it must."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from hawthornstage.actors.selector_task import SelectorTask
+from hawthornstage.actors.task import Ask
+from hawthornstage.border.frames import Frame, FrameError, encode_frame
+from hawthornstage.clock import Clock
+from hawthornstage.mailbox import Mailbox
+from hawthornstage.messages.events import Stamp
+from hawthornstage.messages.tunnels import RequestTunnel
+
+
+def fail(*args: Any) -> None:
+    """Raise an error that no code expects."""
+    raise LookupError("as told")
+
+
+def test_message_that_cannot_be_encoded_is_an_error_of_the_frame() -> None:
+    message = RequestTunnel("i-\ud800", "i-1", 1.0, None)
+    with pytest.raises(FrameError):
+        encode_frame(Frame(1, False, Stamp(1, 0, "a"), message))
+
+
+class FailingTask(SelectorTask):
+    """A task whose every step fails."""
+
+    def __init__(self) -> None:
+        super().__init__("failing", selectors.DefaultSelector(), Clock())
+        self.near, self.far = socket.socketpair()
+        self.selector.register(self.near, selectors.EVENT_READ, self.near)
+
+    handle = check_timeouts = fail
+
+    def handle_ready(self, owner: Any, ready: int) -> None:
+        match owner:
+            case socket.socket():
+                fail()
+            case drain:
+                drain()
+
+    def end_failed(self, concerned: Any) -> None:
+        match concerned:
+            case socket.socket():
+                self.selector.unregister(concerned)
+            case _:
+                super().end_failed(concerned)
+
+
+@pytest.fixture
+def failing() -> Iterator[FailingTask]:
+    """Return a task that is not started, closed with the test."""
+    task = FailingTask()
+    yield task
+    task.close_all()
+    task.near.close()
+    task.far.close()
+
+
+def test_task_of_sockets_goes_on_after_errors(failing: FailingTask) -> None:
+    reply = Mailbox(Clock())
+    failing.far.send(b"z")
+    failing.tell(Ask("anything", reply))
+    for _ in range(3):
+        failing.step(0.0)
+    assert reply.get(timeout=0.0) is None
+    assert failing.near not in failing.selector.get_map()
