Answer callers truly after an unforeseen error

Cause: the task of a caller's connection logged such an error and closed; no other place knew the call. An OSError that was not the caller's passed for "the caller left".

Change: an error in an attempt ends it as `InternalError`, with what is known of the run: `ServerConnection.has_sent` tells whether a byte may have left. It is logged with the call's id and counts against the server; the call goes on at another one if that is safe, but never once a part of a response was sent. An error elsewhere in the pipe gets 503 `internal_not_sent` if surely nothing was sent, else 500 `internal`. In the standalone router `run_pipe` undoes the filters before, an error in dispatch counts against the server, and the answer and the log have the id.

--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -29,6 +29,7 @@
 from hawthornstage.filters.connection_memory import ConnectionMemory, HeldMemory
 from hawthornstage.filters.forward_relay import send_response
 from hawthornstage.filters.reading_turns import ReadingPace, ReadingTurns
+from hawthornstage.messages.bounded_text import bounded_text
 from hawthornstage.messages.host_settings import HostLimits
 from hawthornstage.observe.events import EventLog
 
@@ -159,7 +160,11 @@
     def serve_next(self) -> bool:
         """Receive and serve one request; return whether another one may follow."""
         with self.intake.memory.hold(f"connection-{self.number}") as memory:
-            return self.answer(self.receive(memory))
+            try:
+                received = self.receive(memory)
+            except Exception as error:
+                return self.give_up_reading(error)
+            return self.answer(received)
 
     def receive(self, memory: HeldMemory) -> ReceiveResult:
         """Receive one request.
@@ -179,6 +184,18 @@
             watch.end(served=isinstance(received, RawRequest))
         return received
 
+    def give_up_reading(self, error: Exception) -> bool:
+        """Refuse a request that an unforeseen error kept from being read; return False.
+
+        Raises:
+            OSError: The caller has left.
+        """
+        log.exception("connection_error", caller=self.address)
+        if not self.caller.idle and self.caller.can_respond:
+            detail = type(error).__name__
+            self.refuse(Failure(ErrorKind.INTERNAL_NOT_SENT, detail))
+        return False
+
     def answer(self, received: ReceiveResult) -> bool:
         """Answer what was received; return whether another request may follow."""
         match received:
@@ -199,16 +216,51 @@
     def serve(self, raw: RawRequest) -> bool:
         """Serve one complete request; return whether another one may follow."""
         with self.connections.active_call():
-            goes_on = self.answerer.answer(raw, self.caller, self.pace)
+            goes_on = self.answer_call(raw)
         if not goes_on:
             return False
         return self.caller.prepare_next_request() and not self.stopping.closing
 
+    def answer_call(self, raw: RawRequest) -> bool:
+        """Have a request answered, also after an unforeseen error.
+
+        Returns:
+            Whether another request may follow.
+
+        Raises:
+            OSError: The caller has left.
+        """
+        try:
+            return self.answerer.answer(raw, self.caller, self.pace)
+        except Exception as error:
+            answer_error(self.caller, raw, error)
+            return False
+
     def refuse(self, failure: Failure) -> None:
         """Refuse what was not received as a request, and close the connection."""
         send_failure(self.caller, "", failure, close=True)
 
 
+def answer_error(caller: CallerConnection, raw: RawRequest, error: Exception) -> None:
+    """Answer a request that an unforeseen error ended; called while it is handled.
+
+    Args:
+        caller: The connection of the caller.
+        raw: The request.
+        error: The error.
+
+    Raises:
+        OSError: The caller has left.
+    """
+    if isinstance(error, OSError) and not caller.can_respond:
+        raise error
+    request_id = dict(raw.headers).get("x-request-id", "")
+    log.exception("call_error", request_id=bounded_text(request_id))
+    if caller.can_respond:
+        failure = Failure(ErrorKind.INTERNAL, type(error).__name__)
+        send_failure(caller, request_id, failure, close=True)
+
+
 def send_failure(
     caller: CallerConnection, request_id: str, failure: Failure, *, close: bool
 ) -> None:
--- a/src/hawthornstage/actors/forwarded_calls.py
+++ b/src/hawthornstage/actors/forwarded_calls.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import structlog
+
 from hawthornstage.actors.callers import (
     IDLE_MARGIN_S,
     StopSignal,
@@ -27,14 +29,18 @@
     run_filters,
 )
 from hawthornstage.filters.forward_attempt import Forwarder
+from hawthornstage.filters.forward_failures import internal_failure
 from hawthornstage.filters.reading_turns import ReadingPace
 from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.bounded_text import bounded_text
 from hawthornstage.messages.desired import CallerLimits, DesiredState
 from hawthornstage.messages.forward import Delivery, ForwardCall, ForwardExchange
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import parse_call
 
+log = structlog.get_logger()
+
 # Time after which a caller that a stopping router refused may try another, in seconds.
 DRAINING_RETRY_S = 0.05
 # Failures after which the next request on the connection gets no free part of the
@@ -134,6 +140,28 @@
 
     def forward(
         self, call: ForwardCall, caller: CallerConnection, delivery: Delivery
+    ) -> Failure | None:
+        """Serve a call; an unforeseen error becomes a failure that says what is known.
+
+        Args:
+            call: The call.
+            caller: The connection of the caller.
+            delivery: Updated with what was done for the call.
+        """
+        try:
+            return self.pass_through(call, caller, delivery)
+        except Exception as error:
+            log.exception(
+                "call_error",
+                request_id=bounded_text(call.id),
+                ran=delivery.ran.value,
+                servers=",".join(each.id for each in delivery.attempted_servers),
+            )
+            failure = internal_failure(delivery, error)
+            return failure if caller.can_respond else None
+
+    def pass_through(
+        self, call: ForwardCall, caller: CallerConnection, delivery: Delivery
     ) -> Failure | None:
         """Pass a call through the pipe, settle its tokens and report its end."""
         pipe = self.pipe
--- a/src/hawthornstage/actors/wsgi_calls.py
+++ b/src/hawthornstage/actors/wsgi_calls.py
@@ -5,18 +5,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import structlog
-
-from hawthornstage.actors.callers import send_failure
+from hawthornstage.actors.callers import answer_error
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.border.wsgi import StartResponse, make_environ
 from hawthornstage.decisions.reading_turns import REFUSAL_S
-from hawthornstage.errors import ErrorKind, Failure
 from hawthornstage.filters.reading_turns import ReadingPace
 
-log = structlog.get_logger()
-
 # Largest part of a response that is sent at once, in bytes: each has a timeout.
 SEND_BYTES = 16_384
 # Refusals after which the next request on the connection gets no free part of the
@@ -81,12 +76,8 @@
         response = WsgiResponse(caller, has_body=raw.method != "HEAD")
         try:
             self.send_response(raw, response)
-        except OSError:
-            raise
-        except Exception:
-            log.exception("application_error")
-            if not response.head_sent:
-                send_failure(caller, "", Failure(ErrorKind.INTERNAL), close=True)
+        except Exception as error:
+            answer_error(caller, raw, error)
             return False
         if response.status in CALLER_FAULT_STATUSES:
             pace.charge(REFUSAL_S)
--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -97,6 +97,11 @@
         if data:
             self.socket.sendall(data)
 
+    @property
+    def can_respond(self) -> bool:
+        """Whether no byte of a response to the request has been sent."""
+        return self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
     def announce_close(self) -> None:
         """Make the next response announce that the connection closes after it."""
         self.closing = True
--- a/src/hawthornstage/border/server_connection.py
+++ b/src/hawthornstage/border/server_connection.py
@@ -87,6 +87,8 @@
         self.chunks: ChunkedDecoder | None = None
         self.stays_open = False
         self.unsent: list[memoryview] = []
+        # Whether a byte of the request may have left.
+        self.has_sent = False
         self.is_link_silent: Callable[[], bool] | None = None
         self.received_at = clock.monotonic()
         self.undecoded = b""
@@ -136,6 +138,7 @@
         self.watch_caller = caller is not None
         self.received_at = self.clock.monotonic()
         self.informational_responses = 0
+        self.has_sent = False
         encoded_headers = [(name, value.encode("latin-1")) for name, value in headers]
         head = h11.Request(method=method, target=target, headers=encoded_headers)
         first = self.parser.send(head) or b""
@@ -307,6 +310,7 @@
         try:
             while self.unsent:
                 first = self.unsent[0]
+                self.has_sent = True
                 sent = self.socket.send(first)
                 if sent < len(first):
                     self.unsent[0] = first[sent:]
--- a/src/hawthornstage/errors.py
+++ b/src/hawthornstage/errors.py
@@ -42,6 +42,7 @@
     OUT_OF_TIME = "out_of_time"
     SLOW_REQUEST = "slow_request"
     INTERNAL = "internal"
+    INTERNAL_NOT_SENT = "internal_not_sent"
 
 
 @dataclass(frozen=True)
@@ -223,6 +224,12 @@
     ErrorKind.INTERNAL: ErrorResponse(
         500, ExecutionState.UNKNOWN, None, "Internal error in the router."
     ),
+    ErrorKind.INTERNAL_NOT_SENT: ErrorResponse(
+        503,
+        ExecutionState.NO,
+        0.5,
+        "Internal error in the router before the request was sent to a server.",
+    ),
 }
 
 
--- a/src/hawthornstage/filters/attempt.py
+++ b/src/hawthornstage/filters/attempt.py
@@ -21,7 +21,7 @@
 
 # Kinds of failure that count against the server.
 SERVER_FAILURE_KINDS = frozenset(
-    {ErrorKind.SERVER_UNREACHABLE, ErrorKind.SERVER_FAILED}
+    {ErrorKind.SERVER_UNREACHABLE, ErrorKind.SERVER_FAILED, ErrorKind.INTERNAL}
 )
 
 
--- a/src/hawthornstage/filters/attempt_reports.py
+++ b/src/hawthornstage/filters/attempt_reports.py
@@ -13,6 +13,7 @@
     OUTCOME_NAMES,
     AttemptOutcome,
     Delivered,
+    InternalError,
     Misdirected,
     Refused,
     belongs_to_call,
@@ -43,7 +44,8 @@
         outcome: How the attempt ended.
     """
     match outcome:
-        case ServerFailed() | NotSent():
+        case ServerFailed() | NotSent() | InternalError():
+            # What a server is or sends may lead to an error of the router.
             return True
         case Delivered(status):
             return status >= 500 and status != DEADLINE_STATUS
--- a/src/hawthornstage/filters/dispatch.py
+++ b/src/hawthornstage/filters/dispatch.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+import structlog
 import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -29,6 +30,8 @@
 from hawthornstage.messages.tables import Pool, Priority
 from hawthornstage.observe.events import EventLog
 
+log = structlog.get_logger()
+
 # Timeout for connecting to a server, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 # Size of the parts in which a body is written, in bytes.
@@ -70,6 +73,14 @@
             exchange.progress.sent = True
             exchange.progress.server_failed = isinstance(error, CONNECTION_LOST_ERRORS)
             return Failure(ErrorKind.SERVER_FAILED, str(error))
+        except Exception as error:
+            log.exception(
+                "dispatch_error",
+                request_id=exchange.request.id,
+                server=exchange.server.name,
+            )
+            exchange.progress.sent = True
+            return Failure(ErrorKind.INTERNAL, type(error).__name__)
 
     def send(self, exchange: Exchange) -> Exchange | Failure:
         """Send the HTTP request and read the start of the response."""
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 import pykka
+import structlog
 
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.server_connection import ServerConnection
@@ -27,6 +28,7 @@
     DEADLINE_GRACE_S,
     AttemptOutcome,
     Delivered,
+    InternalError,
     Misdirected,
     Refused,
     ResponseRelay,
@@ -38,7 +40,7 @@
 from hawthornstage.filters.server_process import ConfirmProcess
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.backends import BackendServer
-from hawthornstage.messages.bounded_text import bounded_id
+from hawthornstage.messages.bounded_text import bounded_id, bounded_text
 from hawthornstage.messages.crashing_parts import AnswerBegan
 from hawthornstage.messages.desired import Idempotency
 from hawthornstage.messages.execution import ExecutionState
@@ -66,6 +68,8 @@
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
+log = structlog.get_logger()
+
 # Age up to which the list of servers tells their versions, in seconds: the store may
 # have been silent since, and a server may have started again with another version.
 FRESH_SERVERS_S = 0.3
@@ -133,7 +137,7 @@
             blocked = self.block.check(exchange)
             if blocked is not None:
                 return blocked_failure(delivery, blocked)
-            choice = self.choice.choose(exchange, delivery)
+            choice = self.choose(exchange, delivery)
             if isinstance(choice, NoServerAvailable):
                 if not self.may_wait(exchange, delivery, choice):
                     return no_server_failure(delivery, choice)
@@ -160,9 +164,25 @@
                         self.admit.note_refused(exchange)
                 case Misdirected(_, reason) | NotSent(reason) | ServerFailed(reason):
                     delivery.outcome = reason
+                case InternalError(reason):
+                    delivery.outcome = reason
+                    if delivery.head_sent:
+                        # How much of the response was sent is not certain.
+                        return final_failure(delivery, reason)
             if not self.can_retry(exchange, delivery):
                 return final_failure(delivery, delivery.outcome)
 
+    def choose(
+        self, exchange: ForwardExchange, delivery: Delivery
+    ) -> ServerChosen | NoServerAvailable:
+        """Choose a server; after an error none stays reserved for the call."""
+        try:
+            return self.choice.choose(exchange, delivery)
+        except Exception:
+            self.choice.release(exchange)
+            self.choice.end_lease(delivery)
+            raise
+
     def attempt_and_report(
         self,
         exchange: ForwardExchange,
@@ -173,10 +193,8 @@
         """Send a call to one server and report how that ended."""
         try:
             outcome = self.attempt(exchange, caller, choice, delivery)
-        except Exception:
-            self.choice.release(exchange)
-            self.choice.end_lease(delivery)
-            raise
+        except Exception as error:
+            outcome = note_error(exchange, choice, delivery.ran, error)
         self.reports.report(exchange, choice, delivery, outcome)
         return outcome
 
@@ -253,6 +271,12 @@
             pooled = (
                 isinstance(outcome, Delivered) and connection.prepare_next_request()
             )
+        except Exception as error:
+            ran = ExecutionState.UNKNOWN
+            if not connection.has_sent:
+                ran = ExecutionState.NO
+                delivery.attempts -= 1
+            outcome = note_error(exchange, choice, ran, error)
         finally:
             if not pooled:
                 connection.close()
@@ -423,3 +447,26 @@
                 StreamVersionNoted(call_id, exchange.service, server.version)
             )
         return None
+
+
+def note_error(
+    exchange: ForwardExchange,
+    choice: ServerChosen,
+    ran: ExecutionState,
+    error: Exception,
+) -> InternalError:
+    """Log the unforeseen error that ended an attempt; called while it is handled.
+
+    Args:
+        exchange: The call.
+        choice: The server.
+        ran: What is known of whether the server has run the call.
+        error: The error.
+    """
+    log.exception(
+        "attempt_error",
+        request_id=bounded_text(exchange.call.id),
+        server=choice.server.id,
+        ran=ran.value,
+    )
+    return InternalError(f"internal error: {type(error).__name__}", ran)
--- a/src/hawthornstage/filters/forward_failures.py
+++ b/src/hawthornstage/filters/forward_failures.py
@@ -32,6 +32,20 @@
     return Failure(kind, reason, retry_after_s)
 
 
+def internal_failure(delivery: Delivery, error: Exception) -> Failure | None:
+    """Return the failure of a call that an unforeseen error ended.
+
+    None if part of a response was sent. It depends on whether a server may have run
+    the call.
+    """
+    if delivery.head_sent:
+        delivery.outcome = "cut: internal error"
+        return None
+    ran = delivery.may_have_run
+    kind = ErrorKind.INTERNAL if ran else ErrorKind.INTERNAL_NOT_SENT
+    return Failure(kind, type(error).__name__)
+
+
 def no_server_failure(delivery: Delivery, choice: NoServerAvailable) -> Failure | None:
     """Return the failure of a call for which there is no server (any more)."""
     untouched = not (delivery.head_sent or delivery.may_have_run)
--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -68,10 +68,24 @@
     reason: str = "another server has this address"
 
 
+@dataclass(frozen=True)
+class InternalError:
+    """An unforeseen error in this router ended the attempt.
+
+    Args:
+        reason: The error, for the log.
+        ran: What is known of whether the server has run the call.
+    """
+
+    reason: str
+    ran: ExecutionState
+
+
 AttemptOutcome = (
     Delivered
     | Refused
     | Misdirected
+    | InternalError
     | NotSent
     | ServerFailed
     | CallerDisconnected
@@ -84,7 +98,7 @@
     match outcome:
         case NotSent() | Refused():
             return ExecutionState.NO
-        case Misdirected(ran):
+        case Misdirected(ran) | InternalError(ran=ran):
             return ran
         case _:
             return ExecutionState.UNKNOWN
@@ -95,6 +109,7 @@
     Delivered: "Delivered",
     Refused: "Refused",
     Misdirected: "Misdirected",
+    InternalError: "InternalError",
     NotSent: "NotSent",
     ServerFailed: "Broken",
     CallerDisconnected: "CallerLeft",
--- a/src/hawthornstage/filters/pipe.py
+++ b/src/hawthornstage/filters/pipe.py
@@ -25,10 +25,17 @@
     """Run an exchange through the filters until one replies or fails.
 
     A failure undoes the filters that were applied before; a reply does not.
+
+    Raises:
+        Exception: A filter raised it; the filters before are undone.
     """
     applied: list[Filter] = []
     for each in filters:
-        outcome = each.apply(exchange)
+        try:
+            outcome = each.apply(exchange)
+        except Exception:
+            undo(applied, exchange)
+            raise
         if isinstance(outcome, Failure):
             undo(applied, exchange)
             return outcome
