Resume streams after event ids that are not ASCII, or not at all

Change: its bytes are passed on as they came; after an id that no header carries the stream is cut instead of resumed.

--- a/src/hawthornstage/filters/forward_relay.py
+++ b/src/hawthornstage/filters/forward_relay.py
@@ -24,6 +24,7 @@
     ResponseHead,
     ServerFailed,
 )
+from hawthornstage.platform.header_text import is_plain_value
 
 # Time after the deadline for a server to report that it ran out of time, in seconds.
 DEADLINE_GRACE_S = 0.1
@@ -262,7 +263,8 @@
         for event in reversed(events):
             last = event_id(event)
             if last is not None:
-                self.delivery.last_event_id = last
+                # Without an id that a request can name, the stream can't go on.
+                self.delivery.last_event_id = last if is_plain_value(last) else None
                 return
 
     def send_stream_end(self, head: ResponseHead, rest: bytes) -> None:
@@ -299,10 +301,10 @@
 
 
 def event_id(event: bytes) -> str | None:
-    """Return the id of a server-sent event, or None if it has none."""
+    """Return the id of a server-sent event as a header's text, or None without one."""
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            return line[3:].strip().decode("ascii", "replace")
+            return line[3:].strip().decode("latin-1")
     return None
 
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -112,6 +112,34 @@
     assert answer.count(b"id: 3\n") == 1 and answer.endswith(b"0\r\n\r\n")
 
 
+def test_stream_goes_on_after_an_id_that_is_not_ascii(
+    deliver: DeliverToHolder, pair: CallerPair
+) -> None:
+    whole = sealed("id: ŵ1\ndata: a\n\nid: 2\ndata: b\n\n".encode())
+    second = ScriptedServer([sealed(b"id: 2\ndata: b\n\n")])
+    failure, delivery = deliver(
+        ScriptedServer([whole[:-9]]), second, target="/letters/long/x"
+    )
+    assert failure is None
+    assert delivery.events == 2
+    assert "last-event-id: ŵ1\r\n".encode() in second.seen[0]
+    assert read_all(pair).endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("name", [b"", b"a\0b", b"\x7f"])
+def test_stream_whose_last_id_no_header_carries_does_not_go_on(
+    name: bytes, deliver: DeliverToHolder, pair: CallerPair
+) -> None:
+    whole = sealed(EVENTS + b"id: " + name + b"\ndata: c\n\nid: 4\ndata: d\n\n")
+    second = ScriptedServer([sealed(EVENTS)])
+    failure, delivery = deliver(
+        ScriptedServer([whole[:-9]]), second, target="/letters/long/x"
+    )
+    assert failure is None
+    assert (delivery.events, delivery.attempts) == (3, 1)
+    assert not read_all(pair).endswith(b"0\r\n\r\n")
+
+
 def test_stream_without_event_ids_is_not_sent_again_from_its_beginning(
     deliver: DeliverToHolder, pair: CallerPair
 ) -> None:
