--- a/src/hawthornstage/compose_pipe.py
+++ b/src/hawthornstage/compose_pipe.py
@@ -16,6 +16,7 @@
 from hawthornstage.filters.reading_turns import ReadingTurns
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.filters.server_process import ConfirmProcess
+from hawthornstage.filters.server_versions import ServerVersions
 from hawthornstage.filters.stream_version import ResolveStreamVersion
 
 if TYPE_CHECKING:
@@ -86,6 +87,15 @@
         router.events,
         router.metrics,
     )
+    versions = ServerVersions(
+        router.stream_versions,
+        ConfirmProcess(router.clock, router.events),
+        permits,
+        router.registered_servers,
+        router.servers_heard_at,
+        router.processes_confirmed,
+        router.clock,
+    )
     return ForwardPipe(
         identify=Identify(router.desired),
         filters=(admit, block, stream_version, reserve),
@@ -93,18 +103,15 @@
         forwarder=Forwarder(
             serving=router.server_selection,
             crashing_parts=router.crashing_parts,
-            stream_versions=router.stream_versions,
             choice=choice,
             admit=admit,
             block=block,
             permits=permits,
             dialer=dialer,
-            process=ConfirmProcess(router.clock, router.events),
+            versions=versions,
             reports=reports,
             memory=memory,
             registered=router.registered_servers,
-            servers_heard_at=router.servers_heard_at,
-            processes_confirmed=router.processes_confirmed,
             clock=router.clock,
             metrics=router.metrics,
         ),
--- a/src/hawthornstage/filters/forward_attempt.py
+++ b/src/hawthornstage/filters/forward_attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import partial
 
@@ -17,7 +16,7 @@
 from hawthornstage.filters.attempt_reports import AttemptReports
 from hawthornstage.filters.connection_memory import ConnectionMemory
 from hawthornstage.filters.forward import BlockCrashingCalls
-from hawthornstage.filters.forward_choice import ServerChoice, needed_version
+from hawthornstage.filters.forward_choice import ServerChoice
 from hawthornstage.filters.forward_failures import (
     blocked_failure,
     deadline_failure,
@@ -37,9 +36,8 @@
 )
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
-from hawthornstage.filters.server_process import ConfirmProcess
+from hawthornstage.filters.server_versions import ServerVersions
 from hawthornstage.latest_value import LatestValue
-from hawthornstage.messages.backends import BackendServer
 from hawthornstage.messages.bounded_text import bounded_id, bounded_text
 from hawthornstage.messages.crashing_parts import AnswerBegan
 from hawthornstage.messages.desired import Idempotency
@@ -61,19 +59,11 @@
     RegisteredServers,
     ServerChosen,
 )
-from hawthornstage.messages.stream_versions import (
-    StreamBeganUnconfirmed,
-    StreamVersionNoted,
-)
 from hawthornstage.observe.metrics import Metrics
 from hawthornstage.platform.headers import request_headers
 
 log = structlog.get_logger()
 
-# Age up to which the list of servers tells their versions, in seconds: the store may
-# have been silent since, and a server may have started again with another version.
-FRESH_SERVERS_S = 0.3
-
 
 @dataclass(frozen=True)
 class Forwarder:
@@ -82,37 +72,30 @@
     Args:
         serving: Task that chooses servers.
         crashing_parts: Task that finds prompt parts which crash servers.
-        stream_versions: Task that owns the versions that began streams.
         choice: Chooses servers that have room for a call.
         admit: Lets calls wait while a service is short of room.
         block: Rejects calls that crash servers, also between two attempts.
         permits: Permits for servers that have named a limit.
         dialer: Opens connections to servers.
-        process: Finds out to which process a connection leads.
+        versions: Keeps streams at servers of the version that began them.
         reports: Tells how each attempt went.
         memory: Memory of responses.
         registered: The servers that may get calls, read right before each send.
-        servers_heard_at: Monotonic time at which they were last known to be right.
-        processes_confirmed: Monotonic time at which each server last said that it is
-            the process in the list, by its incarnation.
         clock: Source of time and timeouts.
         metrics: Records errors of the wait estimate.
     """
 
     serving: pykka.ActorRef
     crashing_parts: pykka.ActorRef
-    stream_versions: pykka.ActorRef
     choice: ServerChoice
     admit: AdmitCall
     block: BlockCrashingCalls
     permits: Permits
     dialer: ServerDialer
-    process: ConfirmProcess
+    versions: ServerVersions
     reports: AttemptReports
     memory: ConnectionMemory
     registered: LatestValue[RegisteredServers]
-    servers_heard_at: LatestValue[float]
-    processes_confirmed: LatestValue[Mapping[str, float]]
     clock: Clock
     metrics: Metrics
 
@@ -299,7 +282,9 @@
         The server's state may have changed while the connection was opened or asked.
         """
         server = choice.server
-        if not self.may_go_on_there(exchange, caller, connection, choice, delivery):
+        if not self.versions.may_go_on_there(
+            exchange, caller, connection, choice.server, delivery
+        ):
             return f"{server.id} may have another version by now"
         refusal = self.permits.why_not_accepting(server, self.registered.value)
         if refusal is not None:
@@ -351,7 +336,7 @@
         def on_answer_began() -> str | None:
             if exchange.shared_ids:
                 self.crashing_parts.tell(AnswerBegan(exchange.shared_ids))
-            return self.note_stream_version(
+            return self.versions.note_stream_version(
                 exchange, connection, choice.server, delivery
             )
 
@@ -381,73 +366,6 @@
         if head.ran is not ExecutionState.NO:
             self.admit.note_accepted(exchange)
 
-    def may_go_on_there(
-        self,
-        exchange: ForwardExchange,
-        caller: CallerConnection,
-        connection: ServerConnection,
-        choice: ServerChosen,
-        delivery: Delivery,
-    ) -> bool:
-        """Whether the server certainly has the version that a stream needs, if any."""
-        registered = self.registered.value
-        if needed_version(exchange, delivery) is None:
-            return True
-        age_s = self.clock.monotonic() - self.servers_heard_at.value
-        if registered.current and age_s <= FRESH_SERVERS_S:
-            return True
-        if self.permits.why_not_accepting(choice.server, registered) is not None:
-            return False
-        return self.process.confirm(connection, caller, choice.server)
-
-    def is_process_known(
-        self, connection: ServerConnection, server: BackendServer
-    ) -> bool:
-        """Whether a connection certainly leads to the process in the list of servers.
-
-        It does if it had been opened when the server last confirmed that.
-        """
-        confirmed_at = self.processes_confirmed.value.get(server.incarnation)
-        if self.registered.value.current:
-            return True
-        return confirmed_at is not None and connection.opened_at < confirmed_at
-
-    def note_stream_version(
-        self,
-        exchange: ForwardExchange,
-        connection: ServerConnection,
-        server: BackendServer,
-        delivery: Delivery,
-    ) -> str | None:
-        """Keep the version of the server that is about to begin or continue a stream.
-
-        The stream may go on only at servers of this version, in this response or in
-        that of another call.
-
-        Returns:
-            Why the server's events must not be passed on, or None if they may.
-        """
-        if not exchange.route.resumable:
-            return None
-        current = self.registered.value.servers.get(server.id, server)
-        if current.version != server.version:
-            # The connection may have been opened to either process.
-            return f"the server has started again with version {current.version!r}"
-        if delivery.stream_version is None:
-            call_id = bounded_id(exchange.call.id)
-            begins = exchange.stream_version is None
-            if begins and not self.is_process_known(connection, server):
-                delivery.began_unconfirmed = True
-                self.stream_versions.tell(
-                    StreamBeganUnconfirmed(call_id, exchange.service, server)
-                )
-                return None
-            delivery.stream_version = server.version
-            self.stream_versions.tell(
-                StreamVersionNoted(call_id, exchange.service, server.version)
-            )
-        return None
-
 
 def note_error(
     exchange: ForwardExchange,
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -23,6 +23,7 @@
 from hawthornstage.filters.permits import Permits
 from hawthornstage.filters.server_dialer import ServerDialer
 from hawthornstage.filters.server_process import ConfirmProcess
+from hawthornstage.filters.server_versions import ServerVersions
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.admission import (
     AdmissionPolicy,
@@ -149,23 +150,29 @@
     choice = ServerChoice(tasks, permits, clock, metrics)
     admit = AdmitCall(tasks, LatestValue(AdmissionPolicy()), clock, metrics)
     dialer = ServerDialer(tasks.links, tasks, tasks.peers, clock, events, metrics)
+    versions = ServerVersions(
+        tasks,
+        ConfirmProcess(clock, events),
+        permits,
+        tasks.registered,
+        tasks.servers_heard_at,
+        tasks.processes_confirmed,
+        clock,
+    )
     return Forwarder(
         serving=tasks,
         crashing_parts=tasks,
-        stream_versions=tasks,
         choice=choice,
         admit=admit,
         block=block,
         permits=permits,
         dialer=dialer,
-        process=ConfirmProcess(clock, events),
+        versions=versions,
         reports=AttemptReports(
             tasks, tasks, tasks, choice, permits, dialer, events, metrics
         ),
         memory=ConnectionMemory(tasks, clock),
         registered=tasks.registered,
-        servers_heard_at=tasks.servers_heard_at,
-        processes_confirmed=tasks.processes_confirmed,
         clock=clock,
         metrics=metrics,
     )
