Use a turn to read that comes together with changed limits

A connection that waited for its turn took a wake-up for changed limits beside the turn for a request to give way, and was refused with 503. Found by reading; the new test of test_changed_limits.py covers the order that does so.

--- a/src/hawthornstage/border/request_reader.py
+++ b/src/hawthornstage/border/request_reader.py
@@ -360,6 +360,8 @@
             interrupt,
             lambda: self.deadline if self.head is None else self.ends_at,
         )
+        # Limits may have changed since the wait has ended.
+        interrupt.discard(LimitsChanged)
         match interrupt.take():
             case []:
                 return ConnectionClosed() if ready else self.time_out()
--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -149,6 +149,20 @@
     assert isinstance(reading.result(), IdleTimeout)
 
 
+def test_turn_that_comes_with_changed_limits_is_used(pair: CallerPair) -> None:
+    grant = pair.observer.request_turn
+
+    def grant_and_change(recipient: Interrupt) -> None:
+        recipient.put(LimitsChanged())
+        grant(recipient)
+        recipient.put(LimitsChanged())
+
+    pair.observer.paced = True
+    pair.observer.request_turn = grant_and_change  # type: ignore[method-assign]
+    pair.caller.sendall(REQUEST + b"Content-Length: 0\r\n\r\n")
+    assert isinstance(pair.receive(), RawRequest)
+
+
 @pytest.fixture
 def interrupt() -> Iterator[Interrupt]:
     """Return an interrupt, closed with the test."""
