--- a/src/hawthornstage/actors/caller_connections.py
+++ b/src/hawthornstage/actors/caller_connections.py
@@ -55,6 +55,12 @@
         # Whether the listener waits for a connection to end or to begin to wait.
         self.room_wanted = False
 
+    @property
+    def count(self) -> int:
+        """The number of open connections."""
+        with self.condition:
+            return self.connections
+
     def add_connection(self) -> None:
         """Count a connection."""
         with self.condition:
--- a/src/hawthornstage/actors/caller_listener.py
+++ b/src/hawthornstage/actors/caller_listener.py
@@ -15,7 +15,8 @@
     StopSignal,
 )
 from hawthornstage.border.sockets import READABLE, wait_ready
-from hawthornstage.decisions.connection_limits import derive_limits
+from hawthornstage.decisions.connection_limits import MIN_CONNECTIONS, derive_limits
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.host_settings import SocketAddress
 
 # Listen backlog: connections that may wait to be accepted.
@@ -35,6 +36,7 @@
         answerer: Serves complete requests.
         stopping: Signals to connections that the router stops.
         connections: Counts the connections.
+        memory_scarce: Whether the process has more memory than it should.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         answerer: Answerer,
         stopping: StopSignal,
         connections: CallerConnections,
+        memory_scarce: LatestValue[bool],
     ) -> None:
         super().__init__(name="callers", daemon=True)
         self.intake = intake
         self.answerer = answerer
         self.stopping = stopping
         self.connections = connections
+        self.memory_scarce = memory_scarce
         self.workers = CallerWorkers(intake.clock, intake.start_delays)
         self.max_connections = derive_limits(intake.host).connections
         self.numbers = count()
@@ -85,7 +89,7 @@
             self.intake.events.emit("accept_failed", reason=str(error))
             wait_ready([(self.close_wake, READABLE)], FAILED_ACCEPT_WAIT_S)
             return False
-        self.connections.make_room(self.max_connections)
+        self.connections.make_room(self.limit())
         self.connections.add_connection()
         try:
             task = CallerTask(
@@ -106,6 +110,15 @@
             self.connections.remove_connection()
         return True
 
+    def limit(self) -> int:
+        """Return the connections that may be open with one more.
+
+        While memory is scarce, another one has to give way for each new one.
+        """
+        if not self.memory_scarce.value:
+            return self.max_connections
+        return min(self.max_connections, max(MIN_CONNECTIONS, self.connections.count))
+
     def wait_ended(self, timeout: float) -> bool:
         """Wait until all connections have ended; return False after `timeout` seconds.
 
--- a/src/hawthornstage/actors/connection_memory.py
+++ b/src/hawthornstage/actors/connection_memory.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from hawthornstage.actors.task import Ask, Task
+from hawthornstage.allocator import resident_bytes, return_freed_memory
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.connection_memory import (
     Denied,
@@ -12,9 +14,12 @@
     MemoryAccount,
     MustWait,
 )
+from hawthornstage.decisions.process_memory import ProcessMemory
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import ReplyTo
 from hawthornstage.messages.connection_memory import (
     BodyRead,
+    CheckProcessMemory,
     GiveWay,
     Interruptible,
     MemoryDenied,
@@ -30,12 +35,25 @@
 
     Args:
         total_bytes: Memory of all together, in bytes.
+        scarce: Published: whether the process has more than it should.
+        host_bytes: Returns the memory that the process may have, in bytes; None if it
+            is not limited.
         clock: The runtime's clock.
         events: The event log.
     """
 
-    def __init__(self, total_bytes: int, clock: Clock, events: EventLog) -> None:
+    def __init__(
+        self,
+        total_bytes: int,
+        *,
+        scarce: LatestValue[bool],
+        host_bytes: Callable[[], int] | None = None,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
         super().__init__()
+        self.host_bytes = host_bytes
+        self.scarce = scarce
         self.clock = clock
         self.events = events
         self.account = MemoryAccount(total_bytes)
@@ -56,6 +74,33 @@
                 self.interrupts.pop(holder, None)
                 self.waiting.pop(holder, None)
                 self.decide_waiting()
+            case CheckProcessMemory():
+                self.check_process()
+
+    def check_process(self) -> None:
+        """Give freed memory back, and have bodies give way if that is not enough."""
+        memory = self.measure()
+        if memory is not None and memory.should_trim:
+            return_freed_memory()
+            memory = self.measure()
+        excess = 0 if memory is None else memory.excess_bytes
+        if self.scarce.value != (excess > 0):
+            self.scarce.publish(excess > 0)
+            self.events.emit(
+                "memory_scarce" if excess else "memory_enough",
+                used=memory.used_bytes if memory else 0,
+                connections=len(self.account.holdings),
+            )
+        for each in self.account.note_excess(excess):
+            self.events.emit("memory_recalled", holder=each, excess=excess)
+            self.recall(each)
+
+    def measure(self) -> ProcessMemory | None:
+        """Return the memory of the process, or None if the system does not tell."""
+        used_bytes = resident_bytes()
+        if used_bytes is None or self.host_bytes is None:
+            return None
+        return ProcessMemory(used_bytes, self.host_bytes())
 
     def decide_waiting(self) -> None:
         """Decide again about the requests that wait."""
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -71,6 +71,7 @@
 from hawthornstage.filters.relay import Relay
 from hawthornstage.filters.reserve import ReservationClient, Reserve
 from hawthornstage.filters.settle import BillFinaliser, OutcomeRecorder, Settle
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages import budget_messages, crashes, members
 from hawthornstage.messages.host_settings import HostLimits, SocketAddress
 from hawthornstage.observe.events import EventLog
@@ -459,7 +460,10 @@
         """Create the listener for callers and operators."""
         shared: dict[str, Any] = {"clock": self.clock, "events": self.events}
         limits = self.settings.limits
-        memory = ConnectionMemoryTask.start(limits.body_memory_bytes, **shared)
+        scarce = LatestValue(False)
+        memory = ConnectionMemoryTask.start(
+            limits.body_memory_bytes, scarce=scarce, **shared
+        )
         turns = ReadingTurnsTask.start(self.timers, **shared)
         connections = limits.max_requests + OVERLOAD_CONNECTIONS
         intake = CallerIntake(
@@ -478,6 +482,7 @@
             answerer,
             self.callers_stopping,
             CallerConnections(**shared),
+            scarce,
         )
 
     def read_limits(self) -> ReadLimits:
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -134,6 +134,7 @@
         self.watch_readers = LatestValue(WatchReaders(settings.node))
         self.admission_policy = LatestValue(AdmissionPolicy())
         self.accepting = LatestValue(True)
+        self.memory_scarce = LatestValue(False)
         self.faulty_tasks: LatestValue[tuple[str, ...]] = LatestValue(())
         self.start_delays = StartDelays()
         self.store_circuit = CircuitBreaker()
@@ -234,7 +235,10 @@
             **self.shared,
         )
         self.connection_memory = ConnectionMemoryTask.start(
-            derive_limits(self.settings.limits).pool_bytes, **self.shared
+            derive_limits(self.settings.limits).pool_bytes,
+            host_bytes=lambda: self.live_settings.value.limits.memory_bytes,
+            scarce=self.memory_scarce,
+            **self.shared,
         )
         self.reading_turns = ReadingTurnsTask.start(self.timers, **self.shared)
         self.stream_versions = StreamVersionsTask.start(
@@ -267,6 +271,7 @@
             ForwardedCalls(make_pipe(self, memory), self.stopping),
             self.stopping,
             self.caller_connections,
+            self.memory_scarce,
         )
         self.callers.start()
 
--- a/src/hawthornstage/compose_messages.py
+++ b/src/hawthornstage/compose_messages.py
@@ -18,6 +18,7 @@
     FragileAnnounced,
     RequestCallLease,
 )
+from hawthornstage.messages.connection_memory import CheckProcessMemory
 from hawthornstage.messages.draws import (
     CountsStored,
     FinalTransfer,
@@ -58,6 +59,7 @@
 EVACUATIONS_CHECK_INTERVAL_S = 2.0
 VERSION_RECORDS_CHECK_INTERVAL_S = 2.0
 STORE_CALLS_LOG_INTERVAL_S = 10.0
+MEMORY_CHECK_INTERVAL_S = 0.5
 SLOW_START_CHECK_INTERVAL_S = 0.25
 HEALTH_CHECK_INTERVAL_S = 2.5
 
@@ -110,4 +112,5 @@
     every(EVACUATIONS_CHECK_INTERVAL_S, router.evacuations, CheckEvacuations())
     every(SLOW_START_CHECK_INTERVAL_S, router.server_notices, EndSlowStarts())
     every(CRASH_LOG_CHECK_INTERVAL_S, router.crashing_parts, CheckCrashLog())
+    every(MEMORY_CHECK_INTERVAL_S, router.connection_memory, CheckProcessMemory())
     every(STORE_CALLS_LOG_INTERVAL_S, router.store_call_log, LogStoreCalls())
--- a/src/hawthornstage/decisions/connection_memory.py
+++ b/src/hawthornstage/decisions/connection_memory.py
@@ -65,10 +65,21 @@
     Args:
         total_bytes: Memory of all together, in bytes.
         holdings: What each holds, by what identifies it.
+        excess_bytes: Memory that the process has too much of, whatever takes it, in
+            bytes.
     """
 
     total_bytes: int
     holdings: dict[str, Holding] = field(default_factory=dict)
+    excess_bytes: int = 0
+
+    @property
+    def available_bytes(self) -> int:
+        """What all may hold together now, in bytes."""
+        if not self.excess_bytes:
+            return self.total_bytes
+        held = sum(each.size for each in self.holdings.values())
+        return max(0, min(self.total_bytes, held - self.excess_bytes))
 
     def request(
         self, holder: str, size: int, now: float, *, caller: str | None = None
@@ -87,16 +98,36 @@
         others = {k: v for k, v in self.holdings.items() if k != holder}
         # It must leave as much free as it takes.
         needed = 2 * size + sum(each.size for each in others.values())
-        if needed <= self.total_bytes:
+        available = self.available_bytes
+        if needed <= available:
             self.holdings[holder] = Holding(size, now, caller)
             return Granted()
-        chosen = choose_to_give_way(others, needed - self.total_bytes)
+        chosen = choose_to_give_way(others, needed - available)
         if chosen is None:
             return Denied()
-        for each in chosen:
-            self.holdings[each] = replace(self.holdings[each], asked=True)
+        self.note_asked(chosen)
         return MustWait(chosen)
 
+    def note_excess(self, excess_bytes: int) -> tuple[str, ...]:
+        """Note what the process has too much of.
+
+        Args:
+            excess_bytes: The memory in bytes, 0 if it has no more than it may.
+
+        Returns:
+            The bodies that have to be asked now to give way.
+        """
+        self.excess_bytes = excess_bytes
+        reading = sum(v.size for v in self.holdings.values() if v.caller is not None)
+        chosen = choose_to_give_way(self.holdings, min(excess_bytes, reading)) or ()
+        self.note_asked(chosen)
+        return chosen
+
+    def note_asked(self, holders: tuple[str, ...]) -> None:
+        """Note that bodies have been asked to give way."""
+        for each in holders:
+            self.holdings[each] = replace(self.holdings[each], asked=True)
+
     def complete(self, holder: str) -> None:
         """Note that a body has been read; it does not give way any more."""
         held = self.holdings.get(holder)
@@ -105,7 +136,9 @@
 
     def release(self, holder: str) -> None:
         """Take back what a body or a response holds."""
-        self.holdings.pop(holder, None)
+        released = self.holdings.pop(holder, None)
+        if released is not None:
+            self.excess_bytes = max(0, self.excess_bytes - released.size)
 
 
 def choose_to_give_way(
--- a/src/hawthornstage/messages/connection_memory.py
+++ b/src/hawthornstage/messages/connection_memory.py
@@ -35,6 +35,11 @@
     interrupt: Interruptible | None = None
 
 
+@dataclass(frozen=True)
+class CheckProcessMemory:
+    """Triggers the periodic check of the memory that the process really has."""
+
+
 @dataclass(frozen=True)
 class MemoryGranted:
     """The holder may take the memory until it is released."""
--- a/tests/test_caller_listener.py
+++ b/tests/test_caller_listener.py
@@ -102,7 +102,8 @@
     calls = ForwardedCalls(pipe, stopping)
     address = SocketAddress("127.0.0.1", 0)
     connections = CallerConnections(**shared)
-    return CallerListener(address, intake, calls, stopping, connections)
+    scarce = LatestValue(False)
+    return CallerListener(address, intake, calls, stopping, connections, scarce)
 
 
 @pytest.fixture
