Record versions at which streams began before the fleet is known

Cause, as traced by the review: the versions of services are recorded by routers that know the fleet, which takes a second, and the notes of streams end with the processes.

Change: a router that does not know the others records all versions of a service once it has begun a stream there; all, since with one of several every stream would seem to be of that one. The forwarder tells of a stream only while its version is not recorded, so that a calm router sends no message more.

Ruled out: to choose the recorders among an incomplete list (in a fleet that starts at once each router would take itself for one of them, and write); to wait with the first streams.

--- a/src/hawthornstage/actors/servers/version_records.py
+++ b/src/hawthornstage/actors/servers/version_records.py
@@ -18,6 +18,7 @@
 )
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.version_records import VersionRecords
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import (
@@ -28,7 +29,11 @@
     Put,
     StoreRestored,
 )
-from hawthornstage.messages.stream_versions import RecordedVersions, ServiceVersion
+from hawthornstage.messages.stream_versions import (
+    RecordedVersions,
+    ServiceVersion,
+    StreamBeganUnrecorded,
+)
 from hawthornstage.observe.events import EventLog
 from hawthornstage.platform.store import StoreClient
 
@@ -48,6 +53,7 @@
         node: This router's name.
         store: A client used by this task only.
         streams: Gets `RecordedVersions` once, as they were after this router's start.
+        recorded: Published: the versions that are recorded, as far as is known.
         clock: The runtime's clock.
         events: The event log.
     """
@@ -57,6 +63,7 @@
         node: str,
         store: StoreClient,
         streams: pykka.ActorRef,
+        recorded: LatestValue[frozenset[ServiceVersion]],
         *,
         clock: Clock,
         events: EventLog,
@@ -64,6 +71,7 @@
         super().__init__()
         self.store = store
         self.streams = streams
+        self.recorded = recorded
         self.clock = clock
         self.events = events
         self.records = VersionRecords(node)
@@ -84,8 +92,12 @@
             case StoreRestored():
                 self.records.forget_recorded()
                 self.update_store(now)
+            case StreamBeganUnrecorded(version):
+                self.records.note_began(version)
+                self.update_store(now)
             case CheckVersionRecords():
                 self.update_store(now)
+        self.recorded.publish(self.records.recorded or frozenset())
 
     def update_store(self, now: float) -> None:
         """Read the records if that is still to do, then add and remove what is due.
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -82,6 +82,7 @@
 from hawthornstage.messages.server_notices import ServerNotices
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Put
+from hawthornstage.messages.stream_versions import ServiceVersion
 from hawthornstage.messages.tunnels import StopTunnels
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
@@ -127,6 +128,9 @@
         self.registered_servers = LatestValue(RegisteredServers({}))
         self.servers_heard_at = LatestValue(float("-inf"))
         self.processes_confirmed: LatestValue[Mapping[str, float]] = LatestValue({})
+        self.recorded_versions: LatestValue[frozenset[ServiceVersion]] = LatestValue(
+            frozenset()
+        )
         self.server_notices_in_force = LatestValue(ServerNotices())
         self.evacuations_in_force = LatestValue(Evacuations())
         self.server_links_known = LatestValue(ServerLinks())
@@ -248,7 +252,11 @@
             **self.shared,
         )
         self.version_records = VersionRecordsTask.start(
-            node, self.store("versions"), self.stream_versions, **self.shared
+            node,
+            self.store("versions"),
+            self.stream_versions,
+            self.recorded_versions,
+            **self.shared,
         )
         self.shared_watches = SharedWatches.start(
             node, self.watch_readers, **self.shared
--- a/src/hawthornstage/compose_pipe.py
+++ b/src/hawthornstage/compose_pipe.py
@@ -89,6 +89,8 @@
     )
     versions = ServerVersions(
         router.stream_versions,
+        router.version_records,
+        router.recorded_versions,
         ConfirmProcess(router.clock, router.events),
         permits,
         router.registered_servers,
--- a/src/hawthornstage/decisions/version_records.py
+++ b/src/hawthornstage/decisions/version_records.py
@@ -3,7 +3,8 @@
 A router that starts knows only the versions that are registered at its start. So that
 streams go on although all routers started again at about the same time, a few routers,
 chosen by rendezvous hashing, record each version once it is registered, and the first
-of them removes the record long after it was.
+of them removes the record long after it was. A router that does not know the others
+yet records the versions of the services of which it began streams itself.
 
 Times are seconds of the monotonic clock.
 """
@@ -40,6 +41,7 @@
         registered: Versions of the registered servers; None before they are known.
         recorded: Versions that are recorded, as far as this router knows; None before
             it has read the records.
+        began: Versions at which this router began streams before they were recorded.
         left_at: Time at which each version was found not to be registered any more.
     """
 
@@ -47,6 +49,7 @@
     routers: frozenset[str] | None = None
     registered: frozenset[ServiceVersion] | None = None
     recorded: frozenset[ServiceVersion] | None = None
+    began: frozenset[ServiceVersion] = frozenset()
     left_at: dict[ServiceVersion, float] = field(default_factory=dict)
 
     def update_registered(self, versions: Iterable[ServiceVersion], now: float) -> None:
@@ -85,6 +88,10 @@
         self.recorded = (self.recorded or frozenset()) - {version}
         self.left_at.pop(version, None)
 
+    def note_began(self, version: ServiceVersion) -> None:
+        """Note that this router began a stream at a version."""
+        self.began |= {version}
+
     def forget_recorded(self) -> None:
         """Record again what is registered: a restored store may lack it."""
         if self.recorded is not None:
@@ -93,10 +100,17 @@
 
     def to_record(self) -> tuple[ServiceVersion, ...]:
         """Return the versions that this router has to record now."""
-        if self.registered is None or self.recorded is None or self.routers is None:
+        if self.registered is None or self.recorded is None:
             return ()
         missing = first_versions(self.registered) - self.recorded
-        return tuple(v for v in sorted(missing) if self.node in self.recorders(v))
+        return tuple(each for each in sorted(missing) if self.is_recorder(each))
+
+    def is_recorder(self, version: ServiceVersion) -> bool:
+        """Whether this router has to record a version."""
+        if self.routers is None:
+            # With one of several versions, all streams would seem to be of that one.
+            return version.service in {each.service for each in self.began}
+        return self.node in self.recorders(version)
 
     def to_remove(self, now: float) -> tuple[ServiceVersion, ...]:
         """Return the versions whose records this router has to remove now."""
--- a/src/hawthornstage/filters/server_versions.py
+++ b/src/hawthornstage/filters/server_versions.py
@@ -19,7 +19,9 @@
 from hawthornstage.messages.forward import Delivery, ForwardExchange
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.stream_versions import (
+    ServiceVersion,
     StreamBeganUnconfirmed,
+    StreamBeganUnrecorded,
     StreamVersionNoted,
 )
 
@@ -34,6 +36,8 @@
 
     Args:
         stream_versions: Task that owns the versions that began streams.
+        version_records: Task that records versions in the store.
+        recorded: The versions that are recorded, as far as is known.
         process: Finds out to which process a connection leads.
         permits: Tells whether a server accepts calls.
         registered: The servers that may get calls, read when they are needed.
@@ -45,6 +49,8 @@
     """
 
     stream_versions: pykka.ActorRef
+    version_records: pykka.ActorRef
+    recorded: LatestValue[frozenset[ServiceVersion]]
     process: ConfirmProcess
     permits: Permits
     registered: LatestValue[RegisteredServers]
@@ -117,4 +123,7 @@
             self.stream_versions.tell(
                 StreamVersionNoted(call_id, exchange.service, server.version)
             )
+            version = ServiceVersion(exchange.service, server.version)
+            if version not in self.recorded.value:
+                self.version_records.tell(StreamBeganUnrecorded(version))
         return None
--- a/src/hawthornstage/messages/stream_versions.py
+++ b/src/hawthornstage/messages/stream_versions.py
@@ -97,6 +97,13 @@
     version: str
 
 
+@dataclass(frozen=True)
+class StreamBeganUnrecorded:
+    """A stream began at a version that this router does not know to be recorded."""
+
+    version: ServiceVersion
+
+
 @dataclass(frozen=True)
 class RecordedVersions:
     """The versions that routers had recorded in the store when this one started.
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -152,6 +152,8 @@
     dialer = ServerDialer(tasks.links, tasks, tasks.peers, clock, events, metrics)
     versions = ServerVersions(
         tasks,
+        tasks,
+        LatestValue(frozenset()),
         ConfirmProcess(clock, events),
         permits,
         tasks.registered,
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -14,6 +14,7 @@
     record_key,
 )
 from hawthornstage.actors.task import Ask
+from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.clock import ManualClock
 from hawthornstage.decisions.stream_holders import STREAM_LIFETIME_S
 from hawthornstage.decisions.version_records import (
@@ -25,14 +26,23 @@
 )
 from hawthornstage.latest_value import LatestValue
 from hawthornstage.messages.fleet import KnownRouters
+from hawthornstage.messages.forward import Delivery
 from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.store import Put, StoreRestored
 from hawthornstage.messages.stream_versions import (
     RequestStreamVersion,
     ServiceVersion,
+    StreamBeganUnrecorded,
     StreamVersionReply,
 )
 from hawthornstage.observe.events import EventLog
+from tests.connection_pair import EVENTS, REQUEST, CallerPair, sealed
+from tests.delivery_world import (
+    ScriptedServer,
+    Tasks,
+    exchange_for,
+    make_forwarder,
+)
 from tests.draws_world import FakeClient, FakeStore, Inbox, Reply
 from tests.test_stream_versions import registered, server
 
@@ -42,13 +52,23 @@
 class Router:
     """One process of a router: its part in the records, and its streams."""
 
-    def __init__(self, node: str, store: FakeStore, events: EventLog) -> None:
+    def __init__(
+        self,
+        node: str,
+        store: FakeStore,
+        events: EventLog,
+        *,
+        knows_fleet: bool = True,
+    ) -> None:
         streams: Any = Inbox()
         client: Any = FakeClient(store, node)
         shared: dict[str, Any] = {"clock": store.clock, "events": events}
         self.inbox = streams
-        self.records: Any = VersionRecordsTask(node, client, streams, **shared)
-        self.records.handle(KnownRouters({}))
+        self.records: Any = VersionRecordsTask(
+            node, client, streams, LatestValue(frozenset()), **shared
+        )
+        if knows_fleet:
+            self.records.handle(KnownRouters({}))
         self.streams: Any = StreamVersionsTask(
             Inbox(), Inbox(), LatestValue({}), **shared
         )
@@ -221,11 +241,40 @@
 ) -> None:
     streams: Any = Inbox()
     client: Any = FakeClient(store, "a")
+    recorded_versions = LatestValue(frozenset())
     task: Any = VersionRecordsTask(
-        "a", client, streams, clock=store.clock, events=events
+        "a", client, streams, recorded_versions, clock=store.clock, events=events
     )
     task.handle(RegisteredServers({"a": server("a", "v1")}))
     task.handle(KnownRouters({}, settled=False))
     assert recorded(store) == set()
     task.handle(KnownRouters({}))
     assert recorded(store) == {record_key(V1)}
+
+
+# Guards against the fleet whose routers were all killed within their first second.
+def test_version_at_which_a_stream_began_is_recorded_before_the_fleet_is_known(
+    store: FakeStore, events: EventLog
+) -> None:
+    first = Router("a", store, events, knows_fleet=False)
+    first.see("v1", "v2")
+    assert recorded(store) == set()
+    first.records.handle(StreamBeganUnrecorded(V1))
+    assert recorded(store) == {record_key(V1), record_key(V2)}
+    assert first.records.recorded.value == {V1, V2}
+    second = Router("b", store, events, knows_fleet=False)
+    second.see("v1")
+    assert second.reply() == StreamVersionReply((), ("v1", "v2"), True)
+
+
+def test_stream_that_began_is_told_until_its_version_is_recorded(
+    pair: CallerPair,
+) -> None:
+    pair.caller.sendall(REQUEST + b"Content-Length: 4\r\n\r\ntext")
+    assert isinstance(pair.receive(), RawRequest)
+    tasks: Any = Tasks([ScriptedServer([sealed(EVENTS)]).start()])
+    forwarder = make_forwarder(tasks, ManualClock(start=10.0))
+    exchange = exchange_for("/letters/long/x")
+    forwarder.deliver(exchange, pair.connection, Delivery())
+    told = [each for each in tasks.told if isinstance(each, StreamBeganUnrecorded)]
+    assert told == [StreamBeganUnrecorded(ServiceVersion("models", ""))]
