--- a/src/hawthornstage/actors/caller_connections.py
+++ b/src/hawthornstage/actors/caller_connections.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
-from hawthornstage.border.request_reader import LimitsChanged
+from hawthornstage.border.read_limits import LimitsChanged
 from hawthornstage.border.sockets import Interrupt
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.connection_limits import (
--- a/src/hawthornstage/actors/caller_limits.py
+++ b/src/hawthornstage/actors/caller_limits.py
@@ -7,7 +7,7 @@
 
 from hawthornstage.actors.caller_connections import CallerConnections
 from hawthornstage.actors.task import Task
-from hawthornstage.border.request_reader import ReadLimits
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.messages.fleet import DesiredStateInUse
 
 
--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -14,12 +14,12 @@
 from hawthornstage.actors.caller_workers import StartDelays
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.error_responses import error_document, error_headers
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.border.request_reader import (
     ConnectionClosed,
     IdleTimeout,
     MalformedRequest,
     RawRequest,
-    ReadLimits,
     ReceiveResult,
     RequestRecalled,
     RequestTimeout,
--- a/src/hawthornstage/actors/forwarded_calls.py
+++ b/src/hawthornstage/actors/forwarded_calls.py
@@ -14,11 +14,8 @@
     send_failure,
 )
 from hawthornstage.border.caller_connection import CallerConnection
-from hawthornstage.border.request_reader import (
-    REQUEST_TIMEOUT_S,
-    RawRequest,
-    ReadLimits,
-)
+from hawthornstage.border.read_limits import REQUEST_TIMEOUT_S, ReadLimits
+from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.clock import Clock
 from hawthornstage.decisions.reading_turns import REFUSAL_S
 from hawthornstage.errors import ErrorKind, Failure, response_for
--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -8,8 +8,8 @@
 import h11
 
 from hawthornstage.border.chunked_body import ChunkedDecoder, encode_chunk
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.border.request_reader import (
-    ReadLimits,
     ReadObserver,
     ReceiveResult,
     RequestReader,
--- a/src/hawthornstage/border/request_reader.py
+++ b/src/hawthornstage/border/request_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import io
-import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,6 +11,7 @@
 import h11
 
 from hawthornstage.border.chunked_body import ChunkedDecoder, ChunkError, is_chunked
+from hawthornstage.border.read_limits import LimitsChanged, ReadLimits, RequestTimes
 from hawthornstage.border.sockets import (
     FAILED,
     READ_BYTES,
@@ -28,8 +28,6 @@
 # further one takes, in bytes: many short ones take far more than their text.
 USUAL_HEADERS = 32
 HEADER_BYTES = 512
-# Longest time in which a request arrives, in seconds, unless it is set.
-REQUEST_TIMEOUT_S = 60.0
 
 
 @dataclass(frozen=True)
@@ -94,32 +92,6 @@
 )
 
 
-@dataclass(frozen=True)
-class ReadLimits:
-    """Limits on reading one request, which may change while it is read.
-
-    Args:
-        first_byte_timeout_s: Longest wait for the first byte, in seconds.
-        read_timeout_s: Longest time from the first byte to the complete head, and
-            after it longest wait for each part of the body, in seconds.
-        body_bytes: Largest body, in bytes.
-        header_bytes: Largest head, in bytes.
-        request_timeout_s: Longest time from the first byte to the end of the body, in
-            seconds.
-    """
-
-    first_byte_timeout_s: float
-    read_timeout_s: float
-    body_bytes: int
-    header_bytes: int = 16_384
-    request_timeout_s: float = REQUEST_TIMEOUT_S
-
-
-@dataclass(frozen=True)
-class LimitsChanged:
-    """Wakes a task that waits for a caller: its limits may be others now."""
-
-
 class ReadObserver(Protocol):
     """Is told how the reading of a request proceeds, and may stop it."""
 
@@ -198,34 +170,9 @@
         self.head_bytes = 0
         # Bytes received of the request until its head was complete.
         self.received_bytes = len(parser.trailing_data[0])
-        # Times at which the wait for the next part and the request itself began.
-        self.waits_since = self.clock.monotonic()
-        self.begun_at = math.inf
+        self.times = RequestTimes(clock, limits)
         if self.begun:
-            self.begin()
-
-    def begin(self) -> None:
-        """Note the first byte of the request."""
-        self.begun = True
-        self.begun_at = self.clock.monotonic()
-        self.extend_deadline()
-
-    def extend_deadline(self) -> None:
-        """Give the caller time for the next part of the request."""
-        self.waits_since = self.clock.monotonic()
-
-    @property
-    def ends_at(self) -> float:
-        """Time by which the whole request must have arrived."""
-        return self.begun_at + self.limits().request_timeout_s
-
-    @property
-    def deadline(self) -> float:
-        """Time by which the next part of the request must arrive."""
-        limits = self.limits()
-        if not self.begun:
-            return self.waits_since + limits.first_byte_timeout_s
-        return min(self.waits_since + limits.read_timeout_s, self.ends_at)
+            self.times.begin()
 
     def read(self) -> ReceiveResult:
         """Return the request, or why there is none."""
@@ -308,7 +255,7 @@
             ready = self.poll(watched, interrupt, 0)
         if not ready:
             self.observer.end_turn()
-            ready = self.wait_until(watched, interrupt, lambda: self.deadline)
+            ready = self.wait_until(watched, interrupt, lambda: self.times.deadline)
         if self.begun and interrupt.fileno() in ready:
             return RequestRecalled()
         if self.socket.fileno() not in ready:
@@ -358,7 +305,7 @@
         ready = self.wait_until(
             watched,
             interrupt,
-            lambda: self.deadline if self.head is None else self.ends_at,
+            lambda: self.times.deadline if self.head is None else self.times.ends_at,
         )
         # Limits may have changed since the wait has ended.
         interrupt.discard(LimitsChanged)
@@ -368,7 +315,7 @@
             case [TurnGranted() as granted]:
                 self.observer.begin_turn(granted)
                 if self.head is not None:
-                    self.extend_deadline()
+                    self.times.extend()
                 return None
             case _:
                 # Others need what the connection holds, whether it has a turn or not.
@@ -383,7 +330,8 @@
         if not data and (not self.begun or self.chunks is not None):
             return ConnectionClosed()
         if not self.begun:
-            self.begin()
+            self.begun = True
+            self.times.begin()
         self.observer.note_read(len(data), data.count(b"\n"))
         if self.chunks is not None:
             return self.decode(self.chunks, data)
@@ -400,7 +348,7 @@
         if self.head_bytes and not self.observer.grow(self.head_bytes):
             return RequestRecalled()
         # Each part of the body has its own timeout; the caller's deadline applies too.
-        self.extend_deadline()
+        self.times.extend()
         if is_chunked(head.headers):
             # Very many tiny chunks cost no memory, and their time is spent in turns.
             self.chunks = ChunkedDecoder(refuse_small=False)
@@ -425,7 +373,7 @@
         if not self.observer.grow(self.head_bytes + size):
             return RequestRecalled()
         self.body.write(data)
-        self.extend_deadline()
+        self.times.extend()
         return None
 
     def too_large(self) -> MalformedRequest:
--- a/src/hawthornstage/compose.py
+++ b/src/hawthornstage/compose.py
@@ -52,7 +52,7 @@
 from hawthornstage.border.old_setup_api import OldSetupApi
 from hawthornstage.border.operator_api import OperatorApi
 from hawthornstage.border.peer_connection import PeerIdentity
-from hawthornstage.border.request_reader import REQUEST_TIMEOUT_S, ReadLimits
+from hawthornstage.border.read_limits import REQUEST_TIMEOUT_S, ReadLimits
 from hawthornstage.border.settings import ApiKeySettings, GrantSharing, Settings
 from hawthornstage.border.wsgi import StartResponse, send_response
 from hawthornstage.clock import Clock
--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -52,7 +52,7 @@
 from hawthornstage.actors.timers import Timers
 from hawthornstage.actors.token_accounts import TokenAccountsTask
 from hawthornstage.border.peer_connection import PeerIdentity
-from hawthornstage.border.request_reader import ReadLimits
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.clock import Clock
 from hawthornstage.compose_messages import register_messages, schedule_periodic_work
 from hawthornstage.compose_pipe import make_intake, make_pipe
--- a/tests/connection_pair.py
+++ b/tests/connection_pair.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from hawthornstage.border.caller_connection import CallerConnection
-from hawthornstage.border.request_reader import ReadLimits
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.border.sockets import Interrupt
 from hawthornstage.messages.reading_turns import TurnGranted
 
--- a/tests/test_any_bytes.py
+++ b/tests/test_any_bytes.py
@@ -11,12 +11,12 @@
 from hypothesis import strategies as st
 
 from hawthornstage.border.caller_connection import CallerConnection, new_parser
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.border.request_reader import (
     ConnectionClosed,
     IdleTimeout,
     MalformedRequest,
     RawRequest,
-    ReadLimits,
 )
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock
--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -12,23 +12,25 @@
 
 from hawthornstage.actors.caller_connections import CallerConnections, Waiting
 from hawthornstage.actors.caller_limits import CallerLimitsTask
+from hawthornstage.actors.task import Ask
+from hawthornstage.border.read_limits import LimitsChanged, ReadLimits
 from hawthornstage.border.request_reader import (
     IdleTimeout,
-    LimitsChanged,
     MalformedRequest,
     RawRequest,
-    ReadLimits,
     RequestTimeout,
 )
 from hawthornstage.border.sockets import Interrupt
-from hawthornstage.clock import Clock
+from hawthornstage.clock import Clock, ManualClock
 from hawthornstage.decisions.connection_limits import WaitingConnection
 from hawthornstage.messages.connection_memory import GiveWay
 from hawthornstage.messages.desired import CallerLimits, DesiredState
 from hawthornstage.messages.fleet import DesiredStateInUse
+from hawthornstage.messages.forward import Delivery
 from hawthornstage.observe.events import EventLog
 from tests.conftest import StartFleet
 from tests.connection_pair import REQUEST, SOON, CallerPair
+from tests.delivery_world import Tasks, exchange_for, make_forwarder
 from tools.cluster import wait_until
 from tools.fleet import API_KEY, HOST, IDEMPOTENT_PATH, Fleet, desired_state
 
@@ -220,3 +222,5 @@
         assert b"200" in ask(kept, head=30_000, body=100_000)
         adopt(fleet, 3, max_header_bytes=2_000, max_body_bytes=1_000)
         assert b"413" in ask(kept, body=2_000)
+
+
--- a/tests/test_reading_turns.py
+++ b/tests/test_reading_turns.py
@@ -17,11 +17,11 @@
 from hawthornstage.actors.timers import Timers
 from hawthornstage.border.caller_connection import CallerConnection
 from hawthornstage.border.chunked_body import ChunkedDecoder, ChunkError
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.border.request_reader import (
     ConnectionClosed,
     IdleTimeout,
     RawRequest,
-    ReadLimits,
     RequestRecalled,
     RequestTimeout,
 )
