Place a call that waited by the connections that servers accept now

`ServerChoice` reads the state in use when it asks for a server; the call's route and workspace stay those that it was matched by. The new test of test_changed_limits.py gives 370 twice without the change.

--- a/src/hawthornstage/compose_pipe.py
+++ b/src/hawthornstage/compose_pipe.py
@@ -67,6 +67,7 @@
         permits,
         router.clock,
         router.metrics,
+        router.desired,
         lambda: router.live_settings.value.regions,
     )
     dialer = ServerDialer(
--- a/src/hawthornstage/filters/forward_choice.py
+++ b/src/hawthornstage/filters/forward_choice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pykka
 
@@ -13,7 +13,8 @@
 from hawthornstage.decisions.slow_start import PERMIT_VALIDITY_S
 from hawthornstage.filters.forward import TASK_TIMEOUT_S
 from hawthornstage.filters.permits import Permits
-from hawthornstage.messages.desired import Idempotency
+from hawthornstage.latest_value import LatestValue
+from hawthornstage.messages.desired import DesiredState, Idempotency
 from hawthornstage.messages.forward import (
     Delivery,
     ForwardExchange,
@@ -39,6 +40,7 @@
         permits: Permits for servers that have named a limit.
         clock: Source of timeouts.
         metrics: Counts permits.
+        desired: The desired state in use; None for that of each call.
         region_of: Returns the region of each failure domain.
     """
 
@@ -46,6 +48,7 @@
     permits: Permits
     clock: Clock
     metrics: Metrics
+    desired: LatestValue[DesiredState | None]
     region_of: Callable[[], Mapping[str, str]] = dict
 
     def choose(
@@ -151,7 +154,7 @@
             prompt=exchange.call.prompt,
             excluded=delivery.excluded,
             retry=delivery.attempts > 0,
-            max_connections_per_server=exchange.max_connections_per_server,
+            max_connections_per_server=self.max_connections(exchange),
             repeatable=exchange.route.idempotency is Idempotency.IDEMPOTENT,
             permits_denied=permits_denied,
             version=needed_version(exchange, delivery),
@@ -165,6 +168,14 @@
             )
         return reply
 
+    def max_connections(self, exchange: ForwardExchange) -> int:
+        """Return the connections that a server of the call's service accepts now.
+
+        The call may have waited since its own version of the desired state.
+        """
+        state = self.desired.value or exchange.desired
+        return replace(exchange, desired=state).max_connections_per_server
+
     def release(
         self, exchange: ForwardExchange, pooled: PooledConnection | None = None
     ) -> None:
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -32,6 +32,7 @@
     RoomGranted,
 )
 from hawthornstage.messages.backends import BackendServer
+from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.forward import (
     ForwardExchange,
@@ -122,6 +123,7 @@
         self.evacuations = LatestValue(Evacuations())
         self.links = LatestValue(ServerLinks())
         self.peers: Any = self
+        self.desired: LatestValue[DesiredState | None] = LatestValue(None)
         self.room: RoomGranted | RoomDenied = RoomGranted()
         self.told: list[Any] = []
 
@@ -147,7 +149,7 @@
     permits = Permits(tasks, tasks.peers, tasks.notices, tasks.evacuations, clock)
     metrics = Metrics()
     events = EventLog("a", clock)
-    choice = ServerChoice(tasks, permits, clock, metrics)
+    choice = ServerChoice(tasks, permits, clock, metrics, tasks.desired)
     admit = AdmitCall(tasks, LatestValue(AdmissionPolicy()), clock, metrics)
     dialer = ServerDialer(tasks.links, tasks, tasks.peers, clock, events, metrics)
     versions = ServerVersions(
--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -224,3 +224,13 @@
         assert b"413" in ask(kept, body=2_000)
 
 
+def test_call_that_waited_is_placed_by_the_limit_in_use() -> None:
+    tasks: Any = Tasks([])
+    choice = make_forwarder(tasks, ManualClock(start=10.0)).choice
+    exchange = exchange_for("/letters/x")
+    choice.choose(exchange, Delivery())
+    services = tuple(replace(s, max_connections=7) for s in exchange.desired.services)
+    tasks.desired.publish(replace(exchange.desired, services=services))
+    choice.choose(exchange, Delivery())
+    wanted = [each.message for each in tasks.told if isinstance(each, Ask)]
+    assert [each.max_connections_per_server for each in wanted] == [370, 7]
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -469,7 +469,7 @@
     permits = Permits(
         task, Inbox(), LatestValue(notices), LatestValue(Evacuations()), clock
     )
-    return ServerChoice(Inbox(), permits, clock, Metrics())  # type: ignore[arg-type]
+    return ServerChoice(Inbox(), permits, clock, Metrics(), LatestValue(None))  # type: ignore[arg-type]
 
 
 def test_permit_of_a_cold_server_holds_for_a_short_time(clock: ManualClock) -> None:
