Refuse a request that was being read when an error came, and end failed checks whole

Found by reading the change: a connection whose body was being read counted as idle, so that its caller got no answer after an unforeseen error in reading; a check of a server that failed while it began left its sockets with the selector, to be served again at once. Tests for both; the first needs `is_reading_request`, beside `idle` which keeps its meaning for the next request.

--- a/src/hawthornstage/actors/callers.py
+++ b/src/hawthornstage/actors/callers.py
@@ -191,7 +191,7 @@
             OSError: The caller has left.
         """
         log.exception("connection_error", caller=self.address)
-        if not self.caller.idle and self.caller.can_respond:
+        if self.caller.is_reading_request and self.caller.can_respond:
             detail = type(error).__name__
             self.refuse(Failure(ErrorKind.INTERNAL_NOT_SENT, detail))
         return False
--- a/src/hawthornstage/actors/servers/reach_checks.py
+++ b/src/hawthornstage/actors/servers/reach_checks.py
@@ -97,8 +97,9 @@
 
     def end_failed(self, concerned: Any) -> None:
         match concerned:
-            case Ask(message=CheckReach(server), reply_to=reply_to):
-                self.checks.pop(server.incarnation, None)
+            case Ask(message=CheckReach(server)) if server.incarnation in self.checks:
+                self.end(self.checks[server.incarnation], Reach.UNKNOWN)
+            case Ask(reply_to=reply_to):
                 reply_to.put(Reach.UNKNOWN)
             case ReachCheck():
                 self.end(concerned, Reach.UNKNOWN)
@@ -166,9 +167,10 @@
 
     def end(self, check: ReachCheck, result: Reach) -> None:
         """Close the connections of a check and send its result."""
-        del self.checks[check.server.incarnation]
+        self.checks.pop(check.server.incarnation, None)
         for connection in check.connecting:
-            self.selector.unregister(connection)
+            if connection in self.selector.get_map():
+                self.selector.unregister(connection)
             connection.close()
         check.connecting.clear()
         for each in check.reply_to:
--- a/src/hawthornstage/border/caller_connection.py
+++ b/src/hawthornstage/border/caller_connection.py
@@ -53,6 +53,11 @@
         """Whether no byte of a next request has been received."""
         return not self.parser.trailing_data[0]
 
+    @property
+    def is_reading_request(self) -> bool:
+        """Whether a request has begun and may not be complete."""
+        return self.parser.their_state is not h11.IDLE or not self.idle
+
     def receive(
         self,
         wake_socket: socket.socket,
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -10,12 +10,19 @@
 import pytest
 
 from hawthornstage.actors.selector_task import SelectorTask
+from hawthornstage.actors.servers.reach_checks import ReachChecks
 from hawthornstage.actors.task import Ask
 from hawthornstage.border.frames import Frame, FrameError, encode_frame
 from hawthornstage.clock import Clock
+from hawthornstage.latest_value import LatestValue
 from hawthornstage.mailbox import Mailbox
 from hawthornstage.messages.events import Stamp
+from hawthornstage.messages.host_settings import SocketAddress
+from hawthornstage.messages.lost_servers import CheckReach, Reach
+from hawthornstage.messages.server_links import ServerLinks
+from hawthornstage.messages.server_selection import RegisteredServers
 from hawthornstage.messages.tunnels import RequestTunnel
+from tests.delivery_world import server_at
 
 
 def fail(*args: Any) -> None:
@@ -72,3 +79,25 @@
         failing.step(0.0)
     assert reply.get(timeout=0.0) is None
     assert failing.near not in failing.selector.get_map()
+
+
+@pytest.mark.parametrize("step", ["end_if_idle", "find_opened"])
+def test_failed_check_of_a_server_is_answered_and_leaves_no_socket(
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        server = server_at(SocketAddress(*listener.getsockname()))
+        checks = ReachChecks(
+            "a",
+            LatestValue(RegisteredServers({})),
+            LatestValue(ServerLinks()),
+            Clock(),
+        )
+        monkeypatch.setattr(checks, step, fail)
+        reply = Mailbox(Clock())
+        checks.tell(Ask(CheckReach(server), reply))
+        for _ in range(3):
+            checks.step(0.1)
+        assert reply.get(timeout=0.0) is Reach.UNKNOWN
+        assert len(checks.selector.get_map()) == 1
+        checks.close_all()
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import nullcontext
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 import urllib3
 
-from hawthornstage.actors.callers import StopSignal
+from hawthornstage.actors.callers import CallerTask, StopSignal
 from hawthornstage.actors.forwarded_calls import ForwardedCalls, ForwardPipe
 from hawthornstage.actors.wsgi_calls import WsgiCalls
+from hawthornstage.border.read_limits import ReadLimits
 from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.border.server_connection import ServerConnection
 from hawthornstage.clock import Clock, ManualClock
@@ -27,7 +29,14 @@
 from hawthornstage.messages.forward import Delivery
 from hawthornstage.observe.events import EventLog
 from hawthornstage.observe.metrics import Metrics
-from tests.connection_pair import EVENTS, REQUEST, CallerPair, sealed
+from tests.connection_pair import (
+    EVENTS,
+    REQUEST,
+    SOON,
+    CallerPair,
+    Observer,
+    sealed,
+)
 from tests.delivery_world import (
     ScriptedServer,
     Tasks,
@@ -206,3 +215,30 @@
     with pytest.raises(UnforeseenError):
         run_pipe((first, second), exchange)
     assert undone == [exchange]
+
+
+class FailingObserver(Observer):
+    """Observes the reading of a request, and fails once it has a head."""
+
+    note_head = fail
+
+
+@pytest.mark.parametrize("sent", [b"", REQUEST + b"Content-Length: 4\r\n\r\nte"])
+def test_request_that_an_error_kept_from_being_read_is_refused(
+    sent: bytes, pair: CallerPair, events: EventLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    task: Any = CallerTask.__new__(CallerTask)
+    task.caller, task.address = pair.connection, "a"
+    memory: Any = SimpleNamespace(hold=lambda name: nullcontext())
+    task.intake, task.number = SimpleNamespace(memory=memory), 1
+    pair.caller.sendall(sent or b"")
+    limits = ReadLimits(SOON if sent else 0.0, SOON, 10)
+
+    def receive(memory: Any) -> Any:
+        pair.connection.receive(pair.wake, lambda: limits, FailingObserver())
+        fail()
+
+    task.receive = receive
+    assert not task.serve_next()
+    assert read_all(pair).startswith(b"HTTP/1.1 503" if sent else b"")
+    assert pair.connection.can_respond is not bool(sent)
