--- a/tests/test_encoded_names.py
+++ b/tests/test_encoded_names.py
@@ -77,6 +77,7 @@
         "Broken",
         "CallerLeft",
         "Delivered",
+        "InternalError",
         "Misdirected",
         "NotSent",
         "OutOfTime",
