--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,9 +12,19 @@
 from hypothesis import settings
 
 from hawthornstage.border.caller_connection import CallerConnection
+from hawthornstage.border.request_reader import RawRequest
 from hawthornstage.clock import Clock, ManualClock
+from hawthornstage.errors import Failure
+from hawthornstage.messages.forward import Delivery
 from hawthornstage.observe.events import EventLog
-from tests.connection_pair import CallerPair, Observer, tcp_pair
+from tests.connection_pair import REQUEST, CallerPair, Observer, tcp_pair
+from tests.delivery_world import (
+    Deliver,
+    ScriptedServer,
+    Tasks,
+    exchange_for,
+    make_forwarder,
+)
 from tools.cluster import Cluster, Process
 from tools.fleet import Fleet
 
@@ -154,6 +164,24 @@
         each.close()
 
 
+@pytest.fixture
+def deliver(pair: CallerPair) -> Deliver:
+    """Return a function that forwards one call of the pair to scripted servers."""
+
+    def run(
+        *servers: ScriptedServer, target: str = "/letters/x"
+    ) -> tuple[Failure | None, Delivery]:
+        pair.caller.sendall(REQUEST + b"Content-Length: 4\r\n\r\ntext")
+        assert isinstance(pair.receive(), RawRequest)
+        tasks: Any = Tasks([server.start() for server in servers])
+        forwarder = make_forwarder(tasks, ManualClock(start=10.0))
+        delivery = Delivery()
+        failure = forwarder.deliver(exchange_for(target), pair.connection, delivery)
+        return failure, delivery
+
+    return run
+
+
 @pytest.fixture
 def clock() -> ManualClock:
     """Return a clock that stands still."""
--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -5,6 +5,7 @@
 import math
 import socket
 import threading
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -35,6 +36,7 @@
 from hawthornstage.messages.desired import DesiredState
 from hawthornstage.messages.evacuations import Evacuations
 from hawthornstage.messages.forward import (
+    Delivery,
     ForwardExchange,
     PlacementBasis,
 )
@@ -143,6 +145,10 @@
         reply_to.put(ServerChosen(server, PlacementBasis()))
 
 
+# Forwards one call to scripted servers.
+Deliver = Callable[..., tuple[Failure | None, Delivery]]
+
+
 def make_forwarder(tasks: Any, clock: Clock) -> Forwarder:
     """Return a forwarder whose tasks are all stood for by one object."""
     block = BlockCrashingCalls(tasks.blocked_calls, tasks.blocked_parts, clock)
