--- a/src/hawthornstage/compose_fleet.py
+++ b/src/hawthornstage/compose_fleet.py
@@ -26,17 +26,10 @@
 from hawthornstage.actors.peers.task import Peers
 from hawthornstage.actors.probe_server import MetricsPage, ProbeServer, ReadinessPage
 from hawthornstage.actors.reading_turns import ReadingTurnsTask
-from hawthornstage.actors.servers.crash_logs import CrashLogWriter
-from hawthornstage.actors.servers.crashing_parts import CrashingPartsTask
-from hawthornstage.actors.servers.failures import ServerFailuresTask
-from hawthornstage.actors.servers.links import LinkProber, ServerLinksTask
-from hawthornstage.actors.servers.lost_servers import LostServersTask
 from hawthornstage.actors.servers.notices import ServerNoticesTask
 from hawthornstage.actors.servers.process_checks import ProcessChecks
-from hawthornstage.actors.servers.reach_checks import ReachChecks
 from hawthornstage.actors.servers.selection import ServerSelectionTask
 from hawthornstage.actors.servers.stream_versions import StreamVersionsTask
-from hawthornstage.actors.servers.tunnels import TunnelsTask
 from hawthornstage.actors.servers.version_records import VersionRecordsTask
 from hawthornstage.actors.settings_watch import SettingsWatch
 from hawthornstage.actors.shared_secret import (
@@ -56,6 +49,11 @@
 from hawthornstage.clock import Clock
 from hawthornstage.compose_messages import register_messages, schedule_periodic_work
 from hawthornstage.compose_pipe import make_intake, make_pipe
+from hawthornstage.compose_servers import (
+    start_failure_tasks,
+    start_links,
+    start_lost_servers,
+)
 from hawthornstage.compose_watches import watch_store
 from hawthornstage.decisions.circuit_breaker import CircuitBreaker
 from hawthornstage.decisions.connection_limits import derive_limits
@@ -191,7 +189,7 @@
             **self.shared,
         )
         self.start_token_accounts()
-        self.start_failure_tasks()
+        start_failure_tasks(self)
         self.server_selection = ServerSelectionTask.start(
             ServerSelector(self.settings.failure_domain),
             RetryShare(self.retry_terms),
@@ -226,8 +224,8 @@
             metrics=self.metrics,
             **self.shared,
         )
-        self.start_links()
-        self.start_lost_servers()
+        start_links(self)
+        start_lost_servers(self)
         self.admission = AdmissionTask.start(
             self.admission_policy,
             self.accepting,
@@ -303,64 +301,6 @@
             **self.shared,
         )
 
-    def start_failure_tasks(self) -> None:
-        """Start the tasks that find calls and prompt parts which crash servers."""
-        node = self.settings.node
-        self.server_failures = ServerFailuresTask.start(
-            node, self.blocked_calls, self.peers, **self.shared
-        )
-        self.crash_log_writer = CrashLogWriter.start(
-            node, self.store("crash_log"), **self.shared
-        )
-        self.crashing_parts = CrashingPartsTask.start(
-            node,
-            self.blocked_parts,
-            self.crash_log_writer,
-            self.routers,
-            **self.shared,
-        )
-
-    def start_links(self) -> None:
-        """Start the tasks that know this router's links, and serve other routers'."""
-        self.server_links = ServerLinksTask.start(
-            self.settings.node,
-            self.server_links_known,
-            LinkProber.start(),
-            (self.server_notices,),
-            **self.shared,
-        )
-        self.reach_checks = ReachChecks(
-            self.settings.node,
-            self.registered_servers,
-            self.server_links_known,
-            self.clock,
-        )
-        self.tunnels = TunnelsTask(
-            self.settings.tunnels,
-            self.reach_checks,
-            self.server_links,
-            registered=self.registered_servers,
-            notices=self.server_notices_in_force,
-            evacuations=self.evacuations_in_force,
-            links=self.server_links_known,
-            region=lambda: self.live_settings.value.region,
-            metrics=self.metrics,
-            **self.shared,
-        )
-
-    def start_lost_servers(self) -> None:
-        """Start the task that finds out which servers crashed during calls."""
-        self.lost_servers = LostServersTask.start(
-            self.reach_checks,
-            self.peers,
-            self.server_failures,
-            self.crashing_parts,
-            self.server_links,
-            links=self.server_links_known,
-            timers=self.timers,
-            **self.shared,
-        )
-
     def start_members(self, secret: str) -> None:
         """Start the task that registers this router and finds the others.
 
