Name a field of the log for what it counts, and read usual keys faster

Found by reading the change: `memory_scarce` counts bodies and responses, not connections; the comment on escaped names promised more than they keep.

--- a/src/hawthornstage/actors/connection_memory.py
+++ b/src/hawthornstage/actors/connection_memory.py
@@ -89,7 +89,7 @@
             self.events.emit(
                 "memory_scarce" if excess else "memory_enough",
                 used=memory.used_bytes if memory else 0,
-                connections=len(self.account.holdings),
+                holders=len(self.account.holdings),
             )
         for each in self.account.note_excess(excess):
             self.events.emit("memory_recalled", holder=each, excess=excess)
--- a/src/hawthornstage/platform/writable_text.py
+++ b/src/hawthornstage/platform/writable_text.py
@@ -27,6 +27,8 @@
 
 def replace_unwritable(text: str) -> str:
     """Return a text in which halves of surrogate pairs are replaced."""
+    if text.isascii():
+        return text
     return "".join(
         REPLACEMENT if "\ud800" <= each <= "\udfff" else each for each in text
     )
@@ -34,7 +36,7 @@
 
 # A text without which a document is invalid.
 CheckedText = Annotated[str, AfterValidator(check_writable)]
-# A name that operators chose: different names stay different.
+# A name that operators chose.
 EscapedText = Annotated[str, AfterValidator(escape_unwritable)]
 # A key of the store: one that is replaced is no key that this project writes or uses.
 ReplacedText = Annotated[str, AfterValidator(replace_unwritable)]
