Test kept connections with whole answers, and after limits that rose and fell

The test over processes left the body of an answer unread and looked for a status in what followed, so that it proved less than it says. It reads whole answers now, and a connection that waited under small limits gets larger ones.

--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from http.client import HTTPResponse
 from typing import Any
 
 import pytest
@@ -190,17 +191,17 @@
     assert interrupt.take() == [LimitsChanged()]
 
 
-def ask(connection: socket.socket, *, head: int = 0, body: int = 0) -> bytes:
-    """Send a request on a kept connection and return the first line of its answer."""
+def ask(connection: socket.socket, *, head: int = 0, body: int = 0) -> int:
+    """Send a request on a connection and return the status of its answer."""
     connection.sendall(
         f"POST {IDEMPOTENT_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: k\r\n"
         f"Authorization: Bearer {API_KEY}\r\nX-Long: z{'z' * head}\r\n"
         f"Content-Length: {body}\r\n\r\n{'z' * body}".encode()
     )
-    answer = b""
-    while b"\r\n\r\n" not in answer:
-        answer += connection.recv(65_536)
-    return answer.partition(b"\r\n")[0]
+    answer = HTTPResponse(connection)
+    answer.begin()
+    answer.read()
+    return answer.status
 
 
 def adopt(fleet: Fleet, version: int, **limits: int) -> None:
@@ -215,13 +216,15 @@
     start_fleet: StartFleet,
 ) -> None:
     fleet = start_fleet(routers=1, servers=1)
-    port = fleet.processes["edge-1"].port
-    with socket.create_connection((fleet.host, port), SOON) as kept:
-        assert b"200" in ask(kept)
-        adopt(fleet, 2, max_header_bytes=40_000, max_body_bytes=200_000)
-        assert b"200" in ask(kept, head=30_000, body=100_000)
-        adopt(fleet, 3, max_header_bytes=2_000, max_body_bytes=1_000)
-        assert b"413" in ask(kept, body=2_000)
+    address = (fleet.host, fleet.processes["edge-1"].port)
+    with socket.create_connection(address, SOON) as kept:
+        assert ask(kept) == 200
+        adopt(fleet, 2, max_header_bytes=2_000, max_body_bytes=1_000)
+        assert ask(kept, body=2_000) == 413
+    with socket.create_connection(address, SOON) as kept:
+        assert ask(kept) == 200
+        adopt(fleet, 3, max_header_bytes=40_000, max_body_bytes=200_000)
+        assert ask(kept, head=30_000, body=100_000) == 200
 
 
 def test_call_that_waited_is_placed_by_the_limit_in_use() -> None:
